Serve requests from any daemon to the one owner of their key

Cause: there was nothing yet.

Ownership is by sessions, witnesses and a table from the start, since a thinner scheme (a store lease per daemon) would have been thrown away: at 470 daemons its renewals alone exceed the store's write rate.

No tests yet.

--- /dev/null
+++ b/packages/admission/src/mod.ts
@@ -0,0 +1,25 @@
+/**
+ * Decides what runs, what waits and what is refused beside one backend server. Pure: time and
+ * randomness come in, decisions go out.
+ *
+ * @module
+ */
+export {
+  SlotQueue,
+  type SlotQueueLimits,
+  type SlotRequest,
+  type SlotVerdict,
+} from "./slot_queue.ts";
+export {
+  type AttemptClaim,
+  IdempotencyLedger,
+  type StoredAnswer,
+} from "./idempotency_ledger.ts";
+export { RetryBudget } from "./retry_budget.ts";
+export { backoffMs, retryAfterMs } from "./backoff.ts";
+export { readFirstSentMs } from "./idempotency_key.ts";
+export {
+  type AttemptSummary,
+  decideRetry,
+  type RetryContext,
+} from "./retry_policy.ts";
--- /dev/null
+++ b/packages/backend_standin/src/main.ts
@@ -0,0 +1,63 @@
+#!/usr/bin/env node
+/**
+ * `bamboolink-backend-standin`: the backend server stand-in as a process.
+ *
+ * @module
+ */
+import { Logger } from "@bamboolink/logger";
+import { readSettings } from "@bamboolink/settings";
+import { z } from "zod";
+import { BackendStandin } from "./backend_standin.ts";
+
+const Settings = z.strictObject({
+  host: z.string().min(1).describe("Name of the host, for answers."),
+  service: z.string().min(1).describe("The service that it belongs to."),
+  daemon: z.string().min(1).describe(
+    "Admin address of the daemon on this host.",
+  ),
+  backend_port: z.coerce.number().int().min(0).max(65_535).default(0).describe(
+    "Port on loopback.",
+  ),
+  slots: z.coerce.number().int().min(1).default(6).describe(
+    "Requests that run at once.",
+  ),
+  connections: z.coerce.number().int().min(1).default(130).describe(
+    "Connections that it accepts.",
+  ),
+  checks_fencing: z.enum(["true", "false"]).default("true").describe(
+    "Whether it checks grants.",
+  ),
+  service_ms: z.coerce.number().min(0).default(2).describe(
+    "How long a request takes, in milliseconds.",
+  ),
+});
+
+const read = readSettings(Settings, {
+  arguments: process.argv.slice(2),
+  environment: process.env,
+});
+if (read.isErr()) {
+  process.stderr.write(read.error.message + "\n");
+  process.exit(2);
+}
+const settings = read.value;
+const logger = Logger.create(`backend-standin ${settings.host}`, {
+  format: "human",
+  level: "info",
+});
+const standin = BackendStandin.create({
+  host: settings.host,
+  service: settings.service,
+  daemon: settings.daemon,
+  slots: settings.slots,
+  connections: settings.connections,
+  checksFencing: settings.checks_fencing === "true",
+  serviceMs: settings.service_ms,
+});
+const port = await standin.listen(settings.backend_port);
+logger.log("process_started", { address: `127.0.0.1:${port}` });
+["SIGTERM", "SIGINT"].forEach((signal) =>
+  process.on(signal, () => {
+    void standin.close().then(() => process.exit(0));
+  })
+);
--- /dev/null
+++ b/packages/backend_standin/src/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * A small stand-in for a backend server, with a ledger of what ran. For tests, the quickstart and
+ * measurements only.
+ *
+ * @module
+ */
+export {
+  BackendStandin,
+  type BackendStandinOptions,
+  type Run,
+} from "./backend_standin.ts";
+export { BackendFaults } from "./backend_faults.ts";
--- /dev/null
+++ b/packages/configuration/src/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Validates, compares and versions the one configuration document.
+ *
+ * @module
+ */
+export { type Change, compareDocuments } from "./compare.ts";
+export { type Problem, validateDocument } from "./validate.ts";
+export { applyDocument, HISTORY_LIMIT } from "./apply.ts";
--- /dev/null
+++ b/packages/daemon/src/backend_connection.ts
@@ -0,0 +1,70 @@
+/**
+ * The connections to the backend server on this host.
+ *
+ * @module
+ */
+import type { Announcement } from "@bamboolink/types";
+import { Pool } from "undici";
+import { CONNECT_TIMEOUT_MS } from "./connection_errors.ts";
+
+/** An announcement that was not repeated for so long no longer counts, in milliseconds. */
+export const ANNOUNCEMENT_MS = 1_800;
+
+/** What is known of the backend server, and the way to it. */
+export class BackendConnection {
+  private current: Announcement | undefined;
+  private heardAtMs = -Infinity;
+  private pool: Pool | undefined;
+
+  private constructor() {}
+
+  /** Creates one that knows of no backend server. */
+  static create(): BackendConnection {
+    return new BackendConnection();
+  }
+
+  /** What the backend server announced last. */
+  get announcement(): Announcement | undefined {
+    return this.current;
+  }
+
+  /** Connections to the backend server; `undefined` before it announced itself. */
+  get connections(): Pool | undefined {
+    return this.pool;
+  }
+
+  /** Notes an announcement; returns whether anything in it is new. */
+  note(announcement: Announcement, nowMs: number): boolean {
+    const before = this.current;
+    this.heardAtMs = nowMs;
+    this.current = announcement;
+    if (
+      before?.port !== announcement.port || before.slots !== announcement.slots
+    ) {
+      void this.pool?.close();
+      this.pool = createPool(announcement);
+    }
+    return JSON.stringify(before) !== JSON.stringify(announcement);
+  }
+
+  /** Whether the backend server is there and wants work. */
+  isReady(nowMs: number): boolean {
+    return this.current?.state === "ready" &&
+      nowMs - this.heardAtMs <= ANNOUNCEMENT_MS;
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.pool?.destroy();
+  }
+}
+
+function createPool(announcement: Announcement): Pool {
+  return new Pool(`http://127.0.0.1:${announcement.port}`, {
+    connections: Math.min(announcement.slots, announcement.connections),
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/connection_errors.ts
@@ -0,0 +1,21 @@
+/**
+ * Tells errors of a connection that was never made from those after which bytes may have arrived.
+ *
+ * @module
+ */
+
+const NOT_CONNECTED = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "EADDRNOTAVAIL",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** Whether no byte of the request can have reached the peer. */
+export function isNeverConnected(cause: unknown): boolean {
+  return NOT_CONNECTED.has((cause as NodeJS.ErrnoException | null)?.code ?? "");
+}
+
+/** How long a connection attempt may take, in milliseconds. */
+export const CONNECT_TIMEOUT_MS = 500;
--- /dev/null
+++ b/packages/daemon/src/daemon_settings.ts
@@ -0,0 +1,84 @@
+/**
+ * Settings of the daemon.
+ *
+ * @module
+ */
+import { readSettings, type SettingsError } from "@bamboolink/settings";
+import type { Result } from "neverthrow";
+import { z } from "zod";
+
+const port = z.coerce.number({ error: "expected a port number" }).int().min(0)
+  .max(65_535);
+const name = z.string({ error: "expected a name" }).regex(
+  /^[a-z0-9][a-z0-9.-]{0,62}$/,
+  "expected a name of lower-case letters, digits, dots and dashes",
+);
+const milliseconds = z.coerce.number({ error: "expected milliseconds" }).int()
+  .min(1).max(600_000);
+
+/** Schema of the daemon's settings. */
+export const DaemonSettings = z.strictObject({
+  host: name.describe("Name of this host, unique in the fleet."),
+  region: name.describe("Region of this host."),
+  availability_zone: name.describe(
+    "Availability zone of this host, as the configuration names it.",
+  ),
+  address: z.string({ error: "expected an IP address" }).min(1).describe(
+    "IP address at which other daemons and callers reach this host.",
+  ),
+  data_port: port.default(7080).describe(
+    "Port for callers and forwarding daemons.",
+  ),
+  control_port: port.default(7081).describe(
+    "Port for other daemons' control messages.",
+  ),
+  admin_port: port.default(7082).describe(
+    "Port on loopback for the backend server's announcements, metrics and health.",
+  ),
+  store: z.url({ error: "expected a URL such as http://127.0.0.1:2379" })
+    .describe("URL of the platform's key-value service."),
+  store_timeout_ms: milliseconds.default(1_000).describe(
+    "How long one call to the store may take.",
+  ),
+  store_calls_per_second: z.coerce.number().min(1).max(1_000).default(50)
+    .describe(
+      "The most calls a second that this process makes to the store, over time.",
+    ),
+  store_call_burst: z.coerce.number().min(1).max(10_000).default(600).describe(
+    "The most calls that it makes at once, for example in a takeover.",
+  ),
+  seeds: z.string().default("").describe(
+    "Control addresses of other daemons, with commas, for a start while the store is down.",
+  ),
+  promise_ms: milliseconds.default(1_000).describe(
+    "How long a witness's promise lasts; the same in the whole fleet.",
+  ),
+  renew_every_ms: milliseconds.default(250).describe(
+    "How often promises are renewed; the same in the whole fleet.",
+  ),
+  drain_ms: milliseconds.default(30_000).describe(
+    "How long a stop waits for keys to move and requests to finish.",
+  ),
+  maximum_body_bytes: z.coerce.number().int().min(0).max(1_073_741_824).default(
+    16_777_216,
+  ).describe("The largest body of a request."),
+  maximum_waiting: z.coerce.number().int().min(0).max(1_000_000).default(2_000)
+    .describe("Requests that may wait here for a key to get an owner."),
+  log_format: z.enum(["human", "json"], { error: "expected human or json" })
+    .default("human").describe("How log lines are written."),
+  log_level: z.enum(["error", "warn", "info", "debug"], {
+    error: "expected error, warn, info or debug",
+  }).default("info").describe("The least severity that is written."),
+});
+/** The daemon's settings. */
+export type DaemonSettings = z.infer<typeof DaemonSettings>;
+
+/** Reads the daemon's settings from flags and environment variables. */
+export function readDaemonSettings(
+  source: {
+    arguments: readonly string[];
+    environment: Readonly<Record<string, string | undefined>>;
+  },
+): Result<DaemonSettings, SettingsError> {
+  return readSettings(DaemonSettings, source);
+}
--- /dev/null
+++ b/packages/daemon/src/fleet.ts
@@ -0,0 +1,159 @@
+/**
+ * What this daemon knows of the fleet: its copy of the records and what is worked out from it.
+ *
+ * @module
+ */
+import { validateDocument } from "@bamboolink/configuration";
+import type { Logger } from "@bamboolink/logger";
+import { OwnershipTable, RequestMatcher } from "@bamboolink/routing";
+import type {
+  ConfigurationVersion,
+  Service,
+  SessionRecord,
+} from "@bamboolink/types";
+import {
+  type Delta,
+  type FleetState,
+  readFleetState,
+  View,
+} from "@bamboolink/view";
+
+/** The configuration in force, ready for use. */
+export interface ConfigurationInForce {
+  readonly version: ConfigurationVersion;
+  readonly matcher: RequestMatcher;
+  readonly services: ReadonlyMap<string, Service>;
+}
+
+/** The fleet as seen from here. */
+export class Fleet {
+  private readonly view = View.create();
+  private readonly listeners: (() => void)[] = [];
+  private readonly reportedProblems = new Set<string>();
+  private currentState: FleetState;
+  private currentTable = OwnershipTable.create([]);
+  private inForce: ConfigurationInForce | undefined;
+
+  private constructor(private readonly logger: Logger) {
+    this.currentState = readFleetState(this.view);
+  }
+
+  /** Creates an empty one. */
+  static create(logger: Logger): Fleet {
+    return new Fleet(logger);
+  }
+
+  /** The records, typed. */
+  get state(): FleetState {
+    return this.currentState;
+  }
+
+  /** Who owns what. */
+  get table(): OwnershipTable {
+    return this.currentTable;
+  }
+
+  /** The configuration in force, if there is one yet. */
+  get configuration(): ConfigurationInForce | undefined {
+    return this.inForce;
+  }
+
+  /** The revision up to which the copy is complete. */
+  get revision(): number {
+    return this.view.revision;
+  }
+
+  /** All session records. */
+  get sessions(): SessionRecord[] {
+    return [...this.currentState.sessions.values()].map((session) =>
+      session.record
+    );
+  }
+
+  /** Finds the record of one session. */
+  session(id: string): SessionRecord | undefined {
+    return this.currentState.sessions.get(id)?.record;
+  }
+
+  /** Calls back after each change. */
+  onChange(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** What a copy at an older revision needs. */
+  deltaSince(revision: number): Delta | undefined {
+    return this.view.deltaSince(revision);
+  }
+
+  /** Merges a delta from the store or from another daemon. */
+  merge(delta: Delta): "merged" | "old" | "gap" {
+    const outcome = this.view.merge(delta);
+    if (outcome === "merged") {
+      this.refresh(delta);
+    }
+    return outcome;
+  }
+
+  private refresh(delta: Delta): void {
+    const before = this.currentState;
+    this.currentState = readFleetState(this.view);
+    this.reportProblems();
+    if (
+      this.currentState.configuration?.revision !==
+        before.configuration?.revision
+    ) {
+      this.useConfiguration();
+    }
+    if (
+      delta.from === 0 ||
+      delta.records.some((record) => record.key.includes("/table/"))
+    ) {
+      this.currentTable = OwnershipTable.create(
+        this.currentState.shards.map((shard) => shard.record),
+      );
+    }
+    this.listeners.forEach((listener) => listener());
+  }
+
+  /** Puts a newer configuration in force; one that can't be used leaves the last good one. */
+  private useConfiguration(): void {
+    const version = this.currentState.configuration?.record.current;
+    if (
+      version === undefined ||
+      version.version <= (this.inForce?.version.version ?? 0)
+    ) {
+      return;
+    }
+    const valid = validateDocument(version.document);
+    if (valid.isErr()) {
+      const problems = valid.error.map((problem) =>
+        `${problem.path}: ${problem.message}`
+      );
+      this.logger.log("configuration_refused", {
+        version: version.version,
+        problems,
+      });
+      return;
+    }
+    this.inForce = {
+      version,
+      matcher: RequestMatcher.create(valid.value),
+      services: new Map(
+        valid.value.services.map((service) => [service.name, service]),
+      ),
+    };
+    this.logger.log("configuration_in_force", {
+      version: version.version,
+      author: version.author,
+    });
+  }
+
+  private reportProblems(): void {
+    this.currentState.problems
+      .filter((problem) => !this.reportedProblems.has(problem.key))
+      .forEach((problem) => {
+        this.reportedProblems.add(problem.key);
+        this.logger.log("store_record_refused", { ...problem });
+      });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/owner_forwarder.ts
@@ -0,0 +1,122 @@
+/**
+ * Forwards requests to the daemon of their owner.
+ *
+ * @module
+ */
+import { HEADERS, type OutcomeBody } from "@bamboolink/types";
+import type { Assignment } from "@bamboolink/routing";
+import { Agent, type Dispatcher } from "undici";
+import {
+  type AttemptResult,
+  Destination,
+  notRun,
+  type NotRunReason,
+  type RoutedRequest,
+  unknown,
+  type UnknownReason,
+} from "./attempt.ts";
+import { monotonicMs } from "./clock.ts";
+import { CONNECT_TIMEOUT_MS, isNeverConnected } from "./connection_errors.ts";
+import type { Fleet } from "./fleet.ts";
+import { selectEndToEnd } from "./http_headers.ts";
+
+/** Connections to one other daemon. */
+const CONNECTIONS = 64;
+
+/** The daemons of other owners. */
+export class OwnerForwarder extends Destination {
+  private constructor(
+    private readonly context: { fleet: Fleet; sessionId: () => string },
+    private readonly agent: Agent,
+  ) {
+    super();
+  }
+
+  /** Creates a forwarder without connections. */
+  static create(
+    context: { fleet: Fleet; sessionId: () => string },
+  ): OwnerForwarder {
+    const agent = new Agent({
+      connections: CONNECTIONS,
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    return new OwnerForwarder(context, agent);
+  }
+
+  override async attempt(
+    request: RoutedRequest,
+    assignment: Assignment,
+  ): Promise<AttemptResult> {
+    const address = this.context.fleet.session(assignment.session)
+      ?.data_address;
+    if (address === undefined) {
+      return notRun("no_owner", "the owner's address is not known here yet");
+    }
+    try {
+      const response = await this.agent.request({
+        origin: `http://${address}`,
+        path: request.url,
+        method: request.method as Dispatcher.HttpMethod,
+        headers: {
+          ...request.headers,
+          [HEADERS.requestId]: request.id,
+          [HEADERS.deadlineMs]: String(
+            Math.max(1, Math.floor(request.deadlineMs - monotonicMs())),
+          ),
+          [HEADERS.forwardedBy]: this.context.sessionId(),
+        },
+        body: request.body.open(),
+        signal: request.signal,
+      });
+      return await readAnswer(response, request.id);
+    } catch (cause) {
+      return describeFailure(cause, request.signal);
+    }
+  }
+
+  /** Closes all connections. */
+  close(): Promise<void> {
+    return this.agent.destroy();
+  }
+}
+
+/** An answer belongs to a request by its identity, never by its place in a connection. */
+async function readAnswer(
+  response: Dispatcher.ResponseData,
+  requestId: string,
+): Promise<AttemptResult> {
+  if (response.headers[HEADERS.requestId] !== requestId) {
+    response.body.destroy();
+    return unknown(
+      "connection_lost",
+      "the owner's daemon answered another request",
+    );
+  }
+  const outcome = response.headers[HEADERS.outcome];
+  if (outcome === "not_run" || outcome === "unknown") {
+    const body = await response.body.json() as OutcomeBody;
+    return outcome === "not_run"
+      ? notRun(body.reason as NotRunReason, body.message, {
+        waitMs: body.retry_after_ms ?? 0,
+      })
+      : unknown(body.reason as UnknownReason, body.message);
+  }
+  return {
+    kind: "answer",
+    status: response.statusCode,
+    headers: selectEndToEnd(response.headers),
+    body: response.body,
+  };
+}
+
+function describeFailure(cause: unknown, signal: AbortSignal): AttemptResult {
+  if (isNeverConnected(cause)) {
+    return notRun("owner_unreachable", "the owner's daemon can't be reached");
+  }
+  return signal.aborted
+    ? unknown("deadline", "the time was up before the owner's daemon answered")
+    : unknown("connection_lost", "the connection to the owner's daemon broke");
+}
--- /dev/null
+++ b/packages/daemon/src/planner.ts
@@ -0,0 +1,458 @@
+/**
+ * The planner: takes over from lost sessions, gives partitions to owners and moves them.
+ *
+ * Any daemon can be it. Everything it decides is written by compare-and-swap, every step can be
+ * repeated, and what it knows it can learn again, so losing it delays but never breaks.
+ *
+ * @module
+ */
+import { create } from "@bufbuild/protobuf";
+import type { Logger } from "@bamboolink/logger";
+import {
+  assignPartitions,
+  type Candidate,
+  createShards,
+  type LeaseTiming,
+  type PartitionChange,
+  rankWatchers,
+  rewriteShard,
+  SuspicionLedger,
+} from "@bamboolink/ownership";
+import {
+  type FleetStatusResponse,
+  FleetStatusResponseSchema,
+  type ReportRequest,
+} from "@bamboolink/protocol";
+import { type Store, writeSettled } from "@bamboolink/store";
+import {
+  type Service,
+  sessionKey,
+  type SessionRecord,
+  tableKey,
+  type TableShard,
+} from "@bamboolink/types";
+import { Background } from "./background.ts";
+import { monotonicMs, wallClockMs } from "./clock.ts";
+import type { Fleet } from "./fleet.ts";
+import { HandoverRunner } from "./handover_runner.ts";
+import type { PeerClients } from "./peer_clients.ts";
+import { PlannerElection } from "./planner_election.ts";
+import { ReportBoard } from "./report_board.ts";
+import { TakeoverBook } from "./takeover_book.ts";
+
+/** A session that has not reported for so long is suspected, in milliseconds. */
+const UNREPORTED_MS = 15_000;
+/** A service without any owner waits so long for more sessions to start, in milliseconds. */
+const SETTLE_MS = 1_000;
+/** Ended records that nothing refers to are deleted after so long, in milliseconds. */
+const FORGET_MS = 30_000;
+
+/** What the planner needs. */
+export interface PlannerContext {
+  readonly store: Store;
+  readonly fleet: Fleet;
+  readonly clients: PeerClients;
+  readonly logger: Logger;
+  readonly timing: LeaseTiming;
+}
+
+/** The planner's role in one daemon; idle unless elected. */
+export class Planner {
+  private readonly election: PlannerElection;
+  private readonly suspicions = SuspicionLedger.create();
+  private readonly reports = ReportBoard.create();
+  private readonly round: Background;
+  private readonly firstSeenMs = new Map<string, number>();
+  private readonly endedSinceMs = new Map<string, number>();
+  private takeovers: TakeoverBook;
+  private handovers: HandoverRunner;
+  private electedSession: string | undefined;
+
+  private constructor(private readonly context: PlannerContext) {
+    this.election = PlannerElection.create(context);
+    this.round = Background.create(context.logger, "planner.round");
+    this.takeovers = TakeoverBook.create(context.timing);
+    this.handovers = this.createHandovers();
+  }
+
+  /** Creates an idle planner. */
+  static create(context: PlannerContext): Planner {
+    return new Planner(context);
+  }
+
+  /** Whether this daemon is the planner. */
+  get isPlanner(): boolean {
+    return this.election.isPlanner(this.electedSession);
+  }
+
+  /**
+   * One step of the control loop.
+   *
+   * @param session the own session if it serves.
+   */
+  tick(nowMs: number, session: string | undefined): void {
+    const ranked = rankWatchers(this.context.fleet.sessions);
+    const candidate = ranked.some((record) => record.id === session)
+      ? session
+      : undefined;
+    this.election.tick(nowMs, {
+      candidate,
+      isLost: (id) => this.isLost(id, nowMs),
+    });
+    if (!this.election.isPlanner(session)) {
+      this.electedSession = undefined;
+      return;
+    }
+    if (this.electedSession !== session) {
+      this.startTerm(session as string);
+    }
+    this.round.start(() => this.runRound());
+  }
+
+  /** Notes that a witness has not heard from sessions for too long. */
+  noteSuspicions(witness: string, sessions: readonly string[]): void {
+    const nowMs = monotonicMs();
+    sessions.forEach((session) =>
+      this.suspicions.report(session, { witness, nowMs })
+    );
+  }
+
+  /** Notes a daemon's report; returns whether this daemon is the planner. */
+  noteReport(report: ReportRequest): boolean {
+    this.reports.note(report, monotonicMs());
+    return this.isPlanner;
+  }
+
+  /** Describes the fleet for operators. */
+  describeFleet(): FleetStatusResponse {
+    const nowMs = monotonicMs();
+    return create(FleetStatusResponseSchema, {
+      isPlanner: this.isPlanner,
+      session: this.electedSession ?? "",
+      configurationVersion: BigInt(
+        this.context.fleet.configuration?.version.version ?? 0,
+      ),
+      revision: BigInt(this.context.fleet.revision),
+      daemons: this.reports.all().map(({ report, atMs }) => ({
+        report,
+        ageMs: nowMs - atMs,
+      })),
+      stuck: this.takeovers.stuck(),
+    });
+  }
+
+  /** Gives the role up. */
+  async close(): Promise<void> {
+    await this.election.close();
+  }
+
+  private startTerm(session: string): void {
+    this.electedSession = session;
+    this.takeovers = TakeoverBook.create(this.context.timing);
+    this.handovers = this.createHandovers();
+    this.reports.clear();
+    this.firstSeenMs.clear();
+  }
+
+  private createHandovers(): HandoverRunner {
+    return HandoverRunner.create({ ...this.context, reports: this.reports });
+  }
+
+  private async runRound(): Promise<void> {
+    const nowMs = monotonicMs();
+    const { sessions } = this.context.fleet;
+    this.observe(sessions, nowMs);
+    await this.sealSuspects(sessions, nowMs);
+    this.takeovers.observe(this.context.fleet.sessions, monotonicMs());
+    await this.collectRefusals();
+    this.takeovers.advance(monotonicMs());
+    await this.assignAll();
+    await this.handovers.run(monotonicMs(), this.candidatesByService());
+    await this.tidy();
+  }
+
+  private observe(sessions: readonly SessionRecord[], nowMs: number): void {
+    const known = new Set(sessions.map((session) => session.id));
+    this.suspicions.retain(known);
+    this.reports.retain(
+      new Set(
+        sessions.filter(({ state }) => state === "open").map(({ id }) => id),
+      ),
+    );
+    sessions
+      .filter((session) => !this.firstSeenMs.has(session.id))
+      .forEach((session) => this.firstSeenMs.set(session.id, nowMs));
+    [...this.firstSeenMs.keys()].filter((id) => !known.has(id)).forEach((id) =>
+      this.firstSeenMs.delete(id)
+    );
+  }
+
+  private isLost(id: string, nowMs: number): boolean {
+    const session = this.context.fleet.session(id);
+    return session === undefined || session.state !== "open" ||
+      this.isSuspected(session, nowMs);
+  }
+
+  private isSuspected(session: SessionRecord, nowMs: number): boolean {
+    const isOpen = (witness: string) =>
+      this.context.fleet.session(witness)?.state === "open";
+    return this.suspicions.isSuspected(session, { nowMs, isOpen });
+  }
+
+  private async sealSuspects(
+    sessions: readonly SessionRecord[],
+    nowMs: number,
+  ): Promise<void> {
+    const replaced = new Set(sessions.flatMap((session) => session.replaces));
+    const reasonFor = (session: SessionRecord): string | undefined => {
+      if (session.state !== "open" || session.id === this.electedSession) {
+        return undefined;
+      }
+      if (replaced.has(session.id)) {
+        return "its daemon restarted";
+      }
+      const heardMs = this.reports.latest(session.id)?.atMs ??
+        this.firstSeenMs.get(session.id) ?? nowMs;
+      return this.isSuspected(session, nowMs)
+        ? "its witnesses heard nothing from it"
+        : nowMs - heardMs > UNREPORTED_MS
+        ? "it reported nothing to the planner"
+        : undefined;
+    };
+    const suspects = sessions.flatMap((session) => {
+      const reason = reasonFor(session);
+      return reason === undefined ? [] : [{ session, reason }];
+    });
+    await Promise.all(
+      suspects.map(({ session, reason }) => this.seal(session, reason)),
+    );
+  }
+
+  private async seal(session: SessionRecord, reason: string): Promise<void> {
+    const known = this.context.fleet.state.sessions.get(session.id);
+    const sealed: SessionRecord = {
+      ...session,
+      state: "sealed",
+      sealed_reason: reason,
+    };
+    const written = await this.writeSession(sealed, known?.revision ?? 0);
+    if (written) {
+      this.context.logger.log("takeover_started", {
+        session: session.id,
+        host: session.host,
+        reason,
+      });
+    }
+  }
+
+  private async writeSession(
+    record: SessionRecord,
+    expectedRevision: number,
+  ): Promise<boolean> {
+    const key = sessionKey(record.id);
+    const written = await writeSettled(this.context.store, {
+      key,
+      value: JSON.stringify(record),
+      expectedRevision,
+    });
+    return written.isOk();
+  }
+
+  private async collectRefusals(): Promise<void> {
+    const pending = [...this.takeovers.pendingRefusals()]
+      .filter(([witness]) =>
+        this.context.fleet.session(witness)?.state === "open"
+      );
+    await Promise.all(
+      pending.map(([witness, sessions]) => this.askToRefuse(witness, sessions)),
+    );
+  }
+
+  private async askToRefuse(
+    witness: string,
+    sessions: string[],
+  ): Promise<void> {
+    const address = this.context.fleet.session(witness)?.control_address;
+    if (address === undefined) {
+      return;
+    }
+    const answer = await this.context.clients.call(address, {
+      step: "planner.refuse",
+      send: (client, options) => client.refuse({ witness, sessions }, options),
+    });
+    if (answer.isOk() && answer.value.isWitness) {
+      const nowMs = monotonicMs();
+      answer.value.refusals.forEach(({ session, remainingMs }) =>
+        this.takeovers.noteRefusal(session, { witness, remainingMs, nowMs })
+      );
+    }
+  }
+
+  private candidatesByService(): Map<string, Candidate[]> {
+    const services = [
+      ...(this.context.fleet.configuration?.services.values() ?? []),
+    ];
+    return new Map(
+      services.map((service) => [service.name, this.candidatesOf(service)]),
+    );
+  }
+
+  /** Sessions that may be given partitions: they serve now and are to stay. */
+  private candidatesOf(service: Service): Candidate[] {
+    const { fleet } = this.context;
+    return fleet.sessions
+      .filter((session) =>
+        session.service === service.name && session.state === "open" &&
+        !session.draining
+      )
+      .filter((session) =>
+        service.availability_zones.includes(session.availability_zone)
+      )
+      .filter((session) => !fleet.state.drains.has(session.host))
+      .filter((session) =>
+        this.reports.latest(session.id)?.report.serving === true
+      )
+      .map((session) => ({ session: session.id, capacity: session.slots }))
+      .sort((left, right) => left.session < right.session ? -1 : 1);
+  }
+
+  private async assignAll(): Promise<void> {
+    const services = [
+      ...(this.context.fleet.configuration?.services.values() ?? []),
+    ];
+    const written = await Promise.all(
+      services.map((service) => this.assignService(service)),
+    );
+    if (written.every(Boolean)) {
+      await Promise.all(
+        this.takeovers.replaceable().map((session) =>
+          this.finishTakeover(session)
+        ),
+      );
+    }
+  }
+
+  /** Assigns what needs an owner in one service; returns whether nothing is left to write. */
+  private async assignService(service: Service): Promise<boolean> {
+    const candidates = this.candidatesOf(service);
+    const shards = this.shardsOf(service);
+    if (
+      shards.some((shard) => shard.version === 0) && !this.hasSettled(service)
+    ) {
+      return false;
+    }
+    const changes = assignPartitions(shards, {
+      candidates,
+      mayReplace: (session) => this.takeovers.mayReplace(session),
+    });
+    const outcomes = await Promise.all(
+      shards.map((shard) => this.writeShard(shard, changes)),
+    );
+    return candidates.length > 0 && outcomes.every(Boolean);
+  }
+
+  private shardsOf(service: Service): TableShard[] {
+    const known = this.context.fleet.state.shards.map((shard) => shard.record);
+    return createShards(service.name, service.partitions).map((empty) =>
+      known.find((shard) =>
+        shard.service === service.name && shard.first === empty.first
+      ) ?? empty
+    );
+  }
+
+  /** So that the first session of a new service isn't given everything just to lose most of it again. */
+  private hasSettled(service: Service): boolean {
+    const seen = this.context.fleet.sessions
+      .filter((session) =>
+        session.service === service.name && session.state === "open"
+      )
+      .map((session) => this.firstSeenMs.get(session.id) ?? Infinity);
+    return monotonicMs() - Math.max(...seen) >= SETTLE_MS;
+  }
+
+  private async writeShard(
+    shard: TableShard,
+    changes: readonly PartitionChange[],
+  ): Promise<boolean> {
+    const reason = shard.version === 0
+      ? "first assignment"
+      : "takeover from ended sessions";
+    const next = rewriteShard(shard, { changes, reason, nowMs: wallClockMs() });
+    if (next === undefined) {
+      return true;
+    }
+    const known = this.context.fleet.state.shards.find((stored) =>
+      stored.record.service === shard.service &&
+      stored.record.first === shard.first
+    );
+    const written = await writeSettled(this.context.store, {
+      key: tableKey(shard.service, shard.first),
+      value: JSON.stringify(next),
+      expectedRevision: known?.revision ?? 0,
+    });
+    if (written.isOk()) {
+      const { service, first, version } = next;
+      this.context.logger.log("table_written", {
+        service,
+        first,
+        version,
+        reason,
+      });
+    }
+    // The copy of the records shows the write a little later; only then is the takeover finished.
+    return false;
+  }
+
+  private async finishTakeover(id: string): Promise<void> {
+    const known = this.context.fleet.state.sessions.get(id);
+    if (known === undefined || this.ownsAnything(id)) {
+      return;
+    }
+    if (
+      await this.writeSession(
+        { ...known.record, state: "ended" },
+        known.revision,
+      )
+    ) {
+      this.takeovers.finish(id);
+      this.context.logger.log("takeover_finished", {
+        session: id,
+        host: known.record.host,
+      });
+    }
+  }
+
+  private ownsAnything(id: string): boolean {
+    return this.context.fleet.state.shards.some(({ record }) =>
+      record.sessions.includes(id)
+    );
+  }
+
+  /** Deletes ended records that nothing refers to any more. */
+  private async tidy(): Promise<void> {
+    const nowMs = monotonicMs();
+    const { sessions, state } = this.context.fleet;
+    const referred = new Set(
+      sessions.filter(({ state }) => state !== "ended").flatMap((session) =>
+        session.witnesses
+      ),
+    );
+    const ended = sessions.filter((session) => session.state === "ended");
+    ended.filter(({ id }) => !this.endedSinceMs.has(id)).forEach(({ id }) =>
+      this.endedSinceMs.set(id, nowMs)
+    );
+    const forgettable = ended.filter(({ id }) =>
+      nowMs - (this.endedSinceMs.get(id) as number) > FORGET_MS &&
+      !referred.has(id) && !this.ownsAnything(id)
+    );
+    await Promise.all(forgettable.map(async ({ id }) => {
+      const expectedRevision = state.sessions.get(id)?.revision ?? 0;
+      await this.context.store.compareAndSwap({
+        key: sessionKey(id),
+        value: undefined,
+        expectedRevision,
+      });
+      this.endedSinceMs.delete(id);
+    }));
+  }
+}
--- /dev/null
+++ b/packages/load/src/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * An open-loop load tool that checks every answer.
+ *
+ * @module
+ */
+export { type LoadPlan, LoadRun } from "./load_run.ts";
+export { formatReport, type LoadReport } from "./load_report.ts";
+export { ArrivalSchedule } from "./arrival_schedule.ts";
+export { KeyChooser } from "./key_chooser.ts";
--- /dev/null
+++ b/packages/logger/src/logger.ts
@@ -0,0 +1,79 @@
+/**
+ * Writes numbered events through `consola`, for people or as one JSON object a line.
+ *
+ * @module
+ */
+import { type ConsolaInstance, createConsola } from "consola";
+import { describeCause } from "@bamboolink/errors";
+import { type EventName, EVENTS } from "./events.ts";
+
+/** How log lines are written. */
+export type LogFormat = "human" | "json";
+
+/** Fields of an event; `cause` may be any thrown value. */
+export type EventFields = Readonly<Record<string, unknown>>;
+
+const SEVERITY_LEVELS = { error: 0, warn: 1, info: 3, debug: 4 } as const;
+
+/** Writes events of one process. */
+export class Logger {
+  private constructor(
+    private readonly consola: ConsolaInstance,
+    private readonly format: LogFormat,
+    private readonly process: string,
+  ) {}
+
+  /** Creates a logger for one process; `level` is the least severity that is written. */
+  static create(
+    process: string,
+    options: { format: LogFormat; level: keyof typeof SEVERITY_LEVELS },
+  ): Logger {
+    const consola = createConsola({
+      level: SEVERITY_LEVELS[options.level],
+      stdout: globalThis.process.stderr,
+      stderr: globalThis.process.stderr,
+      formatOptions: { date: true, colors: false, compact: true },
+      ...(options.format === "json" ? { reporters: [JSON_REPORTER] } : {}),
+    });
+    return new Logger(consola, options.format, process);
+  }
+
+  /** Writes one event. Its number, name and severity come from the catalogue. */
+  log(event: EventName, fields: EventFields = {}): void {
+    const definition = EVENTS[event];
+    const plain = Object.fromEntries(
+      Object.entries(fields).map((
+        [name, value],
+      ) => [name, name === "cause" ? describeCause(value) : value]),
+    );
+    if (this.format === "json") {
+      const line = {
+        event: definition.number,
+        name: event,
+        process: this.process,
+        ...plain,
+      };
+      this.consola[definition.severity](line);
+      return;
+    }
+    const pairs = Object.entries(plain).map(([name, value]) =>
+      `${name}=${JSON.stringify(value)}`
+    );
+    const number = `BL${definition.number}`;
+    this.consola[definition.severity](
+      `${number} ${event} [${this.process}] ${pairs.join(" ")}`,
+    );
+  }
+}
+
+const JSON_REPORTER = {
+  log(entry: { args: unknown[]; type: string; date: Date }): void {
+    const fields = entry.args[0] as Record<string, unknown>;
+    const line = {
+      time: entry.date.toISOString(),
+      severity: entry.type,
+      ...fields,
+    };
+    globalThis.process.stderr.write(JSON.stringify(line) + "\n");
+  },
+};
--- /dev/null
+++ b/packages/operator/src/operator_command.ts
@@ -0,0 +1,132 @@
+/**
+ * What all commands share: the store, the form of the output, the handling of errors.
+ *
+ * @module
+ */
+import { readFile } from "node:fs/promises";
+import { userInfo } from "node:os";
+import { BamboolinkError } from "@bamboolink/errors";
+import { EtcdStore, type Store } from "@bamboolink/store";
+import { KEY_PREFIX } from "@bamboolink/types";
+import { type FleetState, readFleetState, View } from "@bamboolink/view";
+import { Command, Option } from "clipanion";
+import { err, ok, type Result } from "neverthrow";
+import { EXIT_CODES, exitCodeOf } from "./exit_codes.ts";
+
+/** How long one call to the store may take, in milliseconds. */
+const STORE_TIMEOUT_MS = 5_000;
+/** An operator's tool makes few calls; the bound is against loops. */
+const STORE_CALLS = { callsPerSecond: 20, callBurst: 50 };
+
+/** What a command prints: lines for people and data for `--json`. */
+export interface Output {
+  readonly lines: readonly string[];
+  readonly data: unknown;
+}
+
+/** A command of the operators' tool. */
+export abstract class OperatorCommand extends Command {
+  json = Option.Boolean("--json", false, {
+    description: "Print one JSON document.",
+  });
+
+  /** Does the work of the command. */
+  protected abstract run(): Promise<Result<Output, BamboolinkError>>;
+
+  override async execute(): Promise<number> {
+    const result = await this.run();
+    if (result.isOk()) {
+      const { lines, data } = result.value;
+      this.context.stdout.write(
+        (this.json ? JSON.stringify(data, null, 2) : lines.join("\n")) + "\n",
+      );
+      return EXIT_CODES.done;
+    }
+    const { error } = result;
+    const failure = {
+      error: error.code,
+      step: error.step,
+      peer: error.peer,
+      message: error.message,
+    };
+    this.context.stderr.write(
+      (this.json ? JSON.stringify(failure, null, 2) : error.describe()) + "\n",
+    );
+    return exitCodeOf(error);
+  }
+}
+
+/** A command that needs the store. */
+export abstract class StoreCommand extends OperatorCommand {
+  store = Option.String("--store", {
+    description: "URL of the platform's key-value service (BAMBOOLINK_STORE).",
+    env: "BAMBOOLINK_STORE",
+  });
+
+  /** Does the work with the store. */
+  protected abstract runWith(
+    store: Store,
+  ): Promise<Result<Output, BamboolinkError>>;
+
+  protected override async run(): Promise<Result<Output, BamboolinkError>> {
+    if (this.store === undefined || !URL.canParse(this.store)) {
+      const message =
+        "setting --store (or BAMBOOLINK_STORE): expected a URL such as http://127.0.0.1:2379";
+      return err(
+        BamboolinkError.create("invalid", message, {
+          step: "operator.settings",
+        }),
+      );
+    }
+    const store = EtcdStore.create({
+      url: this.store,
+      timeoutMs: STORE_TIMEOUT_MS,
+      ...STORE_CALLS,
+    });
+    try {
+      return await this.runWith(store);
+    } finally {
+      await store.close();
+    }
+  }
+}
+
+/** Reads all records of the fleet. */
+export async function readFleet(
+  store: Store,
+): Promise<Result<FleetState, BamboolinkError>> {
+  const listing = await store.list(KEY_PREFIX);
+  return listing.map(({ records, revision }) => {
+    const view = View.create();
+    view.merge({ from: 0, to: Math.max(revision, 1), records });
+    return readFleetState(view);
+  });
+}
+
+/** Reads a JSON file. */
+export async function readJsonFile(
+  path: string,
+): Promise<Result<unknown, BamboolinkError>> {
+  const step = "operator.read_file";
+  try {
+    const text = await readFile(path, "utf8");
+    return ok(JSON.parse(text));
+  } catch (cause) {
+    return err(
+      BamboolinkError.create(
+        "invalid",
+        `${path}: ${(cause as Error).message}`,
+        { step, cause },
+      ),
+    );
+  }
+}
+
+/** The name under which changes are written down, unless the operator gives another. */
+export function defaultAuthor(): string {
+  try {
+    return userInfo().username;
+  } catch {
+    return "unknown";
+  }
+}
--- /dev/null
+++ b/packages/settings/src/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Settings from flags and environment variables.
+ *
+ * @module
+ */
+export {
+  describeSettings,
+  readSettings,
+  type SettingDescription,
+  SettingsError,
+} from "./settings.ts";
--- /dev/null
+++ b/packages/types/src/keys.ts
@@ -0,0 +1,33 @@
+/**
+ * Names of the records in the platform's store.
+ *
+ * @module
+ */
+
+/** Every record of bamboolink has this prefix. */
+export const KEY_PREFIX = "/bamboolink/";
+/** The configuration record. */
+export const CONFIGURATION_KEY = `${KEY_PREFIX}configuration`;
+/** The record of the elected planner, held by a store lease. */
+export const PLANNER_KEY = `${KEY_PREFIX}planner`;
+/** Prefix of all session records. */
+export const SESSION_PREFIX = `${KEY_PREFIX}sessions/`;
+/** Prefix of all shards of the ownership table. */
+export const TABLE_PREFIX = `${KEY_PREFIX}table/`;
+/** Prefix of operators' requests to drain a host. */
+export const DRAIN_PREFIX = `${KEY_PREFIX}drains/`;
+
+/** Key of the record of one session. */
+export function sessionKey(sessionId: string): string {
+  return SESSION_PREFIX + sessionId;
+}
+
+/** Key of the shard of a service's ownership table that begins with partition `first`. */
+export function tableKey(service: string, first: number): string {
+  return `${TABLE_PREFIX}${service}/${first}`;
+}
+
+/** Key of the request to drain one host. */
+export function drainKey(host: string): string {
+  return DRAIN_PREFIX + host;
+}
