--- a/packages/daemon/src/planner.ts
+++ b/packages/daemon/src/planner.ts
@@ -17,6 +17,7 @@
   rankWatchers,
   rewriteShard,
   SuspicionLedger,
+  TakeoverBook,
 } from "@bamboolink/ownership";
 import {
   type FleetStatusResponse,
@@ -38,7 +39,6 @@
 import type { PeerClients } from "./peer_clients.ts";
 import { PlannerElection } from "./planner_election.ts";
 import { ReportBoard } from "./report_board.ts";
-import { TakeoverBook } from "./takeover_book.ts";
 
 /** A session that has not reported for so long is suspected, in milliseconds. */
 const UNREPORTED_MS = 15_000;
--- a/packages/ownership/src/chart.ts
+++ b/packages/ownership/src/chart.ts
@@ -14,6 +14,9 @@
 
 /** A state chart that is read from a file and stepped without side effects. */
 export class Chart {
+  /** The charts have no context, so a step depends on state and event alone and is worked out once. */
+  private readonly steps = new Map<string, string>();
+
   private constructor(private readonly machine: AnyStateMachine) {}
 
   /** Reads a chart from `charts/NAME.json`. */
@@ -29,6 +32,13 @@
 
   /** The state after an event; an event that the state does not know leaves it as it is. */
   next(state: string, event: string): string {
+    const name = `${state} ${event}`;
+    const known = this.steps.get(name) ?? this.interpret(state, event);
+    this.steps.set(name, known);
+    return known;
+  }
+
+  private interpret(state: string, event: string): string {
     const snapshot = this.machine.resolveState({ value: state, context: {} });
     return String(transition(this.machine, snapshot, { type: event })[0].value);
   }
--- a/packages/ownership/src/mod.ts
+++ b/packages/ownership/src/mod.ts
@@ -37,3 +37,4 @@
 } from "./assign_partitions.ts";
 export { type Move, type OwnedPartition, planMoves } from "./plan_moves.ts";
 export { chooseWatchers, rankWatchers } from "./watcher_choice.ts";
+export { TakeoverBook } from "./takeover_book.ts";
--- a/packages/daemon/src/takeover_book.ts
+++ b/packages/ownership/src/takeover_book.ts
@@ -3,14 +3,10 @@
  *
  * @module
  */
-import {
-  findEndTimes,
-  type LeaseTiming,
-  type SealedSession,
-  TAKEOVER_CHART,
-  waiterLength,
-} from "@bamboolink/ownership";
 import type { SessionRecord } from "@bamboolink/types";
+import { TAKEOVER_CHART } from "./chart.ts";
+import { findEndTimes, type SealedSession } from "./end_evidence.ts";
+import { type LeaseTiming, waiterLength } from "./timing.ts";
 
 interface Case {
   readonly record: SessionRecord;
