--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -13,11 +13,7 @@
 import { BamboolinkError } from "@bamboolink/errors";
 import { Logger } from "@bamboolink/logger";
 import { Metrics } from "@bamboolink/metrics";
-import {
-  chooseWatchers,
-  DEFAULT_TIMING,
-  type LeaseTiming,
-} from "@bamboolink/ownership";
+import { DEFAULT_TIMING } from "@bamboolink/ownership";
 import { EtcdStore } from "@bamboolink/store";
 import type { Announcement } from "@bamboolink/types";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
@@ -86,14 +82,10 @@
       timeoutMs: settings.store_timeout_ms,
       callsPerSecond: settings.store_calls_per_second,
       callBurst: settings.store_call_burst,
+      random: () => this.randomness.next(),
     });
     this.fleet = Fleet.create(this.logger);
     const { store, fleet, clients, logger, randomness } = this;
-    const timing: LeaseTiming = {
-      ...DEFAULT_TIMING,
-      promiseMs: settings.promise_ms,
-      renewEveryMs: settings.renew_every_ms,
-    };
     const sessionId = () => this.keeper.current?.id ?? "";
     this.keeper = SessionKeeper.create({
       store,
@@ -101,7 +93,7 @@
       clients,
       logger,
       randomness,
-      timing,
+      timing: DEFAULT_TIMING,
       place: {
         host: settings.host,
         region: settings.region,
@@ -125,7 +117,13 @@
           seeds: settings.seeds,
         }),
     });
-    this.planner = Planner.create({ store, fleet, clients, logger, timing });
+    this.planner = Planner.create({
+      store,
+      fleet,
+      clients,
+      logger,
+      timing: DEFAULT_TIMING,
+    });
     this.reporter = Reporter.create({
       fleet,
       clients,
@@ -305,7 +303,7 @@
   /** Daemons without a session follow the store themselves until they have one. */
   private shouldFollow(session: string | undefined): boolean {
     return session === undefined || this.planner.isPlanner ||
-      chooseWatchers(this.fleet.sessions).has(session);
+      this.fleet.watchers.some(({ id }) => id === session);
   }
 
   private noteAnnouncement(announcement: Announcement): void {
--- a/packages/daemon/src/daemon_settings.ts
+++ b/packages/daemon/src/daemon_settings.ts
@@ -50,12 +50,6 @@
   seeds: z.string().default("").describe(
     "Control addresses of other daemons, with commas, for a start while the store is down.",
   ),
-  promise_ms: milliseconds.default(1_000).describe(
-    "How long a witness's promise lasts; the same in the whole fleet.",
-  ),
-  renew_every_ms: milliseconds.default(250).describe(
-    "How often promises are renewed; the same in the whole fleet.",
-  ),
   drain_ms: milliseconds.default(30_000).describe(
     "How long a stop waits for keys to move and requests to finish.",
   ),
--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -5,6 +5,7 @@
  */
 import { validateDocument } from "@bamboolink/configuration";
 import type { Logger } from "@bamboolink/logger";
+import { rankWatchers } from "@bamboolink/ownership";
 import { OwnershipTable, RequestMatcher } from "@bamboolink/routing";
 import type {
   ConfigurationVersion,
@@ -32,6 +33,8 @@
   private readonly reportedProblems = new Set<string>();
   private currentState: FleetState;
   private currentTable = OwnershipTable.create([]);
+  private currentSessions: readonly SessionRecord[] = [];
+  private currentWatchers: readonly SessionRecord[] = [];
   private inForce: ConfigurationInForce | undefined;
 
   private constructor(private readonly logger: Logger) {
@@ -64,10 +67,13 @@
   }
 
   /** All session records. */
-  get sessions(): SessionRecord[] {
-    return [...this.currentState.sessions.values()].map((session) =>
-      session.record
-    );
+  get sessions(): readonly SessionRecord[] {
+    return this.currentSessions;
+  }
+
+  /** Sessions that watch the store, in the order in which they stand for planner. */
+  get watchers(): readonly SessionRecord[] {
+    return this.currentWatchers;
   }
 
   /** Finds the record of one session. */
@@ -97,6 +103,10 @@
   private refresh(delta: Delta): void {
     const before = this.currentState;
     this.currentState = readFleetState(this.view);
+    this.currentSessions = [...this.currentState.sessions.values()].map((
+      { record },
+    ) => record);
+    this.currentWatchers = rankWatchers(this.currentSessions);
     this.reportProblems();
     if (
       this.currentState.configuration?.revision !==
--- a/packages/daemon/src/handover_runner.ts
+++ b/packages/daemon/src/handover_runner.ts
@@ -15,7 +15,7 @@
   rewriteShard,
 } from "@bamboolink/ownership";
 import { type Store, writeSettled } from "@bamboolink/store";
-import { tableKey, type TableShard } from "@bamboolink/types";
+import { PLANNER_KEY, tableKey, type TableShard } from "@bamboolink/types";
 import type { Versioned } from "@bamboolink/view";
 import { wallClockMs } from "./clock.ts";
 import type { Fleet } from "./fleet.ts";
@@ -65,7 +65,7 @@
       this.nextPlanMs = nowMs + PLAN_EVERY_MS;
       this.handovers = this.plan(candidates);
     }
-    if (this.handovers.length === 0) {
+    if (this.handovers.length === 0 || !await this.isStoreThere()) {
       return;
     }
     await this.releaseAll();
@@ -73,6 +73,16 @@
     this.dropFinished();
   }
 
+  /**
+   * Whether the store answers right now.
+   *
+   * What goes wrong without asking: an owner releases partitions, the store is down, and nobody owns
+   * them until it is back. It shows as keys without an owner for as long as the outage lasts.
+   */
+  private async isStoreThere(): Promise<boolean> {
+    return (await this.context.store.get(PLANNER_KEY)).isOk();
+  }
+
   private plan(
     candidates: ReadonlyMap<string, readonly Candidate[]>,
   ): Handover[] {
--- a/packages/daemon/src/peer_clients.ts
+++ b/packages/daemon/src/peer_clients.ts
@@ -69,6 +69,11 @@
     }
   }
 
+  /** The client of one peer, for streams. */
+  clientOf(address: string): PeerClient {
+    return this.connect(address).client;
+  }
+
   /** Closes the connections to peers that are no longer in the fleet. */
   retain(addresses: ReadonlySet<string>): void {
     [...this.connections.keys()].filter((address) => !addresses.has(address))
--- a/packages/daemon/src/peer_service.ts
+++ b/packages/daemon/src/peer_service.ts
@@ -49,13 +49,18 @@
   };
   return (router) =>
     router.service(Peer, {
-      renew: (request) => {
-        const session = witnessNamed(request.witness);
-        if (session === undefined) {
-          return { answer: RenewResponse_Answer.NOT_THE_WITNESS };
+      renew: async function* (requests) {
+        for await (const { session: holder, witness, number } of requests) {
+          const session = witnessNamed(witness);
+          const at = {
+            nowMs: monotonicMs(),
+            validUntilMs: session?.validUntilMs ?? -Infinity,
+          };
+          const answer = session === undefined
+            ? RenewResponse_Answer.NOT_THE_WITNESS
+            : ANSWERS[session.ledger.renew(holder, at)];
+          yield { answer, number };
         }
-        const at = { nowMs: monotonicMs(), validUntilMs: session.validUntilMs };
-        return { answer: ANSWERS[session.ledger.renew(request.session, at)] };
       },
       refuse: (request) => {
         const session = witnessNamed(request.witness);
--- a/packages/daemon/src/planner.ts
+++ b/packages/daemon/src/planner.ts
@@ -14,7 +14,6 @@
   createShards,
   type LeaseTiming,
   type PartitionChange,
-  rankWatchers,
   rewriteShard,
   SuspicionLedger,
   TakeoverBook,
@@ -26,6 +25,7 @@
 } from "@bamboolink/protocol";
 import { type Store, writeSettled } from "@bamboolink/store";
 import {
+  NO_OWNER,
   type Service,
   sessionKey,
   type SessionRecord,
@@ -91,7 +91,7 @@
    * @param session the own session if it serves.
    */
   tick(nowMs: number, session: string | undefined): void {
-    const ranked = rankWatchers(this.context.fleet.sessions);
+    const ranked = this.context.fleet.watchers;
     const candidate = ranked.some((record) => record.id === session)
       ? session
       : undefined;
@@ -341,6 +341,9 @@
     ) {
       return false;
     }
+    if (!shards.some((shard) => this.needsOwners(shard))) {
+      return true;
+    }
     const changes = assignPartitions(shards, {
       candidates,
       mayReplace: (session) => this.takeovers.mayReplace(session),
@@ -351,6 +354,11 @@
     return candidates.length > 0 && outcomes.every(Boolean);
   }
 
+  private needsOwners(shard: TableShard): boolean {
+    return shard.owners.includes(NO_OWNER) ||
+      shard.sessions.some((session) => this.takeovers.mayReplace(session));
+  }
+
   private shardsOf(service: Service): TableShard[] {
     const known = this.context.fleet.state.shards.map((shard) => shard.record);
     return createShards(service.name, service.partitions).map((empty) =>
--- a/packages/daemon/src/reporter.ts
+++ b/packages/daemon/src/reporter.ts
@@ -5,7 +5,6 @@
  */
 import { create } from "@bufbuild/protobuf";
 import type { Logger } from "@bamboolink/logger";
-import { rankWatchers } from "@bamboolink/ownership";
 import { type ReportRequest, ReportRequestSchema } from "@bamboolink/protocol";
 import { Background } from "./background.ts";
 import type { Fleet } from "./fleet.ts";
@@ -146,9 +145,7 @@
   /** Tells the planner, and whoever may have to replace it. */
   private async suspect(witness: string, sessions: string[]): Promise<void> {
     const { fleet, clients } = this.context;
-    const candidates = rankWatchers(fleet.sessions).map((session) =>
-      session.id
-    );
+    const candidates = fleet.watchers.map((session) => session.id);
     const planner = fleet.state.planner?.record.session;
     const receivers = planner !== undefined && !sessions.includes(planner)
       ? [planner]
--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -24,6 +24,7 @@
 import { OwnSession } from "./own_session.ts";
 import type { PeerClients } from "./peer_clients.ts";
 import type { Randomness } from "./randomness.ts";
+import { RenewalChannel } from "./renewal_channel.ts";
 
 /** A witness that has been silent for so long is replaced, in milliseconds. */
 const UNREACHABLE_MS = 3_000;
@@ -56,6 +57,7 @@
   private readonly writing: Background;
   private readonly confirming: Background;
   private readonly lastAnswers = new Map<string, number>();
+  private readonly channels = new Map<string, RenewalChannel>();
   private readonly gone = new Set<string>();
   private session: OwnSession | undefined;
   private nextWriteMs = 0;
@@ -92,8 +94,9 @@
       return;
     }
     session.lease.dueRenewals(nowMs).forEach((witness) =>
-      void this.renew(session, witness)
+      this.renew(session, witness)
     );
+    this.closeChannels(session.lease.witnesses);
     this.noteQuorum(session, nowMs);
     this.reviewRecord(session, nowMs);
   }
@@ -101,6 +104,7 @@
   /** Ends the session in the store, after everything of it has stopped. */
   async close(): Promise<void> {
     this.closed = true;
+    this.closeChannels([]);
     const session = this.session;
     this.session = undefined;
     if (session === undefined || session.revision === 0) {
@@ -186,27 +190,37 @@
     return Math.max(0, ...operations.map((operation) => operation.timeout_ms));
   }
 
-  private async renew(session: OwnSession, witness: string): Promise<void> {
+  private renew(session: OwnSession, witness: string): void {
+    const known = this.channels.get(witness);
+    const channel = known ?? this.createChannel(session, witness);
+    this.channels.set(witness, channel);
+    session.lease.markSent(witness, monotonicMs());
+    channel.renew();
+  }
+
+  private createChannel(session: OwnSession, witness: string): RenewalChannel {
     const { fleet, clients } = this.context;
-    const sentAtMs = monotonicMs();
-    session.lease.markSent(witness, sentAtMs);
-    const address = fleet.session(witness)?.control_address;
-    if (address === undefined) {
-      return;
-    }
-    const answer = await clients.call(address, {
-      step: "session_keeper.renew",
-      send: (client, options) =>
-        client.renew({ session: session.id, witness }, options),
-      timeoutMs: this.context.timing.promiseMs / 2,
+    return RenewalChannel.create({
+      session: session.id,
+      witness,
+      client: () => {
+        const address = fleet.session(witness)?.control_address;
+        return address === undefined ? undefined : clients.clientOf(address);
+      },
+      onAnswer: (answer, sentAtMs) =>
+        this.takeAnswer(session, { witness, answer, sentAtMs }),
     });
-    if (answer.isErr()) {
-      return;
-    }
+  }
+
+  private takeAnswer(
+    session: OwnSession,
+    given: { witness: string; answer: RenewResponse_Answer; sentAtMs: number },
+  ): void {
+    const { witness } = given;
     this.lastAnswers.set(witness, monotonicMs());
-    switch (answer.value.answer) {
+    switch (given.answer) {
       case RenewResponse_Answer.PROMISED:
-        session.lease.recordPromise(witness, sentAtMs);
+        session.lease.recordPromise(witness, given.sentAtMs);
         break;
       case RenewResponse_Answer.REFUSED:
         session.lease.dropPromise(witness);
@@ -218,6 +232,16 @@
     }
   }
 
+  /** Ends the streams to sessions that are not witnesses any more. */
+  private closeChannels(witnesses: readonly string[]): void {
+    [...this.channels]
+      .filter(([witness]) => !witnesses.includes(witness))
+      .forEach(([witness, channel]) => {
+        channel.close();
+        this.channels.delete(witness);
+      });
+  }
+
   private noteQuorum(session: OwnSession, nowMs: number): void {
     const held = nowMs < session.lease.validUntil;
     if (session.step(held ? "QUORUM_HELD" : "QUORUM_LOST")) {
@@ -265,6 +289,7 @@
 
   private seal(session: OwnSession, reason: string): void {
     if (session.step("SEALED")) {
+      this.closeChannels([]);
       this.context.logger.log("session_sealed", {
         session: session.id,
         reason,
--- a/packages/logger/src/logger.ts
+++ b/packages/logger/src/logger.ts
@@ -32,8 +32,7 @@
       level: SEVERITY_LEVELS[options.level],
       stdout: globalThis.process.stderr,
       stderr: globalThis.process.stderr,
-      formatOptions: { date: true, colors: false, compact: true },
-      ...(options.format === "json" ? { reporters: [JSON_REPORTER] } : {}),
+      reporters: [options.format === "json" ? JSON_REPORTER : HUMAN_REPORTER],
     });
     return new Logger(consola, options.format, process);
   }
@@ -59,15 +58,21 @@
     const pairs = Object.entries(plain).map(([name, value]) =>
       `${name}=${JSON.stringify(value)}`
     );
-    const number = `BL${definition.number}`;
-    this.consola[definition.severity](
-      `${number} ${event} [${this.process}] ${pairs.join(" ")}`,
-    );
+    const line = `BL${definition.number} ${event} [${this.process}] ${
+      pairs.join(" ")
+    }`;
+    this.consola[definition.severity](line);
   }
 }
 
+interface LogEntry {
+  readonly args: unknown[];
+  readonly type: string;
+  readonly date: Date;
+}
+
 const JSON_REPORTER = {
-  log(entry: { args: unknown[]; type: string; date: Date }): void {
+  log(entry: LogEntry): void {
     const fields = entry.args[0] as Record<string, unknown>;
     const line = {
       time: entry.date.toISOString(),
@@ -77,3 +82,11 @@
     globalThis.process.stderr.write(JSON.stringify(line) + "\n");
   },
 };
+
+const HUMAN_REPORTER = {
+  log(entry: LogEntry): void {
+    const severity = entry.type.toUpperCase().padEnd(5);
+    const line = `${entry.date.toISOString()} ${severity} ${entry.args[0]}\n`;
+    globalThis.process.stderr.write(line);
+  },
+};
--- a/packages/operator/src/operator_command.ts
+++ b/packages/operator/src/operator_command.ts
@@ -16,7 +16,7 @@
 /** How long one call to the store may take, in milliseconds. */
 const STORE_TIMEOUT_MS = 5_000;
 /** An operator's tool makes few calls; the bound is against loops. */
-const STORE_CALLS = { callsPerSecond: 20, callBurst: 50 };
+const STORE_CALLS = { callsPerSecond: 20, callBurst: 50, random: Math.random };
 
 /** What a command prints: lines for people and data for `--json`. */
 export interface Output {
--- a/packages/ownership/src/mod.ts
+++ b/packages/ownership/src/mod.ts
@@ -36,5 +36,5 @@
   rewriteShard,
 } from "./assign_partitions.ts";
 export { type Move, type OwnedPartition, planMoves } from "./plan_moves.ts";
-export { chooseWatchers, rankWatchers } from "./watcher_choice.ts";
+export { rankWatchers } from "./watcher_choice.ts";
 export { TakeoverBook } from "./takeover_book.ts";
--- a/packages/ownership/src/timing.ts
+++ b/packages/ownership/src/timing.ts
@@ -20,7 +20,7 @@
 /** The times used unless the settings say otherwise. */
 export const DEFAULT_TIMING: LeaseTiming = {
   promiseMs: 1_000,
-  renewEveryMs: 250,
+  renewEveryMs: 400,
   drift: 0.01,
 };
 
--- a/packages/ownership/src/watcher_choice.ts
+++ b/packages/ownership/src/watcher_choice.ts
@@ -9,13 +9,6 @@
 /** Watchers in each availability zone. The store counts a waiting watch as a call. */
 export const WATCHERS_PER_ZONE = 2;
 
-/** Chooses the sessions that watch the store. */
-export function chooseWatchers(
-  sessions: readonly SessionRecord[],
-): Set<string> {
-  return new Set(rankWatchers(sessions).map((session) => session.id));
-}
-
 /** The watchers in the order in which they stand for planner, best first. */
 export function rankWatchers(
   sessions: readonly SessionRecord[],
--- a/packages/store/src/etcd_store.ts
+++ b/packages/store/src/etcd_store.ts
@@ -9,6 +9,7 @@
 import { Agent, type Dispatcher, request } from "undici";
 import { z } from "zod";
 import { CallBudget } from "./call_budget.ts";
+import { OutageGate } from "./outage_gate.ts";
 import {
   type CasRequest,
   type Listing,
@@ -26,6 +27,8 @@
   readonly timeoutMs: number;
   readonly callsPerSecond: number;
   readonly callBurst: number;
+  /** Gives numbers from 0 up to 1, for the spread of pauses. */
+  readonly random: () => number;
 }
 
 /** How long a connection attempt may take, in milliseconds. */
@@ -74,6 +77,7 @@
     private readonly options: EtcdStoreOptions,
     private readonly agent: Agent,
     private readonly budget: CallBudget,
+    private readonly outage: OutageGate,
   ) {
     super();
   }
@@ -88,7 +92,7 @@
       perSecond: options.callsPerSecond,
       burst: options.callBurst,
     });
-    return new EtcdStore(options, agent, budget);
+    return new EtcdStore(options, agent, budget, OutageGate.create());
   }
 
   override list(prefix: string): ResultAsync<Listing, BamboolinkError> {
@@ -220,18 +224,16 @@
     context: { abort: AbortController; handler: WatchHandler },
   ): Promise<BamboolinkError> {
     const step = "store.watch";
-    if (!this.budget.tryCall(performance.now())) {
-      return this.fail(
-        "overloaded",
-        "the budget of calls to the store is used up",
-        { step },
-      );
+    const held = this.holdBack(step);
+    if (held !== undefined) {
+      return held;
     }
     try {
       const response = await request(`${this.options.url}/v3/watch`, {
         ...this.requestOptions(body),
         signal: context.abort.signal,
       });
+      this.outage.noteAnswer();
       for await (const line of readLines(response.body)) {
         const { result } = WatchAnswer.parse(JSON.parse(line));
         if (result.canceled) {
@@ -249,6 +251,7 @@
       }
       return this.fail("unreachable", "the store ended the watch", { step });
     } catch (cause) {
+      this.outage.noteFailure(performance.now(), this.options.random());
       return this.fail("unreachable", "the watch of the store broke", {
         step,
         cause,
@@ -279,12 +282,9 @@
     },
   ): Promise<Result<z.infer<S>, BamboolinkError>> {
     const { step } = call;
-    if (!this.budget.tryCall(performance.now())) {
-      return err(
-        this.fail("overloaded", "the budget of calls to the store is used up", {
-          step,
-        }),
-      );
+    const held = this.holdBack(step);
+    if (held !== undefined) {
+      return err(held);
     }
     const lost: ErrorCode = call.writes === true
       ? "unknown_effect"
@@ -295,6 +295,7 @@
         signal: AbortSignal.timeout(this.options.timeoutMs),
       });
       const text = await response.body.text();
+      this.outage.noteAnswer();
       if (response.statusCode >= 500) {
         return err(
           this.fail(
@@ -323,6 +324,23 @@
     }
   }
 
+  /** Whether a call is held back here, by the budget or because the store is away. */
+  private holdBack(step: string): BamboolinkError | undefined {
+    const nowMs = performance.now();
+    if (!this.outage.mayCall(nowMs)) {
+      return this.fail(
+        "unreachable",
+        "the store was unreachable a moment ago",
+        { step },
+      );
+    }
+    return this.budget.tryCall(nowMs)
+      ? undefined
+      : this.fail("overloaded", "the budget of calls to the store is used up", {
+        step,
+      });
+  }
+
   private requestOptions(
     body: unknown,
   ): Omit<Dispatcher.RequestOptions, "path" | "origin"> & {
--- a/packages/store/src/mod.ts
+++ b/packages/store/src/mod.ts
@@ -13,4 +13,5 @@
 } from "./store.ts";
 export { EtcdStore, type EtcdStoreOptions } from "./etcd_store.ts";
 export { CallBudget } from "./call_budget.ts";
+export { OutageGate } from "./outage_gate.ts";
 export { writeSettled } from "./write_settled.ts";
--- a/packages/store_standin/src/store_standin.ts
+++ b/packages/store_standin/src/store_standin.ts
@@ -126,6 +126,7 @@
     try {
       const text = await readText(request);
       if (path.startsWith("/standin/")) {
+        response.on("finish", () => this.cutIfDown());
         return send(response, 200, this.serveControl(path, text));
       }
       this.faults.countCall(path);
@@ -175,13 +176,17 @@
     throw new Refusal(404, `unknown path ${path}`);
   }
 
-  /** Puts faults in force; going down also cuts the connections that are open. */
+  /** Puts faults in force. */
   setFaults(settings: FaultSettings): void {
     this.faults.set(settings);
     if (settings.lapse_leases) {
       this.memory.lapseAllLeases();
     }
-    if (settings.down) {
+  }
+
+  /** Going down also cuts the connections that are open. */
+  private cutIfDown(): void {
+    if (this.faults.down) {
       this.server.closeAllConnections();
     }
   }
--- /dev/null
+++ b/scripts/bench/ownership.mjs
@@ -0,0 +1,239 @@
+/**
+ * How long keys are not served when daemons, hosts, a zone, the planner or the store fail, and what
+ * the store is asked meanwhile.
+ *
+ * @module
+ */
+import { fileURLToPath } from "node:url";
+import { setTimeout as sleep } from "node:timers/promises";
+import { ATLAS, ProcessFleet, waitFor } from "../fleet.mjs";
+import { Prober, summarize } from "./probe.mjs";
+
+const document = fileURLToPath(
+  new URL("../../examples/atlas.json", import.meta.url),
+);
+const KEYS = 40;
+/** How long a failure is watched, in milliseconds. */
+const WATCH_MS = 6_000;
+
+/** Runs all cases and prints their table. */
+export async function run() {
+  const fleet = new ProcessFleet(
+    fileURLToPath(new URL("../../.run/bench-ownership", import.meta.url)),
+  );
+  try {
+    await runCases(fleet);
+    return 0;
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function runCases(fleet) {
+  await fleet.startStore();
+  const hosts = await Promise.all(ATLAS.map((place) => fleet.startHost(place)));
+  await operate(fleet, ["config", "apply", document, "--wait"]);
+  await waitFor(() => isSettled(fleet, hosts.length), "owners for all keys");
+  const atRest = await countCalls(fleet, 3_000);
+  console.log(`store calls a second at rest: ${describeCalls(atRest)}`);
+  await describeCost(fleet, hosts);
+  console.log(
+    "| failure | keys hit | median ms | 99th ms | worst ms | store calls a second |",
+  );
+  console.log("| --- | ---: | ---: | ---: | ---: | --- |");
+  const stays = hosts.filter((host) => host.zone === "casablanca-2");
+  const zone = hosts.filter((host) => host.zone === "casablanca-1");
+  const [first] = zone;
+  await measure(fleet, "none, to warm up", {
+    hosts,
+    stays,
+    fail: () => Promise.resolve(),
+    mend: () => Promise.resolve(),
+  });
+  await measure(fleet, "none", {
+    hosts,
+    stays,
+    fail: () => Promise.resolve(),
+    mend: () => Promise.resolve(),
+  });
+  await measure(fleet, "a host is lost (SIGKILL)", {
+    hosts,
+    stays,
+    fail: () => kill(fleet, [first]),
+    mend: () => revive(fleet, [first]),
+  });
+  await measure(fleet, "a daemon freezes for 4 s (SIGSTOP)", {
+    hosts,
+    stays,
+    fail: async () => {
+      fleet.signal(`daemon-${first.host}`, "SIGSTOP");
+      await sleep(4_000);
+      fleet.signal(`daemon-${first.host}`, "SIGCONT");
+    },
+    mend: () => Promise.resolve(),
+  });
+  const planner = await findPlanner(fleet, hosts);
+  await measure(fleet, "the planner's host is lost (SIGKILL)", {
+    hosts,
+    stays: hosts.filter((host) => host !== planner).slice(0, 4),
+    fail: () => kill(fleet, [planner]),
+    mend: () => revive(fleet, [planner]),
+  });
+  await measure(fleet, "a zone is lost: 4 hosts (SIGKILL)", {
+    hosts,
+    stays,
+    fail: () => kill(fleet, zone),
+    mend: () => revive(fleet, zone),
+  });
+  await measure(fleet, "a daemon restarts (SIGTERM, then again)", {
+    hosts,
+    stays,
+    fail: async () => {
+      fleet.signal(`daemon-${first.host}`, "SIGTERM");
+      await fleet.ended(`daemon-${first.host}`);
+      fleet.startDaemon(first);
+    },
+    mend: () => Promise.resolve(),
+  });
+  await measure(fleet, "the store is down for 5 s", {
+    hosts,
+    stays,
+    fail: async () => {
+      await setFaults(fleet, { down: true });
+      await sleep(5_000);
+      await setFaults(fleet, {});
+    },
+    mend: () => Promise.resolve(),
+  });
+}
+
+async function measure(fleet, name, { hosts, stays, fail, mend }) {
+  const probers = [
+    (key) => `/quotes/${key}`,
+    (key) => `/lots?part=${key}`,
+    (key) => `/parts/${key}/history`,
+  ].map((path) =>
+    new Prober({
+      path,
+      keys: Array.from({ length: KEYS }, (_, index) => `probe-${index}`),
+      targets: stays.map((host) => host.data),
+    })
+  );
+  probers.forEach((prober) => prober.start());
+  await sleep(1_000);
+  probers.forEach((prober) => prober.reset());
+  await sleep(300);
+  const [calls] = await Promise.all([countCalls(fleet, WATCH_MS), fail()]);
+  await sleep(500);
+  const gaps = probers.flatMap((prober) => prober.gaps());
+  await Promise.all(probers.map((prober) => prober.stop()));
+  const hit = gaps.filter((gap) => gap > 60);
+  const { median, p99, worst } = summarize(hit.length > 0 ? hit : gaps);
+  const cells = [
+    name,
+    hit.length,
+    ...[median, p99, worst].map((value) => value.toFixed(0)),
+    describeCalls(calls),
+  ];
+  console.log(`| ${cells.join(" | ")} |`);
+  await mend();
+  await waitFor(
+    () => isSettled(fleet, hosts.length),
+    `the fleet after: ${name}`,
+    60_000,
+  );
+}
+
+async function kill(fleet, hosts) {
+  hosts.forEach(({ host }) => {
+    fleet.signal(`daemon-${host}`, "SIGKILL");
+    fleet.signal(`backend-${host}`, "SIGKILL");
+  });
+  await Promise.all(
+    hosts.flatMap((
+      { host },
+    ) => [fleet.ended(`daemon-${host}`), fleet.ended(`backend-${host}`)]),
+  );
+}
+
+function revive(fleet, hosts) {
+  hosts.forEach((host) => {
+    fleet.startDaemon(host);
+    fleet.startBackend(host);
+  });
+  return Promise.resolve();
+}
+
+async function operate(fleet, args) {
+  return await fleet.runTool("operator", [...args, "--store", fleet.store]);
+}
+
+async function readStatus(fleet) {
+  const status = await operate(fleet, ["status", "--json"]);
+  return status.code === 0 ? JSON.parse(status.stdout).daemons : [];
+}
+
+/** All daemons serve, and the keys are spread over them. */
+async function isSettled(fleet, size) {
+  const daemons = await readStatus(fleet);
+  const serving = daemons.filter((daemon) => daemon.state === "serving");
+  const owned = serving.reduce((sum, daemon) => sum + daemon.partitions, 0);
+  return serving.length === size && daemons.length === size &&
+    owned === 1_536 && serving.every((daemon) => daemon.partitions > 50);
+}
+
+async function findPlanner(fleet, hosts) {
+  const daemons = await readStatus(fleet);
+  const planner = daemons.find((daemon) => daemon.isPlanner);
+  return hosts.find((host) => host.host === planner.host);
+}
+
+/** Processor time and memory of the daemons at rest. */
+async function describeCost(fleet, hosts) {
+  const names = hosts.map(({ host }) => `daemon-${host}`);
+  const before = names.map((name) => fleet.processorMs(name));
+  await sleep(5_000);
+  const shares = names.map((name, index) =>
+    (fleet.processorMs(name) - before[index]) / 50
+  );
+  const memory = names.map((name) => fleet.memoryMegabytes(name));
+  const cost = summarize(shares);
+  console.log(
+    `daemons at rest: % of a core median ${cost.median.toFixed(1)}, worst ${
+      cost.worst.toFixed(1)
+    }; MB median ${summarize(memory).median.toFixed(0)}, worst ${
+      summarize(memory).worst.toFixed(0)
+    }\n`,
+  );
+}
+
+async function setFaults(fleet, faults) {
+  await fetch(`${fleet.store}/standin/faults`, {
+    method: "POST",
+    body: JSON.stringify(faults),
+  });
+}
+
+async function readCalls(fleet) {
+  const response = await fetch(`${fleet.store}/standin/counts`);
+  return (await response.json()).calls;
+}
+
+async function countCalls(fleet, milliseconds) {
+  const before = await readCalls(fleet);
+  await sleep(milliseconds);
+  const after = await readCalls(fleet);
+  return Object.fromEntries(
+    Object.entries(after).map(([path, count]) => [
+      path.replace("/v3/", ""),
+      (count - (before[path] ?? 0)) / (milliseconds / 1_000),
+    ]),
+  );
+}
+
+function describeCalls(calls) {
+  return Object.entries(calls)
+    .filter(([, rate]) => rate > 0)
+    .map(([path, rate]) => `${path} ${rate.toFixed(1)}`)
+    .join(", ") || "none";
+}
--- a/scripts/fleet.mjs
+++ b/scripts/fleet.mjs
@@ -5,7 +5,7 @@
  * @module
  */
 import { spawn } from "node:child_process";
-import { mkdirSync, openSync } from "node:fs";
+import { mkdirSync, openSync, readFileSync, rmSync } from "node:fs";
 import { createServer } from "node:net";
 import { fileURLToPath } from "node:url";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -51,12 +51,21 @@
 
 /** A fleet of processes. */
 export class ProcessFleet {
+  /** Flags for Node itself by process name, for example to profile one. */
+  nodeFlags = {};
   /** Running processes by name. */
   processes = new Map();
 
   constructor(logDirectory) {
     this.logDirectory = logDirectory;
+    rmSync(logDirectory, { recursive: true, force: true });
     mkdirSync(logDirectory, { recursive: true });
+    // Whatever ends the script, no process that it started stays behind.
+    process.once(
+      "exit",
+      () => this.processes.forEach((child) => child.kill("SIGKILL")),
+    );
+    process.once("SIGTERM", () => process.exit(143));
   }
 
   /** Starts the store stand-in. */
@@ -128,7 +137,8 @@
     const list = Object.entries(flags).flatMap((
       [flag, value],
     ) => [`--${flag}`, String(value)]);
-    const child = spawn(process.execPath, [file, ...list], {
+    const nodeFlags = this.nodeFlags[name] ?? [];
+    const child = spawn(process.execPath, [...nodeFlags, file, ...list], {
       stdio: ["ignore", log, log],
     });
     this.processes.set(name, child);
@@ -139,6 +149,21 @@
     return child;
   }
 
+  /** Processor time of one process so far, in milliseconds, from /proc. */
+  processorMs(name) {
+    const { pid } = this.processes.get(name);
+    const fields = readFileSync(`/proc/${pid}/stat`, "utf8").split(") ")[1]
+      .split(" ");
+    return (Number(fields[11]) + Number(fields[12])) * 10;
+  }
+
+  /** Resident memory of one process, in megabytes. */
+  memoryMegabytes(name) {
+    const { pid } = this.processes.get(name);
+    const status = readFileSync(`/proc/${pid}/status`, "utf8");
+    return Number(/VmRSS:\s+(\d+)/.exec(status)[1]) / 1024;
+  }
+
   /** Sends a signal to one process, by its name. */
   signal(name, signal) {
     this.processes.get(name)?.kill(signal);
