--- /dev/null
+++ b/packages/admission/src/idempotency_ledger_test.ts
@@ -0,0 +1,132 @@
+/**
+ * Property tests of the memory of non-idempotent requests, against owners that follow each other.
+ *
+ * @module
+ */
+import { expect } from "chai";
+import fc from "fast-check";
+import { readFirstSentMs } from "./idempotency_key.ts";
+import { IdempotencyLedger } from "./idempotency_ledger.ts";
+
+const SEED = 13;
+const LIMITS = { memoryMs: 1_000, entries: 4, clockSkewMs: 50 };
+
+const event = fc.record({
+  kind: fc.constantFrom(
+    "send",
+    "resend",
+    "change_owner",
+    "answer",
+    "forget_answer",
+  ),
+  timeMs: fc.nat(400),
+  /** The caller's clock differs by this much. */
+  skewMs: fc.integer({ min: -25, max: 25 }),
+  choice: fc.nat(30),
+});
+
+describe("idempotency ledger", () => {
+  describe("over resends, owner changes, skewed clocks and a bounded memory", () => {
+    it("lets no request run twice", () => {
+      const property = fc.property(
+        fc.array(event, { maxLength: 60 }),
+        (events) => {
+          let ledger = IdempotencyLedger.create(LIMITS);
+          let nowMs = 10_000;
+          let tenureSinceMs = nowMs;
+          const sent: { name: string; firstSentMs: number }[] = [];
+          const runs = new Map<string, number>();
+          const claim = (
+            request: { name: string; firstSentMs: number },
+            firstAttempt: boolean,
+          ) => {
+            const verdict = ledger.claim({
+              ...request,
+              fingerprint: request.name,
+              firstAttempt,
+            }, { nowMs, tenureSinceMs });
+            if (verdict.kind === "run") {
+              runs.set(request.name, (runs.get(request.name) ?? 0) + 1);
+            }
+          };
+          events.forEach(({ kind, timeMs, skewMs, choice }, index) => {
+            nowMs += timeMs;
+            const earlier = sent[choice % Math.max(1, sent.length)];
+            if (kind === "send") {
+              const request = {
+                name: `request-${index}`,
+                firstSentMs: nowMs + skewMs,
+              };
+              sent.push(request);
+              claim(request, true);
+            } else if (kind === "change_owner") {
+              ledger = IdempotencyLedger.create(LIMITS);
+              tenureSinceMs = nowMs + skewMs;
+            } else if (earlier !== undefined && kind === "resend") {
+              claim(earlier, false);
+            } else if (earlier !== undefined) {
+              ledger.recordAnswer(
+                earlier.name,
+                kind === "answer"
+                  ? { status: 201, headers: {}, body: new Uint8Array() }
+                  : undefined,
+              );
+            }
+            runs.forEach((count, name) => expect(count, name).to.equal(1));
+          });
+        },
+      );
+      fc.assert(property, { seed: SEED, numRuns: 2_000 });
+    });
+  });
+
+  describe("a resend", () => {
+    const request = {
+      name: "order",
+      fingerprint: "a",
+      firstSentMs: 2_000,
+      firstAttempt: true,
+    };
+    const at = { nowMs: 2_000, tenureSinceMs: 0 };
+
+    it("gets the first answer", () => {
+      const ledger = IdempotencyLedger.create(LIMITS);
+      const answer = { status: 201, headers: {}, body: new Uint8Array([1]) };
+      expect(ledger.claim(request, at).kind).to.equal("run");
+      expect(ledger.claim(request, at).kind).to.equal("running");
+      ledger.recordAnswer("order", answer);
+      expect(ledger.claim(request, at)).to.deep.equal({
+        kind: "answer",
+        answer,
+      });
+    });
+
+    it("that is another request under the same key is refused", () => {
+      const ledger = IdempotencyLedger.create(LIMITS);
+      ledger.claim(request, at);
+      expect(ledger.claim({ ...request, fingerprint: "b" }, at).kind).to.equal(
+        "different",
+      );
+    });
+
+    it("may run after the first surely did not", () => {
+      const ledger = IdempotencyLedger.create(LIMITS);
+      ledger.claim(request, at);
+      ledger.release("order");
+      expect(ledger.claim({ ...request, firstAttempt: false }, at).kind).to
+        .equal("run");
+    });
+  });
+
+  describe("first-sent time", () => {
+    it("is read from a UUID of version 7 and from nothing else", () => {
+      expect(readFirstSentMs("018f3b2a-7c00-7abc-8def-0123456789ab")).to.equal(
+        0x018f3b2a7c00,
+      );
+      expect(readFirstSentMs("8a5ab08f-0eab-492d-bba0-7386d677a90f")).to.equal(
+        undefined,
+      );
+      expect(readFirstSentMs("order-1")).to.equal(undefined);
+    });
+  });
+});
