--- a/packages/daemon/src/owner_forwarder.ts
+++ b/packages/daemon/src/owner_forwarder.ts
@@ -98,6 +98,10 @@
   const outcome = response.headers[HEADERS.outcome];
   if (outcome === "not_run" || outcome === "unknown") {
     const body = await response.body.json() as OutcomeBody;
+    if (body.reason === "invalid") {
+      const status = response.statusCode;
+      return { kind: "invalid", status, message: body.message };
+    }
     return outcome === "not_run"
       ? notRun(body.reason as NotRunReason, body.message, {
         waitMs: body.retry_after_ms ?? 0,
--- a/packages/ownership/src/assign_partitions.ts
+++ b/packages/ownership/src/assign_partitions.ts
@@ -11,6 +11,7 @@
   type ShardChange,
   type TableShard,
 } from "@bamboolink/types";
+import TinyQueue from "tinyqueue";
 
 /** A session that may be given partitions. */
 export interface Candidate {
@@ -87,22 +88,24 @@
       held.set(owner, (held.get(owner) as number) + 1);
     }
   });
+  const queue = new TinyQueue(
+    context.candidates.map(({ session, capacity }) => ({
+      session,
+      capacity,
+      held: held.get(session) as number,
+    })),
+    (left, right) =>
+      (left.held + 1) / left.capacity - (right.held + 1) / right.capacity,
+  );
   return orphans.map(({ partition }) => {
-    const taker = leastLoaded(context.candidates, held);
-    held.set(taker.session, (held.get(taker.session) as number) + 1);
+    const taker = queue.pop() as HeldCandidate;
+    queue.push({ ...taker, held: taker.held + 1 });
     return { partition, owner: taker.session };
   });
 }
 
-function leastLoaded(
-  candidates: readonly Candidate[],
-  held: ReadonlyMap<string, number>,
-): Candidate {
-  const loadOf = (candidate: Candidate) =>
-    ((held.get(candidate.session) ?? 0) + 1) / candidate.capacity;
-  return candidates.reduce((least, candidate) =>
-    loadOf(candidate) < loadOf(least) ? candidate : least
-  );
+interface HeldCandidate extends Candidate {
+  readonly held: number;
 }
 
 /**
--- a/scripts/fleet.mjs
+++ b/scripts/fleet.mjs
@@ -93,7 +93,9 @@
     host.admin = `127.0.0.1:${adminPort}`;
     host.backend = `127.0.0.1:${backendPort}`;
     this.startDaemon(host);
-    this.startBackend(host, options);
+    if (options.withoutBackend !== true) {
+      this.startBackend(host, options);
+    }
     await waitFor(
       () => isUp(`http://${host.admin}/healthz`),
       `the daemon of ${host.host}`,
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -25,7 +25,8 @@
       .map((file) => `packages/${name}/dist/${file}`)
   )
   .filter((file) => file.endsWith("_test.js"))
-  .sort();
+  .sort()
+  .concat("scripts/fleet_test.mjs");
 files.forEach((file) => mocha.addFile(file));
 await mocha.loadFilesAsync();
 
