Close three holes in the end of a session

Now it counts from the end where the seal was not seen. - A daemon that gave up draining wrote itself down as ended with requests under way, and requests in its queue could still be handed over. Now only when nothing runs, and the session can't serve from then on. - At a server that doesn't check grants a request could be given a longer time than the takeover waits for, after a change of configuration; it now waits for the record.

--- a/packages/daemon/src/backend_dispatcher.ts
+++ b/packages/daemon/src/backend_dispatcher.ts
@@ -137,10 +137,9 @@
     const startedMs = monotonicMs();
     // The wait for a slot may have outlived the lease or the assignment, and the process may have
     // been paused, so both are looked at again at the last moment.
-    if (
-      !session.mayServe(assignment, startedMs) ||
-      backend.connections === undefined
-    ) {
+    const mayServe = session.mayServe(assignment, startedMs) &&
+      session.allowsWork(request.deadlineMs - startedMs);
+    if (!mayServe || backend.connections === undefined) {
       gate.leave(request.id);
       return notRun("not_owner", "this daemon may not serve the key any more");
     }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -234,7 +234,7 @@
   private async close(): Promise<void> {
     clearInterval(this.loop);
     await this.planner.close();
-    await this.keeper.close();
+    await this.keeper.close(this.entrance.activeCount === 0);
     this.follower.stop();
     this.clients.close();
     this.admin.server.close();
--- a/packages/daemon/src/own_session.ts
+++ b/packages/daemon/src/own_session.ts
@@ -118,6 +118,15 @@
       this.releases.mayAdmit(assignment);
   }
 
+  /**
+   * Whether work may run for so long. A takeover from a backend server that does not check its grants
+   * waits as long as the record says; longer work would run on beside the next owner's.
+   */
+  allowsWork(milliseconds: number): boolean {
+    const { checks_fencing: checks, longest_work_ms: longestMs } = this.record;
+    return checks || milliseconds <= longestMs;
+  }
+
   /** Notes since when, on the wall clock, this session has held each of its assignments. */
   noteAssignments(shards: readonly TableShard[], wallClockMs: number): void {
     shards.forEach((shard) => {
--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -101,13 +101,20 @@
     this.reviewRecord(session, nowMs);
   }
 
-  /** Ends the session in the store, after everything of it has stopped. */
-  async close(): Promise<void> {
+  /**
+   * Ends the session.
+   *
+   * @param clean whether nothing of it runs any more. Only then is it written down as ended; otherwise
+   *   a takeover has to wait, as for a daemon that was lost.
+   */
+  async close(clean: boolean): Promise<void> {
     this.closed = true;
     this.closeChannels([]);
     const session = this.session;
     this.session = undefined;
-    if (session === undefined || session.revision === 0) {
+    // Whoever still holds the session may hand nothing over from here on.
+    session?.step("SEALED");
+    if (session === undefined || session.revision === 0 || !clean) {
       return;
     }
     const record: SessionRecord = {
--- a/packages/ownership/src/end_evidence.ts
+++ b/packages/ownership/src/end_evidence.ts
@@ -53,13 +53,12 @@
     sealed.map((session) => [session.id, session.sealedAtMs]),
   );
   const silentSince = (witness: string): number => {
-    const end = ends.get(witness);
+    const end = ends.get(witness) ?? Infinity;
     // A reading of its open record may have permitted the witness to promise until one length after
-    // the seal, and what it promised last holds for one length more.
-    return end === undefined
-      ? Infinity
-      : Math.max(end, (sealedAt.get(witness) ?? -Infinity) + promiseMs) +
-        promiseMs;
+    // its seal, and what it promised last holds for one length more. Where the seal was not seen, it
+    // was before the end.
+    const seal = sealedAt.get(witness) ?? end;
+    return Math.max(end, seal + promiseMs) + promiseMs;
   };
   const endOf = (session: SealedSession): number => {
     const vouched = session.vouchedAtMs === undefined
--- a/packages/ownership/src/testing/ownership_world.ts
+++ b/packages/ownership/src/testing/ownership_world.ts
@@ -538,6 +538,9 @@
     this.observe(book, node);
     book.advance(this.clock(node));
     const { owner } = this.table;
+    book.replaceable().filter((id) => id !== owner).forEach((id) =>
+      this.end(id)
+    );
     if (owner !== undefined && !book.mayReplace(owner)) {
       return;
     }
@@ -550,6 +553,18 @@
     }
   }
 
+  /** Writes that a session has ended, which is evidence for takeovers of those it witnessed for. */
+  private end(id: string): void {
+    const stored = this.stored.get(id);
+    if (stored?.record.state === "sealed") {
+      this.revision += 1;
+      this.stored.set(id, {
+        record: { ...stored.record, state: "ended" },
+        revision: this.revision,
+      });
+    }
+  }
+
   private assign(taker: WorldNode): void {
     this.table = { owner: taker.session.id, token: this.table.token + 1 };
     taker.session.tokens.add(this.table.token);
