--- a/packages/backend_standin/src/main.ts
+++ b/packages/backend_standin/src/main.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { Logger } from "@bamboolink/logger";
-import { readSettings } from "@bamboolink/settings";
+import { readSettingsOrExit } from "@bamboolink/settings";
 import { z } from "zod";
 import { BackendStandin } from "./backend_standin.ts";
 
@@ -32,15 +32,10 @@
   ),
 });
 
-const read = readSettings(Settings, {
-  arguments: process.argv.slice(2),
-  environment: process.env,
+const settings = readSettingsOrExit(Settings, {
+  name: "bamboolink-backend-standin",
+  purpose: "a stand-in for a backend server",
 });
-if (read.isErr()) {
-  process.stderr.write(read.error.message + "\n");
-  process.exit(2);
-}
-const settings = read.value;
 const logger = Logger.create(`backend-standin ${settings.host}`, {
   format: "human",
   level: "info",
--- a/packages/burn/src/main.ts
+++ b/packages/burn/src/main.ts
@@ -6,8 +6,8 @@
  */
 import { readFile } from "node:fs/promises";
 import { setTimeout as sleep } from "node:timers/promises";
-import { validateDocument } from "@bamboolink/configuration";
-import { describeSettings, readSettings } from "@bamboolink/settings";
+import { parseDocument } from "@bamboolink/configuration";
+import { EXIT_INVALID, readSettingsOrExit } from "@bamboolink/settings";
 import { request } from "undici";
 import { z } from "zod";
 import { formatBurn, writeBurnPage } from "./burn_output.ts";
@@ -43,35 +43,16 @@
   }).default("human").describe("How the report is printed."),
 });
 
-const given = process.argv.slice(2);
-if (given.includes("--help")) {
-  process.stdout.write(
-    "bamboolink-burn: how fast services use up what their objectives allow\n\n",
-  );
-  describeSettings(Settings).forEach(({ flag, meaning, fallback }) =>
-    process.stdout.write(`  ${flag.padEnd(16)} ${meaning} [${fallback}]\n`)
-  );
-  process.exit(0);
-}
-const read = readSettings(Settings, {
-  arguments: given,
-  environment: process.env,
+const settings = readSettingsOrExit(Settings, {
+  name: "bamboolink-burn",
+  purpose: "how fast services use up what their objectives allow",
 });
-if (read.isErr()) {
-  process.stderr.write(read.error.message + "\n");
-  process.exit(2);
-}
-const settings = read.value;
-const document = validateDocument(
-  JSON.parse(await readFile(settings.configuration, "utf8")),
-);
+const document = parseDocument(await readFile(settings.configuration, "utf8"));
 if (document.isErr()) {
   process.stderr.write(
-    document.error.map(({ path, message }) => `${path}: ${message}`).join(
-      "\n",
-    ) + "\n",
+    document.error.map(({ path, message }) => `${path}: ${message}\n`).join(""),
   );
-  process.exit(2);
+  process.exit(EXIT_INVALID);
 }
 const sources = settings.sources.split(",").map((source) =>
   source.split("=") as [string, string]
--- a/packages/configuration/src/mod.ts
+++ b/packages/configuration/src/mod.ts
@@ -4,5 +4,5 @@
  * @module
  */
 export { type Change, compareDocuments } from "./compare.ts";
-export { type Problem, validateDocument } from "./validate.ts";
+export { parseDocument, type Problem, validateDocument } from "./validate.ts";
 export { applyDocument, HISTORY_LIMIT } from "./apply.ts";
--- a/packages/configuration/src/validate.ts
+++ b/packages/configuration/src/validate.ts
@@ -33,6 +33,17 @@
   return problems.length === 0 ? ok(parsed.data) : err(problems);
 }
 
+/** Parses and validates the text of a document; a text that is not JSON is one problem. */
+export function parseDocument(
+  text: string,
+): Result<ConfigurationDocument, readonly Problem[]> {
+  try {
+    return validateDocument(JSON.parse(text));
+  } catch (cause) {
+    return err([{ path: "(document)", message: (cause as Error).message }]);
+  }
+}
+
 function formatPath(path: readonly PropertyKey[]): string {
   const text = path
     .map((part) => typeof part === "number" ? `[${part}]` : `.${String(part)}`)
--- a/packages/daemon/src/daemon_settings.ts
+++ b/packages/daemon/src/daemon_settings.ts
@@ -3,8 +3,6 @@
  *
  * @module
  */
-import { readSettings, type SettingsError } from "@bamboolink/settings";
-import type { Result } from "neverthrow";
 import { z } from "zod";
 
 const port = z.coerce.number({ error: "expected a port number" }).int().min(0)
@@ -66,13 +64,3 @@
 });
 /** The daemon's settings. */
 export type DaemonSettings = z.infer<typeof DaemonSettings>;
-
-/** Reads the daemon's settings from flags and environment variables. */
-export function readDaemonSettings(
-  source: {
-    arguments: readonly string[];
-    environment: Readonly<Record<string, string | undefined>>;
-  },
-): Result<DaemonSettings, SettingsError> {
-  return readSettings(DaemonSettings, source);
-}
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -5,4 +5,4 @@
  * @module
  */
 export { Daemon } from "./daemon.ts";
-export { DaemonSettings, readDaemonSettings } from "./daemon_settings.ts";
+export { DaemonSettings } from "./daemon_settings.ts";
--- a/packages/daemon/src/planner.ts
+++ b/packages/daemon/src/planner.ts
@@ -231,13 +231,17 @@
 
   private async seal(session: SessionRecord, reason: string): Promise<void> {
     const known = this.context.fleet.state.sessions.get(session.id);
+    if (known === undefined) {
+      return;
+    }
+    // What is sealed must be the very record of that revision: a seal that brought older witnesses
+    // back would have the wrong ones asked.
     const sealed: SessionRecord = {
-      ...session,
+      ...known.record,
       state: "sealed",
       sealed_reason: reason,
     };
-    const written = await this.writeSession(sealed, known?.revision ?? 0);
-    if (written) {
+    if (await this.writeSession(sealed, known.revision)) {
       this.context.logger.log("takeover_started", {
         session: session.id,
         host: session.host,
@@ -321,39 +325,30 @@
     const services = [
       ...(this.context.fleet.configuration?.services.values() ?? []),
     ];
-    const written = await Promise.all(
-      services.map((service) => this.assignService(service)),
+    await Promise.all(services.map((service) => this.assignService(service)));
+    await Promise.all(
+      this.takeovers.replaceable()
+        .filter((session) => !this.ownsAnything(session))
+        .map((session) => this.finishTakeover(session)),
     );
-    if (written.every(Boolean)) {
-      await Promise.all(
-        this.takeovers.replaceable().map((session) =>
-          this.finishTakeover(session)
-        ),
-      );
-    }
   }
 
-  /** Assigns what needs an owner in one service; returns whether nothing is left to write. */
-  private async assignService(service: Service): Promise<boolean> {
+  /** Assigns what needs an owner in one service. */
+  private async assignService(service: Service): Promise<void> {
     const candidates = this.candidatesOf(service);
     const shards = this.shardsOf(service);
-    if (
-      shards.some((shard) => shard.version === 0) &&
-      !this.hasSettled(service, candidates.length)
-    ) {
-      return false;
+    const isNew = shards.some((shard) => shard.version === 0);
+    if (isNew && !this.hasSettled(service, candidates.length)) {
+      return;
     }
     if (!shards.some((shard) => this.needsOwners(shard))) {
-      return true;
+      return;
     }
     const changes = assignPartitions(shards, {
       candidates,
       mayReplace: (session) => this.takeovers.mayReplace(session),
     });
-    const outcomes = await Promise.all(
-      shards.map((shard) => this.writeShard(shard, changes)),
-    );
-    return candidates.length > 0 && outcomes.every(Boolean);
+    await Promise.all(shards.map((shard) => this.writeShard(shard, changes)));
   }
 
   private needsOwners(shard: TableShard): boolean {
@@ -390,13 +385,13 @@
   private async writeShard(
     shard: TableShard,
     changes: readonly PartitionChange[],
-  ): Promise<boolean> {
+  ): Promise<void> {
     const reason = shard.version === 0
       ? "first assignment"
       : "takeover from ended sessions";
     const next = rewriteShard(shard, { changes, reason, nowMs: wallClockMs() });
     if (next === undefined) {
-      return true;
+      return;
     }
     const known = this.context.fleet.state.shards.find((stored) =>
       stored.record.service === shard.service &&
@@ -416,26 +411,18 @@
         reason,
       });
     }
-    // The copy of the records shows the write a little later; only then is the takeover finished.
-    return false;
   }
 
   private async finishTakeover(id: string): Promise<void> {
     const known = this.context.fleet.state.sessions.get(id);
-    if (known === undefined || this.ownsAnything(id)) {
+    if (known === undefined) {
       return;
     }
-    if (
-      await this.writeSession(
-        { ...known.record, state: "ended" },
-        known.revision,
-      )
-    ) {
+    const ended: SessionRecord = { ...known.record, state: "ended" };
+    if (await this.writeSession(ended, known.revision)) {
       this.takeovers.finish(id);
-      this.context.logger.log("takeover_finished", {
-        session: id,
-        host: known.record.host,
-      });
+      const { host } = known.record;
+      this.context.logger.log("takeover_finished", { session: id, host });
     }
   }
 
--- a/packages/load/src/main.ts
+++ b/packages/load/src/main.ts
@@ -5,8 +5,8 @@
  * @module
  */
 import { readFile } from "node:fs/promises";
-import { validateDocument } from "@bamboolink/configuration";
-import { describeSettings, readSettings } from "@bamboolink/settings";
+import { parseDocument } from "@bamboolink/configuration";
+import { EXIT_INVALID, readSettingsOrExit } from "@bamboolink/settings";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { z } from "zod";
@@ -59,35 +59,16 @@
   ),
 });
 
-const given = process.argv.slice(2);
-if (given.includes("--help")) {
-  process.stdout.write(
-    "bamboolink-load: open-loop load that checks every answer\n\n",
-  );
-  describeSettings(Settings).forEach(({ flag, meaning, fallback }) =>
-    process.stdout.write(`  ${flag.padEnd(18)} ${meaning} [${fallback}]\n`)
-  );
-  process.exit(0);
-}
-const read = readSettings(Settings, {
-  arguments: given,
-  environment: process.env,
+const settings = readSettingsOrExit(Settings, {
+  name: "bamboolink-load",
+  purpose: "open-loop load that checks every answer",
 });
-if (read.isErr()) {
-  process.stderr.write(read.error.message + "\n");
-  process.exit(2);
-}
-const settings = read.value;
-const document = validateDocument(
-  JSON.parse(await readFile(settings.configuration, "utf8")),
-);
+const document = parseDocument(await readFile(settings.configuration, "utf8"));
 if (document.isErr()) {
   process.stderr.write(
-    document.error.map(({ path, message }) => `${path}: ${message}`).join(
-      "\n",
-    ) + "\n",
+    document.error.map(({ path, message }) => `${path}: ${message}\n`).join(""),
   );
-  process.exit(2);
+  process.exit(EXIT_INVALID);
 }
 const foreign = settings.targets.filter((target) =>
   !/^(127\.\d+\.\d+\.\d+|localhost|\[::1\]):\d+$/.test(target)
--- a/packages/operator/src/fleet_commands.ts
+++ b/packages/operator/src/fleet_commands.ts
@@ -19,13 +19,12 @@
 import { type DaemonLine, readFleetStatus } from "./fleet_status.ts";
 import {
   defaultAuthor,
+  FleetCommand,
   type Output,
-  readFleet,
-  StoreCommand,
 } from "./operator_command.ts";
 
 /** `status` */
-export class Status extends StoreCommand {
+export class Status extends FleetCommand {
   static override paths = [["status"]];
   static override usage = Command.Usage({
     category: "Fleet",
@@ -33,15 +32,11 @@
       "Show the daemons, what they own and the configuration in force.",
   });
 
-  protected override async runWith(
-    store: Store,
+  protected override async runOn(
+    fleet: FleetState,
   ): Promise<Result<Output, BamboolinkError>> {
-    const fleet = await readFleet(store);
-    if (fleet.isErr()) {
-      return err(fleet.error);
-    }
-    const daemons = await readFleetStatus(fleet.value);
-    const version = fleet.value.configuration?.record.current.version ?? 0;
+    const daemons = await readFleetStatus(fleet);
+    const version = fleet.configuration?.record.current.version ?? 0;
     return daemons.map((list) => ({
       lines: [
         `configuration version ${version}, ${list.length} daemons`,
@@ -94,7 +89,7 @@
 }
 
 /** `owner KEY` */
-export class Owner extends StoreCommand {
+export class Owner extends FleetCommand {
   static override paths = [["owner"]];
   static override usage = Command.Usage({
     category: "Fleet",
@@ -110,15 +105,11 @@
     description: "Only this service; by default all.",
   });
 
-  protected override async runWith(
-    store: Store,
-  ): Promise<Result<Output, BamboolinkError>> {
-    const fleet = await readFleet(store);
-    if (fleet.isErr()) {
-      return err(fleet.error);
-    }
+  protected override runOn(
+    fleet: FleetState,
+  ): Result<Output, BamboolinkError> {
     const services =
-      (fleet.value.configuration?.record.current.document.services ?? [])
+      (fleet.configuration?.record.current.document.services ?? [])
         .filter((service) =>
           this.service === undefined || service.name === this.service
         );
@@ -133,12 +124,12 @@
       );
     }
     const table = OwnershipTable.create(
-      fleet.value.shards.map((shard) => shard.record),
+      fleet.shards.map((shard) => shard.record),
     );
     const owners = services.map((service) =>
       explainOwner(table.find(this.key, service), {
         service: service.name,
-        fleet: fleet.value,
+        fleet,
       })
     );
     return ok({
@@ -189,7 +180,7 @@
 }
 
 /** `drain HOST` */
-export class Drain extends StoreCommand {
+export class Drain extends FleetCommand {
   static override paths = [["drain"]];
   static override usage = Command.Usage({
     category: "Fleet",
@@ -207,15 +198,12 @@
     description: "Who asks.",
   });
 
-  protected override async runWith(
+  protected override async runOn(
+    fleet: FleetState,
     store: Store,
   ): Promise<Result<Output, BamboolinkError>> {
-    const fleet = await readFleet(store);
-    if (fleet.isErr()) {
-      return err(fleet.error);
-    }
-    const { drains } = fleet.value;
-    const known = findSessions(fleet.value, this.host).length > 0 ||
+    const { drains } = fleet;
+    const known = findSessions(fleet, this.host).length > 0 ||
       drains.has(this.host);
     if (!known) {
       return err(
@@ -248,7 +236,7 @@
 }
 
 /** `declare-lost HOST` */
-export class DeclareLost extends StoreCommand {
+export class DeclareLost extends FleetCommand {
   static override paths = [["declare-lost"]];
   static override usage = Command.Usage({
     category: "Fleet",
@@ -266,7 +254,8 @@
     description: "Confirms that you have made sure of it.",
   });
 
-  protected override async runWith(
+  protected override async runOn(
+    fleet: FleetState,
     store: Store,
   ): Promise<Result<Output, BamboolinkError>> {
     const step = "operator.declare_lost";
@@ -275,11 +264,7 @@
         "expected --the-host-is-off: if the host still runs, its keys get a second owner and orders may be doubled";
       return err(BamboolinkError.create("invalid", message, { step }));
     }
-    const fleet = await readFleet(store);
-    if (fleet.isErr()) {
-      return err(fleet.error);
-    }
-    const sessions = findSessions(fleet.value, this.host);
+    const sessions = findSessions(fleet, this.host);
     if (sessions.length === 0) {
       return err(
         BamboolinkError.create(
--- a/packages/operator/src/operator_command.ts
+++ b/packages/operator/src/operator_command.ts
@@ -91,6 +91,26 @@
   }
 }
 
+/** A command that works on the records of the fleet. */
+export abstract class FleetCommand extends StoreCommand {
+  /** Does the work with the store and the fleet's records. */
+  protected abstract runOn(
+    fleet: FleetState,
+    store: Store,
+  ):
+    | Result<Output, BamboolinkError>
+    | Promise<Result<Output, BamboolinkError>>;
+
+  protected override async runWith(
+    store: Store,
+  ): Promise<Result<Output, BamboolinkError>> {
+    const fleet = await readFleet(store);
+    return fleet.isErr()
+      ? err(fleet.error)
+      : await this.runOn(fleet.value, store);
+  }
+}
+
 /** Reads all records of the fleet. */
 export async function readFleet(
   store: Store,
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -5,7 +5,10 @@
  */
 export {
   describeSettings,
+  EXIT_INVALID,
   readSettings,
+  readSettingsOrExit,
   type SettingDescription,
   SettingsError,
+  type ToolDescription,
 } from "./settings.ts";
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -139,3 +139,45 @@
     variableOf(name)
   }): ${issue.message}; ${value}`;
 }
+
+/** What a process says of itself in `--help`. */
+export interface ToolDescription {
+  readonly name: string;
+  readonly purpose: string;
+}
+
+/** Exit code for a wrong setting or input file. */
+export const EXIT_INVALID = 2;
+
+/**
+ * Reads the settings of a process from its own flags and environment. `--help` prints the settings and
+ * ends it; a wrong setting is named and ends it with `EXIT_INVALID`.
+ */
+export function readSettingsOrExit<S extends Shape>(
+  schema: S,
+  tool: ToolDescription,
+): z.infer<S> {
+  const given = process.argv.slice(2);
+  if (given.includes("--help")) {
+    process.stdout.write(writeHelp(schema, tool));
+    process.exit(0);
+  }
+  const settings = readSettings(schema, {
+    arguments: given,
+    environment: process.env,
+  });
+  if (settings.isErr()) {
+    process.stderr.write(settings.error.message + "\n");
+    process.exit(EXIT_INVALID);
+  }
+  return settings.value;
+}
+
+function writeHelp(schema: Shape, tool: ToolDescription): string {
+  const settings = describeSettings(schema);
+  const width = Math.max(...settings.map(({ flag }) => flag.length));
+  const lines = settings.map(({ flag, variable, meaning, fallback }) =>
+    `  ${flag.padEnd(width)}  ${meaning} [${fallback}] (${variable})`
+  );
+  return [`${tool.name}: ${tool.purpose}`, "", ...lines, ""].join("\n");
+}
--- a/packages/store_standin/src/main.ts
+++ b/packages/store_standin/src/main.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { Logger } from "@bamboolink/logger";
-import { readSettings } from "@bamboolink/settings";
+import { readSettingsOrExit } from "@bamboolink/settings";
 import { z } from "zod";
 import { StoreStandin } from "./store_standin.ts";
 
@@ -15,20 +15,16 @@
   ),
 });
 
-const settings = readSettings(Settings, {
-  arguments: process.argv.slice(2),
-  environment: process.env,
+const settings = readSettingsOrExit(Settings, {
+  name: "bamboolink-store-standin",
+  purpose: "a stand-in for the platform's key-value service",
 });
-if (settings.isErr()) {
-  process.stderr.write(settings.error.message + "\n");
-  process.exit(2);
-}
 const logger = Logger.create("store-standin", {
   format: "human",
   level: "info",
 });
 const standin = StoreStandin.create();
-const port = await standin.listen(settings.value.store_port);
+const port = await standin.listen(settings.store_port);
 logger.log("process_started", { address: `127.0.0.1:${port}` });
 ["SIGTERM", "SIGINT"].forEach((signal) =>
   process.on(signal, () => {
--- a/scripts/bench/capacity.mjs
+++ b/scripts/bench/capacity.mjs
@@ -23,7 +23,9 @@
   new URL("../../examples/atlas.json", import.meta.url),
 );
 const SIZES = [6, 12, 24, 48];
-const MEASURE_MS = 12_000;
+const MEASURE_MS = 20_000;
+/** Time for the processes to get warm, in milliseconds. */
+const WARM_MS = 25_000;
 const SERVICES = ["quote-desk", "order-book", "parts-archive"];
 
 /** Measures processes and structures, or only those named. */
@@ -87,7 +89,7 @@
       `${size} daemons`,
       90_000,
     );
-    await sleep(6_000);
+    await sleep(WARM_MS);
     return await sample(fleet, { hosts, size });
   } finally {
     clearInterval(announcing);
