--- a/packages/daemon/src/backend_dispatcher.ts
+++ b/packages/daemon/src/backend_dispatcher.ts
@@ -38,6 +38,8 @@
 
 /** The backend server on this host. */
 export class BackendDispatcher extends Destination {
+  private slots = 0;
+
   private constructor(private readonly context: BackendDispatcherContext) {
     super();
   }
@@ -104,8 +106,10 @@
     owner: { session: OwnSession; assignment: Assignment },
   ): Promise<AttemptResult> {
     const { gate } = this.context;
+    // Callers choose the identity of a request and may use one twice; a slot has one of its own.
+    this.slots += 1;
     const slot = {
-      id: request.id,
+      id: String(this.slots),
       priority: request.match.operation.priority,
       deadlineMs: request.deadlineMs,
     };
@@ -123,16 +127,16 @@
           { waitMs: outcome.waitMs },
         );
       case "run":
-        return await this.handOver(request, owner);
+        return await this.handOver(request, { ...owner, slot: slot.id });
     }
   }
 
   /** From here on bytes may reach the backend server. */
   private async handOver(
     request: RoutedRequest,
-    owner: { session: OwnSession; assignment: Assignment },
+    owner: { session: OwnSession; assignment: Assignment; slot: string },
   ): Promise<AttemptResult> {
-    const { session, assignment } = owner;
+    const { session, assignment, slot } = owner;
     const { gate, backend } = this.context;
     const startedMs = monotonicMs();
     // The wait for a slot may have outlived the lease or the assignment, and the process may have
@@ -140,12 +144,12 @@
     const mayServe = session.mayServe(assignment, startedMs) &&
       session.allowsWork(request.deadlineMs - startedMs);
     if (!mayServe || backend.connections === undefined) {
-      gate.leave(request.id);
+      gate.leave(slot);
       return notRun("not_owner", "this daemon may not serve the key any more");
     }
     session.releases.begin(assignment);
     const end = (tookMs?: number) => {
-      gate.leave(request.id, tookMs);
+      gate.leave(slot, tookMs);
       session.releases.finish(assignment);
     };
     try {
--- a/packages/daemon/src/entrance.ts
+++ b/packages/daemon/src/entrance.ts
@@ -4,15 +4,15 @@
  *
  * @module
  */
+import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-
 import { setTimeout as sleep } from "node:timers/promises";
 import { decideRetry, retryAfterMs, RetryBudget } from "@bamboolink/admission";
 import type { Logger } from "@bamboolink/logger";
 import type { Metrics } from "@bamboolink/metrics";
 import type { Assignment, Match } from "@bamboolink/routing";
 import { HEADERS } from "@bamboolink/types";
-import { randomUUID } from "node:crypto";
+import { AnswerWriter, type RequestEnd } from "./answer_writer.ts";
 import {
   type AttemptResult,
   type Destination,
@@ -23,7 +23,6 @@
 import { monotonicMs } from "./clock.ts";
 import type { Fleet } from "./fleet.ts";
 import { readSingle, selectEndToEnd } from "./http_headers.ts";
-import { AnswerWriter, type RequestEnd } from "./answer_writer.ts";
 import type { Randomness } from "./randomness.ts";
 import { readRequestBody, type RequestBody } from "./request_body.ts";
 
--- a/scripts/fleet_test.mjs
+++ b/scripts/fleet_test.mjs
@@ -125,6 +125,28 @@
     });
   });
 
+  describe("callers who use one request identity twice", () => {
+    // Symptom: one of two requests is never answered, and its slot is never free again.
+    // Sequence: a caller sends a second request under the identity of one that waits for a slot.
+    // Cause: slots that are counted by an identity which callers choose.
+    it("get an answer to each", async () => {
+      const answers = await Promise.all(
+        Array.from(
+          { length: 40 },
+          (_, index) =>
+            request(`http://${hosts[0].data}/quotes/same`, {
+              headers: {
+                "bamboolink-request-id": index < 20 ? `own-${index}` : "same",
+              },
+            }),
+        ),
+      );
+      const codes = answers.map(({ statusCode }) => statusCode);
+      expect(codes).to.deep.equal(new Array(40).fill(200));
+      await Promise.all(answers.map(({ body }) => body.dump()));
+    });
+  });
+
   describe("bad input", () => {
     const call = (path, options = {}) =>
       request(`http://${hosts[0].data}${path}`, options);
