--- a/packages/backend_standin/src/backend_standin.ts
+++ b/packages/backend_standin/src/backend_standin.ts
@@ -146,7 +146,10 @@
       if (refusal.fenced) {
         response.setHeader(HEADERS.fenced, "1");
       }
-      return sendJson(response, refusal.status, { error: refusal.error });
+      return sendJson(response, {
+        status: refusal.status,
+        body: { error: refusal.error },
+      });
     }
     await this.run({ incoming, body }, response);
   }
@@ -156,19 +159,22 @@
     context: { body: Buffer; response: ServerResponse },
   ): void {
     if (url === "/standin/ledger") {
-      return sendJson(context.response, 200, this.ledger);
+      return sendJson(context.response, { status: 200, body: this.ledger });
     }
     if (url === "/standin/faults") {
       this.faults = BackendFaults.parse(
         JSON.parse(context.body.toString("utf8")),
       );
-      return sendJson(context.response, 200, {});
+      return sendJson(context.response, { status: 200, body: {} });
     }
     if (url === "/standin/drain") {
       this.drain();
-      return sendJson(context.response, 200, {});
+      return sendJson(context.response, { status: 200, body: {} });
     }
-    sendJson(context.response, 404, { error: "unknown path" });
+    sendJson(context.response, {
+      status: 404,
+      body: { error: "unknown path" },
+    });
   }
 
   private findRefusal(incoming: IncomingMessage): Refusal | undefined {
@@ -269,9 +275,8 @@
 
 function sendJson(
   response: ServerResponse,
-  status: number,
-  body: unknown,
+  answer: { status: number; body: unknown },
 ): void {
-  response.writeHead(status, { "content-type": "application/json" });
-  response.end(JSON.stringify(body));
+  response.writeHead(answer.status, { "content-type": "application/json" });
+  response.end(JSON.stringify(answer.body));
 }
--- a/packages/daemon/src/admin_server.ts
+++ b/packages/daemon/src/admin_server.ts
@@ -56,11 +56,14 @@
       case "POST /bamboolink/v1/announcements":
         return await this.takeAnnouncement(request, response);
       case "GET /healthz":
-        return sendJson(response, 200, { status: "alive" });
+        return sendJson(response, { status: 200, body: { status: "alive" } });
       case "GET /readyz": {
         const ready = this.context.isReady();
-        return sendJson(response, ready ? 200 : 503, {
-          status: ready ? "ready" : "not ready",
+        return sendJson(response, {
+          status: ready ? 200 : 503,
+          body: {
+            status: ready ? "ready" : "not ready",
+          },
         });
       }
       case "GET /metrics":
@@ -70,16 +73,18 @@
         response.end(await this.context.metrics.write());
         return;
       case "GET /counters":
-        return sendJson(
-          response,
-          200,
-          await this.context.metrics.readCounters(),
-        );
+        return sendJson(response, {
+          status: 200,
+          body: await this.context.metrics.readCounters(),
+        });
       case "GET /status":
-        return sendJson(response, 200, this.context.status());
+        return sendJson(response, { status: 200, body: this.context.status() });
       default:
-        return sendJson(response, 404, {
-          error: `unknown path ${request.method} ${request.url}`,
+        return sendJson(response, {
+          status: 404,
+          body: {
+            error: `unknown path ${request.method} ${request.url}`,
+          },
         });
     }
   }
@@ -92,7 +97,7 @@
     const parsed = Announcement.safeParse(parseJson(text ?? ""));
     if (parsed.success) {
       this.context.onAnnouncement(parsed.data);
-      return sendJson(response, 200, { accepted: true });
+      return sendJson(response, { status: 200, body: { accepted: true } });
     }
     const problems = text === undefined
       ? [`the announcement is larger than ${MAXIMUM_BYTES} bytes`]
@@ -100,7 +105,7 @@
         `${issue.path.join(".") || "(body)"}: ${issue.message}`
       );
     this.context.logger.log("announcement_refused", { problems });
-    sendJson(response, 400, { accepted: false, problems });
+    sendJson(response, { status: 400, body: { accepted: false, problems } });
   }
 }
 
@@ -127,9 +132,8 @@
 
 function sendJson(
   response: ServerResponse,
-  status: number,
-  body: unknown,
+  answer: { status: number; body: unknown },
 ): void {
-  response.writeHead(status, { "content-type": "application/json" });
-  response.end(JSON.stringify(body));
+  response.writeHead(answer.status, { "content-type": "application/json" });
+  response.end(JSON.stringify(answer.body));
 }
--- a/packages/daemon/src/backend_connection.ts
+++ b/packages/daemon/src/backend_connection.ts
@@ -49,8 +49,13 @@
 
   /** Whether the backend server is there and wants work. */
   isReady(nowMs: number): boolean {
-    return this.current?.state === "ready" &&
-      nowMs - this.heardAtMs <= ANNOUNCEMENT_MS;
+    return this.current?.state === "ready" && !this.isSilent(nowMs);
+  }
+
+  /** Whether a backend server announced itself once and has not repeated it in time. */
+  isSilent(nowMs: number): boolean {
+    return this.current !== undefined &&
+      nowMs - this.heardAtMs > ANNOUNCEMENT_MS;
   }
 
   /** Closes all connections. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -70,6 +70,7 @@
   private readonly controlSessions = new Set<ServerHttp2Session>();
   private loop: NodeJS.Timeout | undefined;
   private stopping = false;
+  private announcementMissing = false;
 
   private constructor(private readonly settings: DaemonSettings) {
     const format = settings.log_format;
@@ -298,6 +299,15 @@
     this.planner.tick(nowMs, this.stopping ? undefined : serving);
     this.reporter.tick(nowMs, session);
     this.gate.tick(nowMs);
+    this.noteMissingAnnouncement(nowMs);
+  }
+
+  private noteMissingAnnouncement(nowMs: number): void {
+    const isMissing = this.backend.isSilent(nowMs);
+    if (isMissing && !this.announcementMissing) {
+      this.logger.log("announcement_missing");
+    }
+    this.announcementMissing = isMissing;
   }
 
   /** Daemons without a session follow the store themselves until they have one. */
--- a/packages/daemon/src/planner.ts
+++ b/packages/daemon/src/planner.ts
@@ -45,6 +45,8 @@
 /** A service without any owner waits so long for more sessions to start, in milliseconds. */
 const SETTLE_MS = 1_000;
 const LONGEST_SETTLE_MS = 5_000;
+/** A takeover that lacks evidence for so long is reported, in milliseconds. */
+const STUCK_MS = 3_000;
 /** Ended records that nothing refers to are deleted after so long, in milliseconds. */
 const FORGET_MS = 30_000;
 
@@ -65,6 +67,7 @@
   private readonly round: Background;
   private readonly firstSeenMs = new Map<string, number>();
   private readonly endedSinceMs = new Map<string, number>();
+  private readonly stuckSinceMs = new Map<string, number>();
   private takeovers: TakeoverBook;
   private handovers: HandoverRunner;
   private electedSession: string | undefined;
@@ -167,6 +170,7 @@
     this.takeovers.observe(this.context.fleet.sessions, monotonicMs());
     await this.collectRefusals();
     this.takeovers.advance(monotonicMs());
+    this.reportStuck(monotonicMs());
     await this.assignAll();
     await this.handovers.run(monotonicMs(), this.candidatesByService());
     await this.tidy();
@@ -293,6 +297,23 @@
     }
   }
 
+  /** Tells operators once of each takeover that has lacked evidence for a while. */
+  private reportStuck(nowMs: number): void {
+    const stuck = this.takeovers.stuck();
+    [...this.stuckSinceMs.keys()].filter((id) => !stuck.includes(id)).forEach((
+      id,
+    ) => this.stuckSinceMs.delete(id));
+    stuck.forEach((id) => {
+      const sinceMs = this.stuckSinceMs.get(id) ?? nowMs;
+      const isDue = nowMs - sinceMs >= STUCK_MS;
+      this.stuckSinceMs.set(id, isDue ? Infinity : sinceMs);
+      if (isDue) {
+        const host = this.context.fleet.session(id)?.host;
+        this.context.logger.log("takeover_waiting", { session: id, host });
+      }
+    });
+  }
+
   private candidatesByService(): Map<string, Candidate[]> {
     const services = [
       ...(this.context.fleet.configuration?.services.values() ?? []),
--- a/packages/store_standin/src/store_standin.ts
+++ b/packages/store_standin/src/store_standin.ts
@@ -127,7 +127,10 @@
       const text = await readText(request);
       if (path.startsWith("/standin/")) {
         response.on("finish", () => this.cutIfDown());
-        return send(response, 200, this.serveControl(path, text));
+        return send(response, {
+          status: 200,
+          body: this.serveControl(path, text),
+        });
       }
       this.faults.countCall(path);
       if (this.faults.down) {
@@ -137,7 +140,10 @@
       await this.serveCall({ path, text }, response);
     } catch (cause) {
       const status = cause instanceof Refusal ? cause.status : 400;
-      send(response, status, { code: 3, message: (cause as Error).message });
+      send(response, {
+        status,
+        body: { code: 3, message: (cause as Error).message },
+      });
     }
   }
 
@@ -162,7 +168,7 @@
       response.socket?.destroy();
       return;
     }
-    send(response, 200, answer);
+    send(response, { status: 200, body: answer });
   }
 
   private serveControl(path: string, text: string): unknown {
@@ -304,7 +310,10 @@
   return Buffer.concat(chunks).toString("utf8");
 }
 
-function send(response: ServerResponse, status: number, body: unknown): void {
-  response.writeHead(status, { "content-type": "application/json" });
-  response.end(JSON.stringify(body));
+function send(
+  response: ServerResponse,
+  answer: { status: number; body: unknown },
+): void {
+  response.writeHead(answer.status, { "content-type": "application/json" });
+  response.end(JSON.stringify(answer.body));
 }
--- a/scripts/check_docs.mjs
+++ b/scripts/check_docs.mjs
@@ -109,6 +109,18 @@
   );
 }
 
+/** An event that is never written would promise operators an alarm that can't come. */
+function checkEventsAreWritten() {
+  const written = readdirSync("packages")
+    .filter((name) => name !== "logger")
+    .flatMap(sourcesOf)
+    .map(({ text }) => text)
+    .join("\n");
+  Object.keys(EVENTS)
+    .filter((name) => !written.includes(`"${name}"`))
+    .forEach((name) => problems.push(`event ${name} is never written`));
+}
+
 function checkReadmes() {
   readdirSync("packages").forEach((name) => {
     try {
@@ -123,6 +135,7 @@
 checkPage("docs/SETTINGS.md", writeSettings());
 checkLayers();
 checkEventNumbers();
+checkEventsAreWritten();
 checkReadmes();
 problems.forEach((problem) => console.error(problem));
 process.exitCode = problems.length === 0 ? 0 : 1;
