Hand nothing to a backend server that is not the one of the session

Cause, found by reading session_keeper as a newcomer: a session's record names its service and whether the server checks its grants, but a later announcement could change both. A server of another service on the same host would have been handed keys, and a takeover from one that stopped checking would have waited too short.

--- a/packages/daemon/src/admin_server.ts
+++ b/packages/daemon/src/admin_server.ts
@@ -20,7 +20,8 @@
 export interface AdminServerContext {
   readonly logger: Logger;
   readonly metrics: Metrics;
-  readonly onAnnouncement: (announcement: Announcement) => void;
+  /** Takes an announcement and returns what is wrong with it. */
+  readonly onAnnouncement: (announcement: Announcement) => readonly string[];
   /** Whether callers should be sent here. */
   readonly isReady: () => boolean;
   /** Status for people and tools. */
@@ -96,16 +97,29 @@
     const text = await readText(request);
     const parsed = Announcement.safeParse(parseJson(text ?? ""));
     if (parsed.success) {
-      this.context.onAnnouncement(parsed.data);
-      return sendJson(response, { status: 200, body: { accepted: true } });
+      const conflicts = this.context.onAnnouncement(parsed.data);
+      return conflicts.length === 0
+        ? sendJson(response, { status: 200, body: { accepted: true } })
+        : this.refuseAnnouncement(response, {
+          status: 409,
+          problems: conflicts,
+        });
     }
     const problems = text === undefined
       ? [`the announcement is larger than ${MAXIMUM_BYTES} bytes`]
       : parsed.error.issues.map((issue) =>
         `${issue.path.join(".") || "(body)"}: ${issue.message}`
       );
+    this.refuseAnnouncement(response, { status: 400, problems });
+  }
+
+  private refuseAnnouncement(
+    response: ServerResponse,
+    refusal: { status: number; problems: readonly string[] },
+  ): void {
+    const { status, problems } = refusal;
     this.context.logger.log("announcement_refused", { problems });
-    sendJson(response, { status: 400, body: { accepted: false, problems } });
+    sendJson(response, { status, body: { accepted: false, problems } });
   }
 }
 
--- a/packages/daemon/src/backend_connection.ts
+++ b/packages/daemon/src/backend_connection.ts
@@ -33,14 +33,39 @@
     return this.pool;
   }
 
+  /**
+   * Finds what an announcement may not change while the daemon runs.
+   *
+   * What goes wrong otherwise: a server of another service, or one that stopped checking its grants, is
+   * handed keys under a session whose record says something else, and a takeover waits too short.
+   */
+  findConflicts(announcement: Announcement): string[] {
+    const known = this.current;
+    const fixed = ["service", "checks_fencing"] as const;
+    return known === undefined ? [] : fixed
+      .filter((name) => known[name] !== announcement[name])
+      .map((name) =>
+        `${name}: expected ${
+          known[name]
+        }; it can't change while the daemon runs`
+      );
+  }
+
+  /** Stops handing requests over, because another server has taken the place of the known one. */
+  disconnect(): void {
+    this.heardAtMs = -Infinity;
+    void this.pool?.close();
+    this.pool = undefined;
+  }
+
   /** Notes an announcement; returns whether anything in it is new. */
   note(announcement: Announcement, nowMs: number): boolean {
     const before = this.current;
     this.heardAtMs = nowMs;
     this.current = announcement;
-    if (
-      before?.port !== announcement.port || before.slots !== announcement.slots
-    ) {
+    const moved = before?.port !== announcement.port ||
+      before.slots !== announcement.slots;
+    if (moved || this.pool === undefined) {
       void this.pool?.close();
       this.pool = createPool(announcement);
     }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -316,7 +316,12 @@
       this.fleet.watchers.some(({ id }) => id === session);
   }
 
-  private noteAnnouncement(announcement: Announcement): void {
+  private noteAnnouncement(announcement: Announcement): readonly string[] {
+    const conflicts = this.backend.findConflicts(announcement);
+    if (conflicts.length > 0) {
+      this.backend.disconnect();
+      return conflicts;
+    }
     const isNew = this.backend.note(announcement, monotonicMs());
     const service = this.fleet.configuration?.services.get(
       announcement.service,
@@ -328,6 +333,7 @@
     if (isNew) {
       this.logger.log("announcement_accepted", { ...announcement });
     }
+    return [];
   }
 
   private describe(): unknown {
--- a/scripts/fleet_test.mjs
+++ b/scripts/fleet_test.mjs
@@ -322,6 +322,33 @@
     });
   });
 
+  describe("a backend server that is replaced by one of another service", () => {
+    // Symptom: orders reach a server that knows nothing of orders.
+    // Sequence: another server announces itself to the same daemon, on the same port.
+    // Cause: a session whose record says one thing and whose backend server is another.
+    it("is handed nothing, and the keys move to the others", async () => {
+      const host = hostNamed("archive-6");
+      fleet.signal("backend-archive-6", "SIGKILL");
+      await fleet.ended("backend-archive-6");
+      fleet.startBackend({ ...host, service: "order-book" });
+      await waitFor(
+        async () => {
+          const daemons = await readDaemons();
+          return daemons.find((each) => each.host === host.host)?.partitions ===
+            0;
+        },
+        "the keys to move",
+        30_000,
+      );
+      const runs = await request(`http://${host.backend}/standin/ledger`);
+      expect(await runs.body.json()).to.deep.equal([]);
+      fleet.signal("backend-archive-6", "SIGKILL");
+      await fleet.ended("backend-archive-6");
+      fleet.startBackend(host);
+      await waitFor(() => isServing(12), "the return of the right one", 40_000);
+    });
+  });
+
   describe("a daemon that drains", () => {
     // Symptom: requests fail while a host is replaced.
     // Sequence: SIGTERM under load, then a new process on the same host.
