--- a/packages/ownership/src/testing/ownership_world.ts
+++ b/packages/ownership/src/testing/ownership_world.ts
@@ -328,18 +328,11 @@
     const { session } = node;
     const names = session.lease.witnesses;
     const witness = names[choice % Math.max(1, names.length)];
-    const target = this.nodes.findIndex((other) =>
-      other.session.id === witness
-    );
-    if (node.paused || witness === undefined || target < 0) {
+    if (node.paused || witness === undefined) {
       return;
     }
     const sentAtMs = this.clock(node);
-    this.send(target, () => {
-      const peer = this.nodes[target] as WorldNode;
-      if (peer.session.id !== witness) {
-        return;
-      }
+    this.sendToWitness(witness, (peer) => {
       const validUntilMs = this.fault === "promises_while_invalid"
         ? Infinity
         : peer.session.lease.validUntil;
@@ -481,17 +474,7 @@
     }
     this.observe(book, node);
     book.pendingRefusals().forEach((sessions, witness) => {
-      const target = this.nodes.findIndex((other) =>
-        other.session.id === witness
-      );
-      if (target < 0) {
-        return;
-      }
-      this.send(target, () => {
-        const peer = this.nodes[target] as WorldNode;
-        if (peer.session.id !== witness) {
-          return;
-        }
+      this.sendToWitness(witness, (peer) => {
         const refusals = sessions.map((session) => ({
           session,
           remainingMs: peer.session.ledger.refuse(session, this.clock(peer)),
@@ -609,6 +592,22 @@
     });
   }
 
+  /** A witness is named by session: one that restarted meanwhile is not the one that was asked. */
+  private sendToWitness(witness: string, run: (peer: WorldNode) => void): void {
+    const target = this.nodes.findIndex(({ session }) =>
+      session.id === witness
+    );
+    if (target < 0) {
+      return;
+    }
+    this.send(target, () => {
+      const peer = this.nodes[target] as WorldNode;
+      if (peer.session.id === witness) {
+        run(peer);
+      }
+    });
+  }
+
   private send(to: number, run: () => void): void {
     this.messages.push({ to, run });
   }
