--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -23,3 +23,13 @@
   decideRetry,
   type RetryContext,
 } from "./retry_policy.ts";
+export {
+  type WorkChanges,
+  WorkQueue,
+  type WorkRefusal,
+  type WorkRequest,
+  type WorkVerdict,
+} from "./work_queue.ts";
+export { ServiceTimes } from "./service_times.ts";
+export { ResendBudget, type ResendLimits } from "./resend_budget.ts";
+export { createAnswerSpread } from "./answer_spread.ts";
--- /dev/null
+++ b/packages/admission/src/service_times.ts
@@ -0,0 +1,52 @@
+/**
+ * Learns how long requests hold a slot of one backend server.
+ *
+ * @module
+ */
+
+/** Weight of the latest request in the average of its kind. */
+const LEARNING_RATE = 0.1;
+/** What a kind of request that was never seen is taken for, as a share of its objective. */
+const UNSEEN_SHARE = 0.35;
+
+/** Moving averages by kind of request. */
+export class ServiceTimes {
+  private readonly averages = new Map<string, number>();
+  private all = 0;
+
+  private constructor() {}
+
+  /** Creates one that has seen nothing. */
+  static create(): ServiceTimes {
+    return new ServiceTimes();
+  }
+
+  /** Notes how long a request held its slot, in milliseconds. */
+  note(kind: string, tookMs: number): void {
+    const known = this.averages.get(kind);
+    this.averages.set(kind, blend(known, tookMs));
+    this.all = blend(this.all === 0 ? undefined : this.all, tookMs);
+  }
+
+  /** How long a request of a kind is expected to hold a slot, in milliseconds. */
+  estimate(kind: string, objectiveMs: number): number {
+    return this.averages.get(kind) ?? objectiveMs * UNSEEN_SHARE;
+  }
+
+  /** The average over all requests, in milliseconds; 0 before the first. */
+  get averageMs(): number {
+    return this.all;
+  }
+
+  /** Forgets everything: another incarnation may be slower or faster. */
+  clear(): void {
+    this.averages.clear();
+    this.all = 0;
+  }
+}
+
+function blend(known: number | undefined, tookMs: number): number {
+  return known === undefined
+    ? tookMs
+    : known + LEARNING_RATE * (tookMs - known);
+}
--- /dev/null
+++ b/packages/admission/src/work_queue.ts
@@ -0,0 +1,204 @@
+/**
+ * Decides which requests run, wait or are refused beside one backend server.
+ *
+ * The load it answers: more work than the slots can do, for seconds at a time, in which requests of
+ * different urgency and length compete, and in which work that is done too late is wasted.
+ *
+ * @module
+ */
+
+/** A request that wants a slot. */
+export interface WorkRequest {
+  readonly id: number;
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  /** By when the answer is worth most, on the daemon's clock. */
+  readonly objectiveAtMs: number;
+  /** After which it is worth nothing. */
+  readonly deadlineAtMs: number;
+  /** How long it is expected to hold a slot, in milliseconds. */
+  readonly estimateMs: number;
+}
+
+/** Why a request is refused: it surely has not run. */
+export type WorkRefusal = "too_late" | "overloaded" | "queue_full";
+
+/** What becomes of a request that has just arrived. */
+export type WorkVerdict =
+  | { readonly kind: "run" }
+  | { readonly kind: "wait" }
+  | {
+    readonly kind: "refuse";
+    readonly reason: WorkRefusal;
+    /** How long the work ahead of it takes, in milliseconds. */
+    readonly waitMs: number;
+  };
+
+/** What changed when time passed or a slot became free. */
+export interface WorkChanges {
+  readonly run: readonly number[];
+  readonly refuse: readonly { id: number; reason: WorkRefusal }[];
+}
+
+/**
+ * The most requests that wait, for each slot. Deadlines bound the queue already; this bounds its memory
+ * and the cost of keeping its order.
+ */
+const WAITING_PER_SLOT = 40;
+/**
+ * A request may be expected to miss its objective by this share of the time it had left: estimates are
+ * that rough, and refusing what would have made it costs more than serving a little late.
+ */
+const LATE_ALLOWANCE = 0.15;
+/** An overdue running request is expected to take at least this share of its estimate still. */
+const OVERDUE_SHARE = 0.2;
+
+interface Running {
+  readonly startedAtMs: number;
+  readonly estimateMs: number;
+}
+
+/** The queue in front of the slots of one backend server. */
+export class WorkQueue {
+  private readonly running = new Map<number, Running>();
+  private waiting: WorkRequest[] = [];
+  private slots = 0;
+
+  private constructor() {}
+
+  /** Creates a queue without slots: everything waits. */
+  static create(): WorkQueue {
+    return new WorkQueue();
+  }
+
+  /** Sets how many requests may run at a time. */
+  setSlots(slots: number): void {
+    this.slots = slots;
+  }
+
+  /** How many requests run. */
+  get runningCount(): number {
+    return this.running.size;
+  }
+
+  /** How many requests wait. */
+  get waitingCount(): number {
+    return this.waiting.length;
+  }
+
+  /** Decides about a request that has just arrived. */
+  offer(request: WorkRequest, nowMs: number): WorkVerdict {
+    if (this.running.size < this.slots && this.waiting.length === 0) {
+      this.start(request, nowMs);
+      return { kind: "run" };
+    }
+    const waitMs = this.waitAhead(request, nowMs);
+    const doneAtMs = nowMs + waitMs + request.estimateMs;
+    if (doneAtMs > request.deadlineAtMs) {
+      return { kind: "refuse", reason: "too_late", waitMs };
+    }
+    if (doneAtMs > latestUseful(request, nowMs)) {
+      return { kind: "refuse", reason: "overloaded", waitMs };
+    }
+    if (this.waiting.length >= this.slots * WAITING_PER_SLOT) {
+      return { kind: "refuse", reason: "queue_full", waitMs };
+    }
+    this.insert(request);
+    return { kind: "wait" };
+  }
+
+  /** A request has left its slot. */
+  finish(id: number, nowMs: number): WorkChanges {
+    this.running.delete(id);
+    return this.advance(nowMs);
+  }
+
+  /** A waiting request has gone away; returns whether it was waiting. */
+  cancel(id: number): boolean {
+    const before = this.waiting.length;
+    this.waiting = this.waiting.filter((request) => request.id !== id);
+    return this.waiting.length < before;
+  }
+
+  /** Fills free slots, and refuses what can't be done in time any more. */
+  advance(nowMs: number): WorkChanges {
+    const run: number[] = [];
+    const refuse = this.dropHopeless(nowMs);
+    while (this.running.size < this.slots && this.waiting.length > 0) {
+      const next = this.waiting.shift()!;
+      this.start(next, nowMs);
+      run.push(next.id);
+    }
+    return { run, refuse };
+  }
+
+  /** Until a request of the lowest urgency that arrives now would start, in milliseconds. */
+  waitMs(nowMs: number): number {
+    if (this.running.size < this.slots) {
+      return 0;
+    }
+    const queued = this.waiting.reduce(
+      (sum, { estimateMs }) => sum + estimateMs,
+      0,
+    );
+    return (this.runningLeftMs(nowMs) + queued) / Math.max(1, this.slots);
+  }
+
+  private waitAhead(request: WorkRequest, nowMs: number): number {
+    const ahead = this.waiting
+      .filter((other) => compareUrgency(other, request) <= 0)
+      .reduce((sum, { estimateMs }) => sum + estimateMs, 0);
+    return (this.runningLeftMs(nowMs) + ahead) / Math.max(1, this.slots);
+  }
+
+  private runningLeftMs(nowMs: number): number {
+    return [...this.running.values()].reduce(
+      (sum, { startedAtMs, estimateMs }) =>
+        sum + Math.max(
+          startedAtMs + estimateMs - nowMs,
+          estimateMs * OVERDUE_SHARE,
+        ),
+      0,
+    );
+  }
+
+  private start(request: WorkRequest, nowMs: number): void {
+    this.running.set(request.id, {
+      startedAtMs: nowMs,
+      estimateMs: request.estimateMs,
+    });
+  }
+
+  private insert(request: WorkRequest): void {
+    const at = this.waiting.findIndex((other) =>
+      compareUrgency(other, request) > 0
+    );
+    this.waiting.splice(at < 0 ? this.waiting.length : at, 0, request);
+  }
+
+  private dropHopeless(nowMs: number): WorkChanges["refuse"] {
+    const hopeless = this.waiting.filter((request) =>
+      nowMs + request.estimateMs > request.deadlineAtMs
+    );
+    if (hopeless.length > 0) {
+      this.waiting = this.waiting.filter((request) =>
+        !hopeless.includes(request)
+      );
+    }
+    return hopeless.map(({ id }) => ({ id, reason: "too_late" as const }));
+  }
+}
+
+function latestUseful(request: WorkRequest, nowMs: number): number {
+  const leftMs = Math.max(0, request.objectiveAtMs - nowMs);
+  return request.objectiveAtMs + LATE_ALLOWANCE * leftMs;
+}
+
+/** More urgent ranks go first; among equals, those that must begin first to meet their objective. */
+function compareUrgency(left: WorkRequest, right: WorkRequest): number {
+  return left.rank - right.rank || beginBy(left) - beginBy(right);
+}
+
+function beginBy(request: WorkRequest): number {
+  return request.objectiveAtMs - request.estimateMs;
+}
--- /dev/null
+++ b/packages/keyspace/src/grant_book.ts
@@ -0,0 +1,268 @@
+/**
+ * What the backend server beside a daemon holds, may hold and has given back.
+ *
+ * @module
+ */
+import type { OwnershipRecord } from "./ownership_record.ts";
+import {
+  KEY_COUNT,
+  type KeyRange,
+  RangeMap,
+  type Segment,
+  sizeOf,
+} from "./range_map.ts";
+import { CLOCK_DRIFT } from "./tenure.ts";
+
+/**
+ * Fencing tokens are a revision of the store times this, plus how many incarnations of the backend
+ * server came since: a revision that a daemon has seen is higher than all tokens of earlier owners, and
+ * a new incarnation needs no call to the store, so it is granted keys in an outage too.
+ */
+const INCARNATIONS_PER_REVISION = 1_024;
+
+/**
+ * The usual hold, in milliseconds: long enough to outlast a restart of the daemon (about 2 s) and a late
+ * heartbeat; short enough that the keys of a silent backend server are free within seconds.
+ */
+export const USUAL_HOLD_MS = 5_000;
+
+/** A range and the fencing token under which it is held. */
+export interface HeldRange extends KeyRange {
+  readonly token: number;
+}
+
+/** A range that the backend server has given back, with its proof of the handover. */
+export interface FreedRange extends KeyRange {
+  readonly handover: string;
+}
+
+/** A range that is granted. */
+export interface GrantedRange extends HeldRange {
+  readonly handover: string;
+}
+
+/** What a heartbeat is answered with. */
+export interface Grant {
+  readonly ranges: readonly GrantedRange[];
+  /** How long the grant holds from when the heartbeat was sent, in milliseconds. */
+  readonly holdMs: number;
+}
+
+interface Token {
+  readonly token: number;
+  readonly handover: string;
+}
+
+/** The keys of one backend server, as the daemon beside it keeps them. */
+export class GrantBook {
+  /** Ranges that belong to the backend server by the store, with the token of each. */
+  private readonly tokens = RangeMap.create<Token>((left, right) =>
+    left.token === right.token && left.handover === right.handover
+  );
+  /** Until when the backend server may still hold a range, on the daemon's clock, at the longest. */
+  private readonly mayHoldUntil = RangeMap.create<number>();
+  /** Until when the backend server surely holds a range, as far as heartbeats show. */
+  private readonly holdsUntil = RangeMap.create<number>();
+  /** Ranges that are being given up; they are not granted until the store gives them back. */
+  private readonly releasing = RangeMap.create<true>();
+  /** Whether a grant went out to the present incarnation. */
+  private hasGranted = false;
+  private incarnations = 0;
+
+  private constructor() {}
+
+  /**
+   * Creates a book without keys.
+   *
+   * An earlier process of this daemon may have granted any keys until just before; without a word from
+   * the backend server they count as held until such a grant has run out.
+   */
+  static create(nowMs: number): GrantBook {
+    const book = new GrantBook();
+    book.extend(
+      { from: 0, to: KEY_COUNT - 1 },
+      nowMs + USUAL_HOLD_MS * (1 + CLOCK_DRIFT),
+    );
+    return book;
+  }
+
+  /**
+   * Takes over what a record says of the daemon's own ranges.
+   *
+   * @param revision a revision of the store that is at least the record's and higher than any that an
+   *   earlier process of this daemon can have used for tokens.
+   */
+  noteOwnership(
+    record: OwnershipRecord,
+    own: { daemon: string; revision: number },
+  ): void {
+    const mine = RangeMap.create<string>();
+    record.rangesOf(own.daemon).forEach((segment) =>
+      mine.set(segment, segment.value.handover)
+    );
+    this.tokens.segments
+      .flatMap((segment) => mine.gaps(segment))
+      .forEach((range) => {
+        this.tokens.delete(range);
+        this.releasing.delete(range);
+        this.holdsUntil.delete(range);
+      });
+    const token = own.revision * INCARNATIONS_PER_REVISION + this.incarnations;
+    mine.segments.forEach((segment) =>
+      this.tokens.gaps(segment).forEach((range) =>
+        this.tokens.set(range, { token, handover: segment.value })
+      )
+    );
+  }
+
+  /** A new incarnation of the backend server has proved that the earlier one is gone. */
+  noteNewIncarnation(): void {
+    this.incarnations += 1;
+    this.hasGranted = false;
+    this.mayHoldUntil.clear();
+    this.holdsUntil.clear();
+    this.tokens.replace(({ token }) => ({ token: token + 1, handover: "" }));
+  }
+
+  /** A backend server of another service is at the address: no key is its own. */
+  forgetKeys(): void {
+    this.tokens.clear();
+    this.releasing.clear();
+    this.noteEnded();
+  }
+
+  /** The backend server's process has certainly ended, and with it all that it held. */
+  noteEnded(): void {
+    this.mayHoldUntil.clear();
+    this.holdsUntil.clear();
+  }
+
+  /**
+   * Takes over the tokens that a backend server reports after a restart of this daemon: the same
+   * incarnation goes on holding the same keys, which a new token would make it take anew.
+   */
+  adoptHeld(held: readonly HeldRange[], nowMs: number): void {
+    if (this.hasGranted) {
+      return;
+    }
+    held.forEach((range) => {
+      this.extend(range, nowMs + USUAL_HOLD_MS * (1 + CLOCK_DRIFT));
+      this.tokens.within(range).forEach((mine) =>
+        this.tokens.set(mine, { token: range.token, handover: "" })
+      );
+    });
+  }
+
+  /**
+   * Decides what a heartbeat is answered with.
+   *
+   * @param longestHoldMs how long the daemon's own right lasts on the backend server's clock.
+   */
+  answer(limits: { longestHoldMs: number; nowMs: number }): Grant {
+    const { longestHoldMs, nowMs } = limits;
+    const holdMs = Math.min(USUAL_HOLD_MS, longestHoldMs);
+    const ranges = holdMs <= 0 ? [] : this.grantable();
+    ranges.forEach((range) => {
+      this.extend(range, nowMs + holdMs * (1 + CLOCK_DRIFT));
+      this.holdsUntil.set(range, nowMs + holdMs);
+    });
+    this.hasGranted ||= ranges.length > 0;
+    return { ranges, holdMs };
+  }
+
+  /**
+   * Notes ranges that the backend server says it has given back; returns those that were asked for and
+   * may be given to another owner now.
+   */
+  noteFreed(freed: readonly FreedRange[]): FreedRange[] {
+    return freed.flatMap((range) => {
+      this.mayHoldUntil.delete(range);
+      this.holdsUntil.delete(range);
+      return this.releasing.within(range).map(({ from, to }) => ({
+        from,
+        to,
+        handover: range.handover,
+      }));
+    });
+  }
+
+  /** Gives ranges up: they are left out of all grants until the store says they are the daemon's anew. */
+  beginRelease(ranges: readonly KeyRange[]): void {
+    ranges.forEach((range) => {
+      this.releasing.set(range, true);
+      this.holdsUntil.delete(range);
+    });
+  }
+
+  /** A release was confirmed not to have happened: the ranges are granted again. */
+  cancelRelease(ranges: readonly KeyRange[]): void {
+    ranges.forEach((range) => this.releasing.delete(range));
+  }
+
+  /** Ranges that are being given up and that the backend server can't hold any more. */
+  findReleased(nowMs: number): KeyRange[] {
+    return this.releasing.segments.flatMap((segment) =>
+      this.freeParts(segment, nowMs)
+    );
+  }
+
+  /** Own ranges that the backend server can't hold any more without a new grant. */
+  findLapsed(nowMs: number): KeyRange[] {
+    return this.tokens.segments.flatMap((segment) =>
+      this.freeParts(segment, nowMs)
+    );
+  }
+
+  /** Whether a key is the backend server's own and not being given up. */
+  isOwn(key: number): boolean {
+    return this.tokens.get(key) !== undefined &&
+      this.releasing.get(key) === undefined;
+  }
+
+  /** Whether the backend server holds a key now, as far as the daemon knows. */
+  holds(key: number, nowMs: number): boolean {
+    return (this.holdsUntil.get(key) ?? -Infinity) > nowMs;
+  }
+
+  /** Whether anything is being given up. */
+  get isReleasing(): boolean {
+    return this.releasing.segments.length > 0;
+  }
+
+  /** The ranges that are the backend server's own and not being given up. */
+  get ownRanges(): KeyRange[] {
+    return this.grantable().map(({ from, to }) => ({ from, to }));
+  }
+
+  /** How many keys are the backend server's own. */
+  get ownCount(): number {
+    return this.ownRanges.reduce((sum, range) => sum + sizeOf(range), 0);
+  }
+
+  private grantable(): GrantedRange[] {
+    return this.tokens.segments.flatMap((segment: Segment<Token>) =>
+      this.releasing.gaps(segment).map(({ from, to }) => ({
+        from,
+        to,
+        ...segment.value,
+      }))
+    );
+  }
+
+  private freeParts(range: KeyRange, nowMs: number): KeyRange[] {
+    const held = RangeMap.create<true>();
+    this.mayHoldUntil.within(range)
+      .filter(({ value }) => value > nowMs)
+      .forEach((segment) => held.set(segment, true));
+    return held.gaps(range);
+  }
+
+  /** The backend server may hold a range until then, or longer by an earlier grant. */
+  private extend(range: KeyRange, untilMs: number): void {
+    const earlier = this.mayHoldUntil.within(range);
+    this.mayHoldUntil.set(range, untilMs);
+    earlier
+      .filter(({ value }) => value > untilMs)
+      .forEach((segment) => this.mayHoldUntil.set(segment, segment.value));
+  }
+}
--- /dev/null
+++ b/packages/keyspace/src/mod.ts
@@ -0,0 +1,46 @@
+/**
+ * Decides which backend server owns which range of keys, and for how long. Pure: time comes in,
+ * decisions go out.
+ *
+ * @module
+ */
+export {
+  intersect,
+  KEY_COUNT,
+  type KeyRange,
+  RangeMap,
+  type Segment,
+  sizeOf,
+} from "./range_map.ts";
+export {
+  type Assignment,
+  type Owner,
+  OwnershipRecord,
+} from "./ownership_record.ts";
+export {
+  CLOCK_DRIFT,
+  TAKEOVER_WAIT_MS,
+  TakeoverWaits,
+  Tenure,
+  TENURE_MS,
+} from "./tenure.ts";
+export {
+  type FreedRange,
+  type Grant,
+  GrantBook,
+  type GrantedRange,
+  type HeldRange,
+  USUAL_HOLD_MS,
+} from "./grant_book.ts";
+export { assignUnowned, type Candidate } from "./plan_assignment.ts";
+export { LoadProfile } from "./load_profile.ts";
+export {
+  type OwnerLoad,
+  type PlannedMove,
+  planShedding,
+} from "./plan_shedding.ts";
+export {
+  type Heartbeat,
+  type HeartbeatVerdict,
+  InstanceBook,
+} from "./instance_book.ts";
--- /dev/null
+++ b/packages/keyspace/src/ownership_record.ts
@@ -0,0 +1,182 @@
+/**
+ * The record in the store that says which daemon's backend server owns which keys of one service.
+ *
+ * @module
+ */
+import { BamboolinkError } from "@bamboolink/errors";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import {
+  KEY_COUNT,
+  type KeyRange,
+  RangeMap,
+  type Segment,
+} from "./range_map.ts";
+
+/** Who owns a range. */
+export interface Owner {
+  /** Address of the daemon beside the owning backend server. */
+  readonly daemon: string;
+  /** Proof of an orderly handover by the previous owner; empty where there was none. */
+  readonly handover: string;
+  /**
+   * Whether a takeover has begun: the owner may not extend its tenure unless it removes the seal, and
+   * others may assign the range once the owner's tenure has certainly ended.
+   */
+  readonly sealed: boolean;
+}
+
+const StoredRange = z.object({
+  from: z.int().min(0).max(KEY_COUNT - 1),
+  to: z.int().min(0).max(KEY_COUNT - 1),
+  daemon: z.string(),
+  handover: z.string().default(""),
+  sealed: z.boolean().default(false),
+});
+
+const StoredRecord = z.object({ ranges: z.array(StoredRange) });
+
+/** A change of the owner of one range. */
+export interface Assignment extends KeyRange {
+  readonly daemon: string;
+  readonly handover: string;
+}
+
+/** One revision of the ownership of a service. It is never changed; changes make a new one. */
+export class OwnershipRecord {
+  private constructor(
+    /** The store's revision of this record; 0 where there is none in the store yet. */
+    readonly revision: number,
+    private readonly owners: RangeMap<Owner>,
+  ) {}
+
+  /** A record in which no key has an owner. */
+  static create(): OwnershipRecord {
+    return new OwnershipRecord(0, createOwners());
+  }
+
+  /** Decodes a record of the store. */
+  static decode(
+    text: string,
+    revision: number,
+  ): Result<OwnershipRecord, BamboolinkError> {
+    const parsed = parseJson(text).andThen((value) => {
+      const checked = StoredRecord.safeParse(value);
+      return checked.success
+        ? ok(checked.data)
+        : err(invalid(checked.error.message, checked.error));
+    });
+    return parsed.map(({ ranges }) => {
+      const owners = createOwners();
+      ranges.forEach(({ from, to, daemon, handover, sealed }) =>
+        owners.set({ from, to }, { daemon, handover, sealed })
+      );
+      return new OwnershipRecord(revision, owners);
+    });
+  }
+
+  /** Encodes the record for the store. */
+  encode(): string {
+    const ranges = this.owners.segments.map(({ from, to, value }) => ({
+      from,
+      to,
+      daemon: value.daemon,
+      ...(value.handover === "" ? {} : { handover: value.handover }),
+      ...(value.sealed ? { sealed: true } : {}),
+    }));
+    return JSON.stringify({ ranges });
+  }
+
+  /** All ranges that have an owner. */
+  get segments(): readonly Segment<Owner>[] {
+    return this.owners.segments;
+  }
+
+  /** The owner of a key. */
+  ownerOf(key: number): Owner | undefined {
+    return this.owners.get(key);
+  }
+
+  /** The ranges of one daemon. */
+  rangesOf(daemon: string): Segment<Owner>[] {
+    return this.owners.segments.filter(({ value }) => value.daemon === daemon);
+  }
+
+  /** The ranges without an owner. */
+  findUnowned(): KeyRange[] {
+    return this.owners.gaps({ from: 0, to: KEY_COUNT - 1 });
+  }
+
+  /** All daemons that own keys. */
+  get daemons(): string[] {
+    return [...new Set(this.owners.segments.map(({ value }) => value.daemon))];
+  }
+
+  /** Daemons whose ranges are sealed. */
+  get sealedDaemons(): string[] {
+    const sealed = this.owners.segments.filter(({ value }) => value.sealed);
+    return [...new Set(sealed.map(({ value }) => value.daemon))];
+  }
+
+  /** Gives ranges to other owners. */
+  assign(changes: readonly Assignment[]): OwnershipRecord {
+    return this.change((owners) =>
+      changes.forEach(({ from, to, daemon, handover }) =>
+        owners.set({ from, to }, { daemon, handover, sealed: false })
+      )
+    );
+  }
+
+  /** Takes ranges from their owner and gives them to nobody. */
+  release(ranges: readonly KeyRange[]): OwnershipRecord {
+    return this.change((owners) =>
+      ranges.forEach((range) => owners.delete(range))
+    );
+  }
+
+  /** Seals all ranges of a daemon, or removes the seal. */
+  seal(daemon: string, sealed: boolean): OwnershipRecord {
+    return this.change((owners) =>
+      owners.replace((owner) =>
+        owner.daemon === daemon ? { ...owner, sealed } : owner
+      )
+    );
+  }
+
+  /** The same content under the revision that the store gave it. */
+  withRevision(revision: number): OwnershipRecord {
+    return new OwnershipRecord(revision, this.owners);
+  }
+
+  private change(apply: (owners: RangeMap<Owner>) => void): OwnershipRecord {
+    const owners = createOwners();
+    this.owners.segments.forEach((segment) =>
+      owners.set(segment, segment.value)
+    );
+    apply(owners);
+    return new OwnershipRecord(this.revision, owners);
+  }
+}
+
+function createOwners(): RangeMap<Owner> {
+  return RangeMap.create<Owner>((left, right) =>
+    left.daemon === right.daemon && left.handover === right.handover &&
+    left.sealed === right.sealed
+  );
+}
+
+function parseJson(text: string): Result<unknown, BamboolinkError> {
+  try {
+    return ok(JSON.parse(text));
+  } catch (cause) {
+    return err(invalid("it is not JSON", cause));
+  }
+}
+
+function invalid(reason: string, cause: unknown): BamboolinkError {
+  return BamboolinkError.create(
+    "invalid",
+    `the ownership record can't be read: ${reason}`,
+    { step: "ownership_record.decode", cause },
+  );
+}
--- /dev/null
+++ b/packages/membership/src/gossip_codec.ts
@@ -0,0 +1,75 @@
+/**
+ * Encodes gossip for datagrams.
+ *
+ * Bytes between availability zones are paid for, so reports travel as lists of values in the order of
+ * the schema's fields and not with their names: about 90 bytes for each report in place of 290.
+ *
+ * @module
+ */
+import { BamboolinkError } from "@bamboolink/errors";
+import { decode, encode } from "@msgpack/msgpack";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { MemberReport } from "./member.ts";
+
+/** Grows when the meaning of the fields changes; others are refused. */
+const FORMAT = 1;
+const FIELDS = Object.keys(MemberReport.shape) as (keyof MemberReport)[];
+
+const Message = z.tuple([
+  z.literal(FORMAT),
+  z.string().min(1),
+  z.array(z.array(z.unknown())),
+]);
+
+/** One datagram of gossip. */
+export interface GossipMessage {
+  /** Address of the daemon that sent it. */
+  readonly sender: string;
+  readonly reports: readonly MemberReport[];
+}
+
+/** Encodes a datagram. */
+export function encodeGossip(message: GossipMessage): Uint8Array {
+  const rows = message.reports.map((report) =>
+    FIELDS.map((field) => report[field])
+  );
+  return encode([FORMAT, message.sender, rows], { forceFloat32: true });
+}
+
+/** Decodes a datagram; anybody can send one, so nothing in it is taken on trust. */
+export function decodeGossip(
+  bytes: Uint8Array,
+): Result<GossipMessage, BamboolinkError> {
+  const value = tryDecode(bytes);
+  const parsed = Message.safeParse(value);
+  if (!parsed.success) {
+    return err(invalid(parsed.error.message));
+  }
+  const [, sender, rows] = parsed.data;
+  const reports = rows.map((row) =>
+    MemberReport.safeParse(
+      Object.fromEntries(FIELDS.map((field, index) => [field, row[index]])),
+    )
+  );
+  const broken = reports.find((report) => !report.success);
+  if (broken?.error !== undefined) {
+    return err(invalid(broken.error.message));
+  }
+  return ok({ sender, reports: reports.flatMap(({ data }) => data ?? []) });
+}
+
+function tryDecode(bytes: Uint8Array): unknown {
+  try {
+    return decode(bytes);
+  } catch {
+    // The schema refuses `undefined`, and the error then says what was expected.
+    return undefined;
+  }
+}
+
+function invalid(reason: string): BamboolinkError {
+  return BamboolinkError.create("invalid", `gossip can't be read: ${reason}`, {
+    step: "gossip.decode",
+  });
+}
--- /dev/null
+++ b/packages/membership/src/member_view.ts
@@ -0,0 +1,129 @@
+/**
+ * Which daemons are alive, from what they say of themselves and what others pass on.
+ *
+ * @module
+ */
+import type { MemberReport } from "./member.ts";
+
+/**
+ * A daemon whose reports have not advanced for so long is taken for silent, in milliseconds: eight
+ * rounds of gossip, so that the loss of a few datagrams makes nobody silent.
+ */
+export const SILENT_AFTER_MS = 2_000;
+/** The most reports in one datagram: about 900 bytes, below what a link carries in one piece. */
+const REPORTS_IN_A_MESSAGE = 10;
+
+interface Entry {
+  readonly report: MemberReport;
+  /** When the report last advanced, on the own clock. */
+  readonly advancedAtMs: number;
+}
+
+/** All daemons as one of them sees them. */
+export class MemberView {
+  private readonly entries = new Map<string, Entry>();
+  /** Addresses that were named in the store and have not been heard yet. */
+  private readonly named = new Set<string>();
+
+  private constructor(private own: MemberReport) {}
+
+  /** Creates a view of a daemon that has heard nobody. */
+  static create(own: MemberReport): MemberView {
+    return new MemberView(own);
+  }
+
+  /** The daemon's own report. */
+  get ownReport(): MemberReport {
+    return this.own;
+  }
+
+  /** Says something new of the own daemon; every call is one beat. */
+  beat(changes: Partial<MemberReport>): void {
+    this.own = { ...this.own, ...changes, beat: this.own.beat + 1 };
+  }
+
+  /** Names a daemon of which nothing is known but its address. */
+  name(address: string): void {
+    if (address !== this.own.address && !this.entries.has(address)) {
+      this.named.add(address);
+    }
+  }
+
+  /**
+   * Takes over reports that are newer than what is known.
+   *
+   * @returns the reports that were new.
+   */
+  merge(reports: readonly MemberReport[], nowMs: number): MemberReport[] {
+    return reports.filter((report) =>
+      report.address === this.own.address
+        ? this.refute(report)
+        : this.mergeOne(report, nowMs)
+    );
+  }
+
+  /** Daemons whose reports advance. */
+  alive(nowMs: number): MemberReport[] {
+    return [...this.entries.values()]
+      .filter(({ advancedAtMs }) => nowMs - advancedAtMs <= SILENT_AFTER_MS)
+      .map(({ report }) => report);
+  }
+
+  /** The report of one daemon, alive or not. */
+  find(address: string): MemberReport | undefined {
+    return address === this.own.address
+      ? this.own
+      : this.entries.get(address)?.report;
+  }
+
+  /** For how long a daemon's reports have not advanced, in milliseconds; infinite if never heard. */
+  silentMs(address: string, nowMs: number): number {
+    const entry = this.entries.get(address);
+    if (address === this.own.address) {
+      return 0;
+    }
+    return entry === undefined ? Infinity : nowMs - entry.advancedAtMs;
+  }
+
+  /** The addresses of all other daemons ever heard or named. */
+  get known(): string[] {
+    return [...this.entries.keys(), ...this.named];
+  }
+
+  /**
+   * Chooses what to tell in one datagram: the own report and, of the others, those that advanced last,
+   * as those are news to most.
+   */
+  chooseReports(nowMs: number): MemberReport[] {
+    const others = [...this.entries.values()]
+      .filter(({ advancedAtMs }) => nowMs - advancedAtMs <= SILENT_AFTER_MS)
+      .sort((left, right) => right.advancedAtMs - left.advancedAtMs)
+      .slice(0, REPORTS_IN_A_MESSAGE - 1)
+      .map(({ report }) => report);
+    return [this.own, ...others];
+  }
+
+  /** Others tell of an earlier process at this address: reports from now on must go before those. */
+  private refute(report: MemberReport): boolean {
+    if (isNewer(report, this.own)) {
+      this.own = { ...this.own, incarnation: report.incarnation + 1 };
+    }
+    return false;
+  }
+
+  private mergeOne(report: MemberReport, nowMs: number): boolean {
+    const known = this.entries.get(report.address);
+    if (known !== undefined && !isNewer(report, known.report)) {
+      return false;
+    }
+    this.named.delete(report.address);
+    this.entries.set(report.address, { report, advancedAtMs: nowMs });
+    return true;
+  }
+}
+
+function isNewer(report: MemberReport, known: MemberReport): boolean {
+  return report.incarnation === known.incarnation
+    ? report.beat > known.beat
+    : report.incarnation > known.incarnation;
+}
--- /dev/null
+++ b/packages/placement/src/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Chooses the backend server for a request without a key. Pure.
+ *
+ * @module
+ */
+export {
+  chooseBackend,
+  expectedMs,
+  type PlacementCandidate,
+} from "./choose_backend.ts";
--- /dev/null
+++ b/packages/router/src/gossip_node.ts
@@ -0,0 +1,118 @@
+/**
+ * Exchanges gossip with other daemons by datagrams.
+ *
+ * Datagrams have no connections that could go silent, and a lost one is made up for by the next round.
+ *
+ * @module
+ */
+import { createSocket, type Socket } from "node:dgram";
+import type { Logger } from "@bamboolink/logger";
+import {
+  chooseGossipTargets,
+  decodeGossip,
+  encodeGossip,
+  type MemberReport,
+  type MemberView,
+} from "@bamboolink/membership";
+import { steadyMs } from "./clock.ts";
+
+/** Time between two rounds, in milliseconds. */
+export const ROUND_MS = 250;
+
+/** What the node needs. */
+export interface GossipNodeContext {
+  readonly address: string;
+  readonly view: MemberView;
+  readonly logger: Logger;
+  readonly random: () => number;
+  /** What the daemon says of itself now. */
+  readonly describe: () => Partial<MemberReport>;
+  /** Called with the reports that were new. */
+  readonly onReports: (reports: readonly MemberReport[]) => void;
+}
+
+/** One daemon's end of the gossip. */
+export class GossipNode {
+  private readonly socket: Socket = createSocket("udp4");
+
+  private constructor(private readonly context: GossipNodeContext) {}
+
+  /** Creates a node that does not listen yet. */
+  static create(context: GossipNodeContext): GossipNode {
+    return new GossipNode(context);
+  }
+
+  /** Begins to listen. */
+  start(): Promise<void> {
+    const { host, port } = splitAddress(this.context.address);
+    this.socket.on("message", (bytes) => this.receive(bytes));
+    return new Promise((resolve, reject) => {
+      this.socket.once("error", reject);
+      this.socket.bind(port, host, () => {
+        this.socket.removeListener("error", reject);
+        this.socket.on("error", (cause) =>
+          this.context.logger.log("gossip_failed", { cause }));
+        resolve();
+      });
+    });
+  }
+
+  /** Tells a few daemons. */
+  round(): void {
+    const { view, random } = this.context;
+    view.beat(this.context.describe());
+    const targets = chooseGossipTargets(view, { nowMs: steadyMs(), random });
+    this.tell(targets);
+  }
+
+  /** Tells all living daemons at once, because something must be known soon. */
+  announce(): void {
+    const { view } = this.context;
+    view.beat(this.context.describe());
+    this.tell(view.alive(steadyMs()).map(({ address }) => address));
+  }
+
+  /** Stops. */
+  close(): void {
+    this.socket.close();
+  }
+
+  private tell(addresses: readonly string[]): void {
+    const { view } = this.context;
+    const sender = view.ownReport.address;
+    const reports = view.chooseReports(steadyMs());
+    const bytes = encodeGossip({ sender, reports });
+    addresses.forEach((address) => this.send(bytes, address));
+  }
+
+  private send(bytes: Uint8Array, address: string): void {
+    const { host, port } = splitAddress(address);
+    this.socket.send(bytes, port, host, (cause) => {
+      if (cause !== null) {
+        this.context.logger.log("gossip_failed", { peer: address, cause });
+      }
+    });
+  }
+
+  private receive(bytes: Uint8Array): void {
+    const { view, logger, onReports } = this.context;
+    decodeGossip(bytes).match(
+      ({ reports }) => {
+        const fresh = view.merge(reports, steadyMs());
+        if (fresh.length > 0) {
+          onReports(fresh);
+        }
+      },
+      (cause) => logger.log("gossip_malformed", { cause }),
+    );
+  }
+}
+
+/** Splits `HOST:PORT`. */
+export function splitAddress(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(":");
+  return {
+    host: address.slice(0, colon),
+    port: Number(address.slice(colon + 1)),
+  };
+}
--- /dev/null
+++ b/packages/router/src/ingress.ts
@@ -0,0 +1,313 @@
+/**
+ * The entrance for callers: finds the route of a request, runs it, and gives the caller one answer.
+ *
+ * @module
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createAnswerSpread } from "@bamboolink/admission";
+import type { Logger } from "@bamboolink/logger";
+import type { Metrics } from "@bamboolink/metrics";
+import { TrafficSplit } from "@bamboolink/routing";
+import type { CallerLimits, TrafficRoute } from "@bamboolink/types";
+import { steadyMs } from "./clock.ts";
+import type { ConfigurationInForce, ConfigurationKeeper } from "./configuration_keeper.ts";
+import { readBody } from "./http_body.ts";
+import { selectAnswerHeaders, selectRequestHeaders } from "./http_headers.ts";
+import type { CallerProtocol, CallerRequest, OwnOutcome } from "./ports/caller_protocol.ts";
+import type { RequestRunner } from "./request_runner.ts";
+import type { Outcome, Work } from "./work.ts";
+
+/** What the answer's way back to the caller takes, in milliseconds: the deadline is met there. */
+const WAY_BACK_MS = 8;
+/** Headers above this are refused while no configuration is in force, in bytes. */
+const MAXIMUM_HEADER_BYTES = 65_536;
+/** Limits until a configuration is in force. */
+const FIRST_LIMITS: CallerLimits = {
+  headerBytes: MAXIMUM_HEADER_BYTES,
+  bodyBytes: 1_048_576,
+  headerTimeoutMs: 10_000,
+  idleTimeoutMs: 15_000,
+};
+/** When callers may come back to a daemon that has no configuration yet, in milliseconds. */
+const NO_CONFIGURATION_MS = 200;
+
+/** What the ingress needs. */
+export interface IngressContext {
+  readonly protocol: CallerProtocol;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly configuration: ConfigurationKeeper;
+  readonly runner: RequestRunner;
+  readonly random: () => number;
+  /** The service on this host, in whose name callers here send. */
+  readonly callerService: () => string;
+}
+
+/** The entrance for callers of one daemon. */
+export class Ingress {
+  /** Takes the callers' connections. */
+  readonly server: Server;
+  private readonly split: TrafficSplit;
+  private readonly spread: (waitMs: number) => number;
+  private active = 0;
+  private isStopping = false;
+
+  private constructor(private readonly context: IngressContext) {
+    this.split = TrafficSplit.create(context.random);
+    this.spread = createAnswerSpread(context.random);
+    this.server = createServer({
+      maxHeaderSize: MAXIMUM_HEADER_BYTES,
+      keepAliveTimeout: FIRST_LIMITS.idleTimeoutMs,
+      requestTimeout: 0,
+    }, (incoming, response) => void this.serve(incoming, response));
+  }
+
+  /** Creates an ingress that does not listen yet. */
+  static create(context: IngressContext): Ingress {
+    return new Ingress(context);
+  }
+
+  /** How many requests are under way. */
+  get activeCount(): number {
+    return this.active;
+  }
+
+  /** Takes over the bounds on callers. */
+  setLimits(limits: CallerLimits): void {
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+  }
+
+  /** From now on every answer ends its connection. */
+  beginStop(): void {
+    this.isStopping = true;
+  }
+
+  private async serve(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.active += 1;
+    try {
+      await this.serveOne(incoming, response);
+    } catch (cause) {
+      this.context.logger.log("unexpected_error", { step: "ingress", cause });
+      response.destroy();
+    } finally {
+      this.active -= 1;
+    }
+  }
+
+  private async serveOne(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { protocol, configuration, metrics } = this.context;
+    const arrivedMs = steadyMs();
+    response.sendDate = false;
+    const request = protocol.read(incoming.headers);
+    if (request === undefined) {
+      const reason = "the request's own headers are malformed";
+      this.refuse(response, { kind: "malformed", reason });
+      return;
+    }
+    const inForce = configuration.inForce;
+    if (inForce === undefined) {
+      this.refuse(response, {
+        kind: "not_run",
+        reason: "no_configuration",
+        retryAfterMs: this.spread(NO_CONFIGURATION_MS),
+      }, request);
+      return;
+    }
+    const route = inForce.router.find(
+      incoming.headers.host ?? "",
+      incoming.url ?? "",
+    );
+    if (route === undefined) {
+      this.refuse(response, { kind: "no_route" }, request);
+      return;
+    }
+    const ended = await this.run(
+      { incoming, response, request, arrivedMs },
+      { inForce, route },
+    );
+    metrics.count("bamboolink_requests", { route: route.name, ended });
+    metrics.recordLatency(
+      "bamboolink_request_seconds",
+      steadyMs() - arrivedMs,
+      { route: route.name },
+    );
+  }
+
+  private async run(
+    arrival: {
+      incoming: IncomingMessage;
+      response: ServerResponse;
+      request: CallerRequest;
+      arrivedMs: number;
+    },
+    match: { inForce: ConfigurationInForce; route: TrafficRoute },
+  ): Promise<string> {
+    const { incoming, response, request, arrivedMs } = arrival;
+    const { limits } = match.inForce.configuration;
+    const read = await readBody(incoming, { bytes: limits.bodyBytes });
+    if (read.kind === "cut") {
+      return "cut";
+    }
+    if (read.kind === "too_large") {
+      this.refuse(response, { kind: "too_large" }, request);
+      return "too_large";
+    }
+    const work = this.createWork(
+      { incoming, request, arrivedMs, body: read.body },
+      match,
+    );
+    const outcome = await this.runUntilDeadline(work, response, match.route);
+    return this.answer(response, { outcome, work });
+  }
+
+  private createWork(
+    arrival: {
+      incoming: IncomingMessage;
+      request: CallerRequest;
+      arrivedMs: number;
+      body: Buffer | undefined;
+    },
+    match: { inForce: ConfigurationInForce; route: TrafficRoute },
+  ): Work {
+    const { incoming, request, arrivedMs, body } = arrival;
+    const { route } = match;
+    const { protocol, callerService } = this.context;
+    const patienceMs = Math.min(
+      (request.deadlineMs ?? Infinity) - WAY_BACK_MS,
+      route.timeoutMs,
+    );
+    const service = this.split.choose(route);
+    const isKeyed = match.inForce.services.get(service)?.keyed === true;
+    return {
+      id: request.id,
+      service,
+      route: route.name,
+      rank: route.rank,
+      isIdempotent: route.idempotent,
+      key: isKeyed ? request.key : undefined,
+      callerService: callerService(),
+      objectiveAtMs: arrivedMs + Math.min(route.objectiveMs, patienceMs),
+      deadlineAtMs: arrivedMs + patienceMs,
+      method: incoming.method ?? "GET",
+      target: incoming.url ?? "/",
+      headers: selectRequestHeaders(
+        incoming.rawHeaders,
+        protocol.reservedHeaders,
+      ),
+      body,
+    };
+  }
+
+  /** Runs a request until it has an outcome, its deadline passes or its caller leaves. */
+  private async runUntilDeadline(
+    work: Work,
+    response: ServerResponse,
+    route: TrafficRoute,
+  ): Promise<Outcome> {
+    const controller = new AbortController();
+    const timer = setTimeout(
+      () => controller.abort("deadline"),
+      Math.max(0, work.deadlineAtMs - steadyMs()),
+    );
+    const leave = () => controller.abort("cancelled");
+    response.once("close", leave);
+    try {
+      return await this.context.runner.run(work, {
+        maximumAttempts: route.maximumAttempts,
+        signal: controller.signal,
+      });
+    } finally {
+      clearTimeout(timer);
+      response.removeListener("close", leave);
+    }
+  }
+
+  private answer(
+    response: ServerResponse,
+    end: { outcome: Outcome; work: Work },
+  ): string {
+    const { outcome, work } = end;
+    if (response.destroyed) {
+      return "caller_left";
+    }
+    if (outcome.kind === "answer") {
+      this.passOn(response, outcome);
+      return "answered";
+    }
+    const { logger } = this.context;
+    const request = { id: work.id };
+    if (outcome.kind === "not_run") {
+      const retryAfterMs = this.spread(outcome.waitMs);
+      logger.log("request_not_run", {
+        request_id: work.id,
+        route: work.route,
+        service: work.service,
+        key: work.key,
+        reason: outcome.reason,
+        wait_ms: Math.round(outcome.waitMs),
+        retry_after_ms: Math.round(retryAfterMs),
+        version: this.context.configuration.version,
+      });
+      const { reason } = outcome;
+      this.refuse(response, { kind: "not_run", reason, retryAfterMs }, request);
+      return `not_run_${reason}`;
+    }
+    logger.log("request_unknown", {
+      request_id: work.id,
+      route: work.route,
+      service: work.service,
+      key: work.key,
+      reason: outcome.reason,
+    });
+    const { reason } = outcome;
+    const isDeadline = reason === "deadline";
+    this.refuse(response, { kind: "unknown", reason, isDeadline }, request);
+    return `unknown_${reason}`;
+  }
+
+  private passOn(
+    response: ServerResponse,
+    answer: Extract<Outcome, { kind: "answer" }>,
+  ): void {
+    const headers = selectAnswerHeaders(answer.headers);
+    const hasNoBody = response.req.method === "HEAD" ||
+      answer.status === 204 || answer.status === 304;
+    const length = hasNoBody
+      ? answer.headers["content-length"]?.toString()
+      : String(answer.body.length);
+    response.writeHead(answer.status, {
+      ...headers,
+      ...(length === undefined ? {} : { "content-length": length }),
+      ...this.connectionHeader(),
+    });
+    response.end(answer.body);
+  }
+
+  private refuse(
+    response: ServerResponse,
+    outcome: OwnOutcome,
+    request?: Pick<CallerRequest, "id">,
+  ): void {
+    if (response.destroyed) {
+      return;
+    }
+    const own = this.context.protocol.write(outcome, request?.id);
+    response.writeHead(own.status, {
+      ...own.headers,
+      "content-length": Buffer.byteLength(own.body),
+      ...this.connectionHeader(),
+    });
+    response.end(own.body);
+  }
+
+  private connectionHeader(): Record<string, string> {
+    return this.isStopping ? { connection: "close" } : {};
+  }
+}
--- /dev/null
+++ b/packages/router/src/local_backend.ts
@@ -0,0 +1,376 @@
+/**
+ * Hands requests to the backend server on this host, no more at a time than it has slots.
+ *
+ * @module
+ */
+import { ServiceTimes, type WorkChanges, WorkQueue } from "@bamboolink/admission";
+import { type GrantBook, LoadProfile } from "@bamboolink/keyspace";
+import type { Logger } from "@bamboolink/logger";
+import type { MemberPhase } from "@bamboolink/membership";
+import { bootMs, steadyMs } from "./clock.ts";
+import { ConnectionPool } from "./connection_pool.ts";
+import type { Connection, ExchangeResult } from "./exchange.ts";
+import type { LoadReport } from "./forward_codec.ts";
+import { LoadMeter } from "./load_meter.ts";
+import type { BackendProtocol } from "./ports/backend_protocol.ts";
+import {
+  Destination,
+  notRun,
+  type Outcome,
+  unknown,
+  type Work,
+} from "./work.ts";
+
+/**
+ * How long a connection may have been idle to be used again for idempotent requests, in milliseconds:
+ * these are sent again elsewhere when the backend server has forgotten it.
+ */
+const REUSE_IDEMPOTENT_MS = 5_000;
+/**
+ * The same for requests that may run once only, in milliseconds. One that goes out on a forgotten
+ * connection ends as unknown, so only connections in steady use will do.
+ */
+const REUSE_ONCE_MS = 1_000;
+/** A request for a key that the backend server is about to be granted waits so long, in milliseconds. */
+const GRANT_WAIT_MS = 1_200;
+
+/** What the local backend needs. */
+export interface LocalBackendContext {
+  readonly address: string;
+  readonly protocol: BackendProtocol;
+  readonly logger: Logger;
+  readonly grants: GrantBook;
+  /** Called when something contradicts what is believed of the backend server. */
+  readonly onSuspicion: (suspicion: "refused" | "wrong_instance") => void;
+}
+
+/** What is known of the backend server that requests need. */
+export interface BackendIdentity {
+  readonly instance: string;
+  readonly service: string;
+  readonly slots: number;
+  readonly phase: MemberPhase;
+  readonly isKeyed: boolean;
+}
+
+interface Waiting {
+  readonly resolve: (outcome: "run" | Outcome) => void;
+}
+
+/** The backend server on this host. */
+export class LocalBackend extends Destination {
+  /** How much work its keys bring. */
+  readonly profile = LoadProfile.create();
+  private readonly queue = WorkQueue.create();
+  private readonly times = ServiceTimes.create();
+  private readonly meter = LoadMeter.create();
+  private readonly waiting = new Map<number, Waiting>();
+  private readonly grantWaits = new Set<() => void>();
+  private connections: ConnectionPool;
+  private identity: BackendIdentity | undefined;
+  private lastId = 0;
+
+  private constructor(private context: LocalBackendContext) {
+    super();
+    this.connections = ConnectionPool.create(context.address);
+  }
+
+  /** Creates one that knows of no backend server yet. */
+  static create(context: LocalBackendContext): LocalBackend {
+    return new LocalBackend(context);
+  }
+
+  /** Takes over what the backend server says of itself; `undefined` when it is gone. */
+  identify(identity: BackendIdentity | undefined): void {
+    if (identity?.instance !== this.identity?.instance) {
+      this.connections.closeIdle();
+      this.times.clear();
+    }
+    this.identity = identity;
+    this.queue.setSlots(identity?.slots ?? 0);
+    this.apply(this.queue.advance(steadyMs()));
+  }
+
+  /** How busy the backend server is. */
+  report(): LoadReport {
+    return {
+      waitMs: this.queue.waitMs(steadyMs()),
+      serviceMs: this.times.averageMs,
+      failureShare: this.meter.failureShare,
+    };
+  }
+
+  /** Work offered for each slot; 1 keeps all busy. */
+  get utilization(): number {
+    const slots = this.identity?.slots ?? 0;
+    return slots === 0 ? 0 : this.meter.offeredPerSecondMs / (slots * 1_000);
+  }
+
+  /** How many requests run and wait. */
+  get counts(): { running: number; waiting: number } {
+    return {
+      running: this.queue.runningCount,
+      waiting: this.queue.waitingCount + this.grantWaits.size,
+    };
+  }
+
+  /** Lets time pass: what can't be done in time any more is refused, and old load is forgotten. */
+  tick(): void {
+    const nowMs = steadyMs();
+    this.apply(this.queue.advance(nowMs));
+    this.meter.decay(nowMs);
+    this.profile.decay(nowMs);
+    this.connections.prune({ nowMs, longestIdleMs: REUSE_IDEMPOTENT_MS });
+  }
+
+  /** The backend server was granted keys: requests that waited for them look again. */
+  noteGranted(): void {
+    this.grantWaits.forEach((look) => look());
+  }
+
+  /** Closes all connections. */
+  close(): Promise<void> {
+    return this.connections.destroy();
+  }
+
+  override async attempt(work: Work, signal: AbortSignal): Promise<Outcome> {
+    const refused = this.checkService(work) ?? await this.awaitKey(work, signal);
+    if (refused !== undefined) {
+      return refused;
+    }
+    const estimateMs = this.times.estimate(
+      work.route,
+      work.objectiveAtMs - steadyMs(),
+    );
+    this.meter.noteOffered(estimateMs);
+    if (work.key !== undefined) {
+      this.profile.note(work.key, estimateMs);
+    }
+    this.lastId += 1;
+    const id = this.lastId;
+    const admitted = await this.awaitSlot(work, { id, estimateMs, signal });
+    return admitted === "run"
+      ? await this.handOver(work, { id, signal })
+      : admitted;
+  }
+
+  private checkService(work: Work): Outcome | undefined {
+    const { identity } = this;
+    if (identity === undefined || identity.phase === "absent") {
+      return notRun("no_backend");
+    }
+    if (identity.service !== work.service) {
+      return notRun("no_backend");
+    }
+    return identity.phase === "ready" ? undefined : notRun("draining");
+  }
+
+  /** Requests for a key wait until the backend server holds it, if it is to hold it. */
+  private async awaitKey(
+    work: Work,
+    signal: AbortSignal,
+  ): Promise<Outcome | undefined> {
+    const { grants } = this.context;
+    if (this.identity?.isKeyed !== true) {
+      return undefined;
+    }
+    const key = work.key;
+    if (key === undefined || !grants.isOwn(key)) {
+      return notRun("not_owner");
+    }
+    if (grants.holds(key, bootMs())) {
+      return undefined;
+    }
+    const leftMs = work.deadlineAtMs - steadyMs();
+    await this.awaitGrant(key, {
+      waitMs: Math.min(GRANT_WAIT_MS, leftMs / 2),
+      signal,
+    });
+    return grants.holds(key, bootMs()) ? undefined : notRun("not_owner");
+  }
+
+  private awaitGrant(
+    key: number,
+    options: { waitMs: number; signal: AbortSignal },
+  ): Promise<void> {
+    const { grants } = this.context;
+    return new Promise((resolve) => {
+      const end = () => {
+        clearTimeout(timer);
+        this.grantWaits.delete(look);
+        options.signal.removeEventListener("abort", end);
+        resolve();
+      };
+      const look = () => {
+        if (grants.holds(key, bootMs()) || !grants.isOwn(key)) {
+          end();
+        }
+      };
+      const timer = setTimeout(end, options.waitMs);
+      this.grantWaits.add(look);
+      options.signal.addEventListener("abort", end, { once: true });
+    });
+  }
+
+  private awaitSlot(
+    work: Work,
+    entry: { id: number; estimateMs: number; signal: AbortSignal },
+  ): Promise<"run" | Outcome> {
+    const { id, estimateMs, signal } = entry;
+    if (signal.aborted) {
+      return Promise.resolve(notRun("cancelled"));
+    }
+    const { rank, objectiveAtMs, deadlineAtMs } = work;
+    const verdict = this.queue.offer(
+      { id, rank, objectiveAtMs, deadlineAtMs, estimateMs },
+      steadyMs(),
+    );
+    if (verdict.kind === "run") {
+      return Promise.resolve("run");
+    }
+    if (verdict.kind === "refuse") {
+      return Promise.resolve(
+        notRun(verdict.reason, { waitMs: verdict.waitMs }),
+      );
+    }
+    return new Promise((resolve) => {
+      const leave = () => {
+        if (this.queue.cancel(id)) {
+          this.settle(id, notRun("cancelled"));
+        }
+      };
+      signal.addEventListener("abort", leave, { once: true });
+      this.waiting.set(id, {
+        resolve: (outcome) => {
+          signal.removeEventListener("abort", leave);
+          resolve(outcome);
+        },
+      });
+    });
+  }
+
+  /** From here on bytes may reach the backend server. */
+  private async handOver(
+    work: Work,
+    slot: { id: number; signal: AbortSignal },
+  ): Promise<Outcome> {
+    const startedMs = steadyMs();
+    const refused = this.checkAgain(work);
+    if (refused !== undefined) {
+      this.leaveSlot(slot.id);
+      return refused;
+    }
+    const connection = this.connections.take({
+      nowMs: startedMs,
+      longestIdleMs: work.isIdempotent ? REUSE_IDEMPOTENT_MS : REUSE_ONCE_MS,
+    });
+    const result = await connection.exchange(
+      this.describe(work, startedMs),
+      { signal: slot.signal, nowMs: steadyMs },
+    );
+    this.leaveSlot(slot.id);
+    const outcome = this.judge(work, { result, connection });
+    this.learn(work, { outcome, tookMs: steadyMs() - startedMs });
+    return outcome;
+  }
+
+  /** While a request waited, the key may have gone, the server may leave, or the time may be up. */
+  private checkAgain(work: Work): Outcome | undefined {
+    const { grants } = this.context;
+    const key = work.key;
+    if (this.identity?.isKeyed === true && key !== undefined) {
+      if (!grants.isOwn(key) || !grants.holds(key, bootMs())) {
+        return notRun("not_owner");
+      }
+    }
+    if (work.deadlineAtMs - steadyMs() < 1) {
+      return notRun("too_late");
+    }
+    return this.identity === undefined ? notRun("no_backend") : undefined;
+  }
+
+  private describe(work: Work, nowMs: number) {
+    const details = this.context.protocol.requestHeaders({
+      deadlineLeftMs: Math.max(1, Math.floor(work.deadlineAtMs - nowMs)),
+      instance: this.identity?.instance ?? "",
+      callerService: work.callerService,
+    });
+    const { method, target, body } = work;
+    return { method, target, body, headers: [...work.headers, ...details] };
+  }
+
+  private judge(
+    work: Work,
+    end: { result: ExchangeResult; connection: Connection },
+  ): Outcome {
+    const { result, connection } = end;
+    if (result.kind === "answer") {
+      return this.judgeAnswer(work, { answer: result, connection });
+    }
+    this.connections.discard(connection);
+    if (result.kind === "unsent") {
+      if (result.isRefused) {
+        this.context.onSuspicion("refused");
+      }
+      return notRun("backend_unreachable");
+    }
+    const isLate = work.deadlineAtMs - steadyMs() < 1;
+    return unknown(isLate ? "deadline" : "connection_lost");
+  }
+
+  private judgeAnswer(
+    work: Work,
+    end: {
+      answer: Extract<ExchangeResult, { kind: "answer" }>;
+      connection: Connection;
+    },
+  ): Outcome {
+    const { answer, connection } = end;
+    const verdict = this.context.protocol.judge(answer, work.id);
+    if (verdict === "foreign") {
+      // The right answer may still follow on this connection, where nobody may take it for another's.
+      this.connections.discard(connection);
+      this.context.logger.log("foreign_answer", { request_id: work.id });
+      return unknown("foreign_answer");
+    }
+    this.connections.give(connection);
+    if (verdict === "answer") {
+      return answer;
+    }
+    if (verdict === "wrong_instance") {
+      this.context.onSuspicion("wrong_instance");
+    }
+    return notRun("not_executed", { hasArrived: true });
+  }
+
+  private learn(
+    work: Work,
+    end: { outcome: Outcome; tookMs: number },
+  ): void {
+    const { outcome, tookMs } = end;
+    if (outcome.kind === "answer" && outcome.status < 500) {
+      this.times.note(work.route, tookMs);
+    }
+    const isFailure = outcome.kind === "unknown" ||
+      outcome.kind === "answer" && outcome.status >= 500 ||
+      outcome.kind === "not_run" && outcome.hasArrived;
+    this.meter.noteResult(isFailure);
+  }
+
+  private leaveSlot(id: number): void {
+    this.apply(this.queue.finish(id, steadyMs()));
+  }
+
+  private apply(changes: WorkChanges): void {
+    changes.run.forEach((id) => this.settle(id, "run"));
+    changes.refuse.forEach(({ id, reason }) =>
+      this.settle(id, notRun(reason, { waitMs: this.report().waitMs }))
+    );
+  }
+
+  private settle(id: number, outcome: "run" | Outcome): void {
+    const waiting = this.waiting.get(id);
+    this.waiting.delete(id);
+    waiting?.resolve(outcome);
+  }
+}
--- /dev/null
+++ b/packages/router/src/member_directory.ts
@@ -0,0 +1,82 @@
+/**
+ * Finds the other daemons through the store: each leaves its address there when it starts.
+ *
+ * @module
+ */
+import type { Logger } from "@bamboolink/logger";
+import type { MemberView } from "@bamboolink/membership";
+import type { Store, StoredRecord } from "@bamboolink/store";
+
+/** Addresses of all daemons lie below this. */
+const MEMBER_PREFIX = "bamboolink/members/";
+/** Pause between two tries to register, in milliseconds. */
+const RETRY_MS = 500;
+
+/** What the directory needs. */
+export interface MemberDirectoryContext {
+  readonly store: Store;
+  readonly view: MemberView;
+  readonly logger: Logger;
+  /** Called with the revision of the store at which the registration was written. */
+  readonly onRegistered: (revision: number) => void;
+}
+
+/** The addresses of the daemons. */
+export class MemberDirectory {
+  private timer: NodeJS.Timeout | undefined;
+  private isStopped = false;
+
+  private constructor(private readonly context: MemberDirectoryContext) {}
+
+  /** Creates a directory. */
+  static create(context: MemberDirectoryContext): MemberDirectory {
+    return new MemberDirectory(context);
+  }
+
+  /** Begins to register the own daemon. */
+  start(): void {
+    void this.register();
+  }
+
+  /** Stops trying. */
+  stop(): void {
+    this.isStopped = true;
+    clearTimeout(this.timer);
+  }
+
+  /** Takes over an address from the store. */
+  noteStored(record: StoredRecord): void {
+    if (record.key.startsWith(MEMBER_PREFIX)) {
+      this.context.view.name(record.key.slice(MEMBER_PREFIX.length));
+    }
+  }
+
+  /**
+   * Writes the own address. It is written at each start, also when it is there already: the revision
+   * of the write is higher than any that an earlier process of this daemon has seen.
+   */
+  private async register(): Promise<void> {
+    const { store, view, logger, onRegistered } = this.context;
+    const { address, availabilityZone } = view.ownReport;
+    const key = MEMBER_PREFIX + address;
+    const written = await store.get(key).andThen((found) =>
+      store.compareAndSwap({
+        key,
+        value: JSON.stringify({ availability_zone: availabilityZone }),
+        expectedRevision: found?.revision ?? 0,
+      })
+    );
+    written.match(
+      (revision) => {
+        logger.log("member_registered", { address, revision });
+        onRegistered(revision);
+      },
+      (cause) => {
+        logger.log("store_call_failed", { step: "register", cause });
+        if (!this.isStopped) {
+          this.timer = setTimeout(() => void this.register(), RETRY_MS);
+        }
+      },
+    );
+  }
+}
--- /dev/null
+++ b/packages/router/src/mod.ts
@@ -0,0 +1,23 @@
+/**
+ * The router beside one backend server. What it meets outside (settings, store, configuration, callers,
+ * backend servers) it meets through ports; this package knows no platform.
+ *
+ * @module
+ */
+export { Router, type RouterPorts } from "./router.ts";
+export { RouterSettings, SettingsSource } from "./ports/router_settings.ts";
+export {
+  CallerProtocol,
+  type CallerRequest,
+  type OwnAnswer,
+  type OwnOutcome,
+} from "./ports/caller_protocol.ts";
+export {
+  type AnswerVerdict,
+  type BackendDeparture,
+  type BackendHeartbeat,
+  type BackendNotice,
+  BackendProtocol,
+  type HandoverDetails,
+} from "./ports/backend_protocol.ts";
+export { ConfigurationDocument } from "./ports/configuration_document.ts";
--- /dev/null
+++ b/packages/router/src/ownership_keeper.ts
@@ -0,0 +1,536 @@
+/**
+ * Keeps the ownership records in the store in step with what happens: the tenure of the own backend
+ * server, releases of its ranges, and, on the leading daemon, keys without an owner and lost owners.
+ *
+ * @module
+ */
+import {
+  assignUnowned,
+  type Candidate,
+  type FreedRange,
+  type GrantBook,
+  intersect,
+  KEY_COUNT,
+  type KeyRange,
+  OwnershipRecord,
+  planShedding,
+  TakeoverWaits,
+  type Tenure,
+} from "@bamboolink/keyspace";
+import type { Logger } from "@bamboolink/logger";
+import {
+  type MemberReport,
+  type MemberView,
+
+} from "@bamboolink/membership";
+import { type Store, writeSettled } from "@bamboolink/store";
+import type { BackendKeeper } from "./backend_keeper.ts";
+import { bootMs, steadyMs } from "./clock.ts";
+import type { LocalBackend } from "./local_backend.ts";
+import {
+  OWNERSHIP_PREFIX,
+  type OwnershipDirectory,
+} from "./ownership_directory.ts";
+
+/** Time between two reads that extend the tenure, in milliseconds. Each is a paid call to the store. */
+const CONFIRM_MS = 1_000;
+/** A silent owner is sealed after this, in milliseconds: half again as long as it takes to be silent. */
+const SEAL_AFTER_MS = 3_000;
+/** A leading daemon acts only once it has heard the others for so long, in milliseconds. */
+const SETTLE_MS = 1_500;
+/** The first assignment of a service waits at most so long for all daemons to be heard, in milliseconds. */
+const FIRST_ASSIGNMENT_MS = 4_000;
+/** Time between two looks for keys to shed, in milliseconds. */
+const SHED_MS = 500;
+/** Tries of one change of a record, against other writers. */
+const WRITE_ATTEMPTS = 4;
+
+/** What the keeper needs. */
+export interface OwnershipKeeperContext {
+  readonly store: Store;
+  readonly logger: Logger;
+  readonly view: MemberView;
+  readonly directory: OwnershipDirectory;
+  readonly grants: GrantBook;
+  readonly tenure: Tenure;
+  readonly backend: LocalBackend;
+  readonly keeper: () => BackendKeeper;
+}
+
+/** Changes a record; `undefined` if there is nothing to change any more. */
+type Change = (record: OwnershipRecord) => OwnershipRecord | undefined;
+
+/** Ownership as one daemon takes part in it. */
+export class OwnershipKeeper {
+  private readonly waits = new Map<string, TakeoverWaits>();
+  private readonly busy = new Set<string>();
+  private readonly handovers: FreedRange[] = [];
+  private readonly destinations: (KeyRange & { daemon: string })[] = [];
+  private registration = 0;
+  private confirmSentMs = -Infinity;
+  private isConfirming = false;
+  private shedAtMs = -Infinity;
+  private readonly startedAtMs = steadyMs();
+
+  private constructor(private readonly context: OwnershipKeeperContext) {}
+
+  /** Creates a keeper. */
+  static create(context: OwnershipKeeperContext): OwnershipKeeper {
+    const keeper = new OwnershipKeeper(context);
+    context.directory.onRecord((service, record) =>
+      keeper.noteRecord(service, record)
+    );
+    return keeper;
+  }
+
+  /**
+   * Notes a revision of the store that was written by this process. Tokens come from then on: an
+   * earlier process of this daemon can't have used a higher one.
+   */
+  noteRegistration(revision: number): void {
+    this.registration = revision;
+    this.context.directory.keyedServices.forEach((service) => {
+      const record = this.context.directory.record(service);
+      if (record !== undefined) {
+        this.noteRecord(service, record);
+      }
+    });
+  }
+
+  /** Whether the daemon knows who owns what, so that it may grant. */
+  mayGrant(service: string): boolean {
+    return this.registration > 0 &&
+      this.context.directory.record(service) !== undefined;
+  }
+
+  /** Takes ranges that the backend server has given back, with their proofs. */
+  noteFreed(freed: readonly FreedRange[]): void {
+    this.handovers.push(...freed);
+    this.publishReleases();
+  }
+
+  /** Does what is due. */
+  tick(): void {
+    this.confirmTenure();
+    this.planReleases();
+    this.publishReleases();
+    this.releaseForeign();
+    this.shed();
+    this.lead();
+  }
+
+  private get own(): string {
+    return this.context.view.ownReport.address;
+  }
+
+  private get ownService(): string | undefined {
+    const service = this.context.keeper().service;
+    return service !== undefined && this.context.directory.isKeyed(service)
+      ? service
+      : undefined;
+  }
+
+  private noteRecord(service: string, record: OwnershipRecord): void {
+    const waits = this.waits.get(service) ?? TakeoverWaits.create();
+    this.waits.set(service, waits);
+    waits.note(record.sealedDaemons, bootMs());
+    if (service === this.ownService && this.registration > 0) {
+      this.context.grants.noteOwnership(record, {
+        daemon: this.own,
+        revision: Math.max(record.revision, this.registration),
+      });
+    }
+  }
+
+  /** Reads the record to prove that no takeover of this daemon can have finished. */
+  private confirmTenure(): void {
+    const service = this.ownService;
+    const nowMs = bootMs();
+    const isDue = nowMs - this.confirmSentMs >= CONFIRM_MS;
+    if (service === undefined || !isDue || this.isConfirming) {
+      return;
+    }
+    this.confirmSentMs = nowMs;
+    this.isConfirming = true;
+    void this.readTenure(service, nowMs).finally(() => {
+      this.isConfirming = false;
+    });
+  }
+
+  private async readTenure(service: string, sentAtMs: number): Promise<void> {
+    const { store, directory, logger } = this.context;
+    const found = await store.get(OWNERSHIP_PREFIX + service);
+    if (found.isErr()) {
+      logger.log("store_call_failed", { step: "tenure", cause: found.error });
+      return;
+    }
+    const stored = found.value;
+    const record = stored === undefined
+      ? OwnershipRecord.create()
+      : OwnershipRecord.decode(stored.value, stored.revision).unwrapOr(
+        undefined,
+      );
+    if (record === undefined) {
+      logger.log("ownership_unreadable", { service });
+      return;
+    }
+    directory.note(service, record);
+    this.ensureTokens(service);
+    if (!record.sealedDaemons.includes(this.own)) {
+      this.context.tenure.confirm(sentAtMs);
+      return;
+    }
+    logger.log("ownership_sealed_here", {
+      service,
+      revision: record.revision,
+      tenure_left_ms: Math.round(this.context.tenure.untilMs - bootMs()),
+    });
+    this.answerSeal(service);
+  }
+
+  /** The own service may have become known after its record was. */
+  private ensureTokens(service: string): void {
+    const record = this.context.directory.record(service);
+    if (record !== undefined) {
+      this.noteRecord(service, record);
+    }
+  }
+
+  /** Others took this daemon for lost. It keeps its keys only if others can reach it. */
+  private answerSeal(service: string): void {
+    const { view, grants } = this.context;
+    const known = view.known.length;
+    const alive = view.alive(steadyMs()).length;
+    if (known > 0 && alive * 2 < known) {
+      grants.beginRelease(grants.ownRanges);
+      return;
+    }
+    void this.write(service, "unseal", (record) =>
+      record.sealedDaemons.includes(this.own)
+        ? record.seal(this.own, false)
+        : undefined);
+  }
+
+  /** A backend server that leaves, is gone or can't be granted any more gives up its keys. */
+  private planReleases(): void {
+    const { grants, keeper } = this.context;
+    const service = this.ownService;
+    if (service === undefined || grants.ownCount === 0) {
+      return;
+    }
+    const phase = keeper().phase;
+    if (this.takers(service).length === 0) {
+      return;
+    }
+    if (phase === "draining" || phase === "absent") {
+      grants.beginRelease(grants.ownRanges);
+      return;
+    }
+    if (keeper().silentMs() > SEAL_AFTER_MS) {
+      // Its heartbeats don't arrive; once what it holds has run out, it can't serve its keys any more.
+      grants.beginRelease(grants.findLapsed(bootMs()));
+    }
+  }
+
+  /** Writes into the store what the backend server has certainly given up. */
+  private publishReleases(): void {
+    const { grants } = this.context;
+    const service = this.ownService;
+    if (service === undefined || !grants.isReleasing) {
+      return;
+    }
+    if (grants.findReleased(bootMs()).length === 0) {
+      return;
+    }
+    void this.write(service, "release", (record) => {
+      const released = this.releasedIn(record);
+      return released.length === 0
+        ? undefined
+        : this.reassign(service, record, released);
+    });
+  }
+
+  /**
+   * Gives up keys of a service to which the backend server at this address no longer belongs. The server
+   * that held them has ended, or another could not be at its address.
+   */
+  private releaseForeign(): void {
+    const { directory, keeper } = this.context;
+    const { service, phase } = keeper();
+    if (service === undefined || phase === "absent" || this.registration === 0) {
+      return;
+    }
+    directory.keyedServices
+      .filter((other) => other !== service)
+      .filter((other) =>
+        (directory.record(other)?.rangesOf(this.own).length ?? 0) > 0
+      )
+      .forEach((other) =>
+        void this.write(other, "release_foreign", (record) => {
+          const mine = record.rangesOf(this.own);
+          const free = record.release(mine);
+          return mine.length === 0
+            ? undefined
+            : free.assign(assignUnowned(free, mine, this.takers(other)));
+        })
+      );
+  }
+
+  /** Ranges that the record gives this daemon and that its backend server has given up. */
+  private releasedIn(record: OwnershipRecord): KeyRange[] {
+    const mine = record.rangesOf(this.own);
+    return this.context.grants.findReleased(bootMs()).flatMap((range) =>
+      mine.flatMap((segment) => intersect(segment, range) ?? [])
+    );
+  }
+
+  private reassign(
+    service: string,
+    record: OwnershipRecord,
+    released: readonly KeyRange[],
+  ): OwnershipRecord {
+    const takers = this.takers(service);
+    const planned = released.flatMap((range) =>
+      this.destinations.flatMap((destination) => {
+        const shared = intersect(destination, range);
+        const isThere = takers.some(({ daemon }) =>
+          daemon === destination.daemon
+        );
+        return shared === undefined || !isThere
+          ? []
+          : [{ ...shared, daemon: destination.daemon, handover: "" }];
+      })
+    );
+    const freed = record.release(released);
+    const withPlanned = freed.assign(planned);
+    const left = released.flatMap((range) =>
+      withPlanned.findUnowned().flatMap((gap) => intersect(gap, range) ?? [])
+    );
+    const rest = assignUnowned(withPlanned, left, takers);
+    const proven = [...planned, ...rest].flatMap((assignment) =>
+      this.withProofs(assignment)
+    );
+    return freed.assign(proven);
+  }
+
+  /** Splits an assignment so that each part carries the proof of its handover, if there is one. */
+  private withProofs<A extends KeyRange & { handover: string }>(
+    assignment: A,
+  ): A[] {
+    const proofs = this.handovers.flatMap((freed) => {
+      const shared = intersect(freed, assignment);
+      return shared === undefined
+        ? []
+        : [{ ...assignment, ...shared, handover: freed.handover }];
+    });
+    return [assignment, ...proofs];
+  }
+
+  /** Other backend servers of a service that take keys. */
+  private takers(service: string): Candidate[] {
+    return this.context.view.alive(steadyMs())
+      .filter((report) => report.service === service && report.phase === "ready")
+      .map(({ address, slots }) => ({ daemon: address, weight: slots }));
+  }
+
+  /** Moves the keys with the most work away while the own backend server is hotter than others. */
+  private shed(): void {
+    const { grants, backend, view, keeper, logger } = this.context;
+    const service = this.ownService;
+    const nowMs = steadyMs();
+    if (service === undefined || nowMs - this.shedAtMs < SHED_MS) {
+      return;
+    }
+    this.shedAtMs = nowMs;
+    if (keeper().phase !== "ready" || grants.isReleasing) {
+      return;
+    }
+    const others = view.alive(nowMs)
+      .filter((report) => report.service === service && report.phase === "ready")
+      .map(toLoad);
+    const own = {
+      daemon: this.own,
+      utilization: backend.utilization,
+      slots: keeper().slots,
+    };
+    const move = planShedding(own, others, {
+      ranges: grants.ownRanges,
+      profile: backend.profile,
+    });
+    if (move === undefined) {
+      return;
+    }
+    logger.log("ownership_shed", { service, ...move, own: own.utilization });
+    this.destinations.push(move);
+    grants.beginRelease([move]);
+  }
+
+  /** The leading daemon gives keys without an owner to one, and takes them from lost ones. */
+  private lead(): void {
+    const { directory } = this.context;
+    if (!this.isLeading()) {
+      return;
+    }
+    directory.keyedServices.forEach((service) => this.leadService(service));
+  }
+
+  /** Any daemon may write, since writes are conditional; one of them does, to save calls. */
+  private isLeading(): boolean {
+    const { view } = this.context;
+    const nowMs = steadyMs();
+    if (nowMs - this.startedAtMs < SETTLE_MS || !view.ownReport.reachesStore) {
+      return false;
+    }
+    return view.alive(nowMs)
+      .filter(({ reachesStore, phase }) => reachesStore && phase !== "stopping")
+      .every(({ address }) => address > this.own);
+  }
+
+  private leadService(service: string): void {
+    const known = this.context.directory.record(service);
+    if (known === undefined) {
+      this.assignFirst(service);
+      return;
+    }
+    const nowMs = bootMs();
+    const waits = this.waits.get(service);
+    const ended = known.sealedDaemons.filter((daemon) =>
+      waits?.isOver(daemon, nowMs) === true
+    );
+    const needy = [
+      ...known.findUnowned(),
+      ...ended.flatMap((daemon) => known.rangesOf(daemon)),
+    ];
+    const takers = this.allTakers(service);
+    if (needy.length > 0 && takers.length > 0) {
+      void this.write(service, "assign", (record) => {
+        if (record.revision !== known.revision) {
+          return undefined;
+        }
+        const free = record.release(needy);
+        return free.assign(assignUnowned(free, needy, takers));
+      });
+      return;
+    }
+    this.sealLost(service, known);
+  }
+
+  private assignFirst(service: string): void {
+    const { view } = this.context;
+    const nowMs = steadyMs();
+    const isComplete = view.alive(nowMs).length === view.known.length;
+    const isPatient = nowMs - this.startedAtMs < FIRST_ASSIGNMENT_MS;
+    const takers = this.allTakers(service);
+    if (takers.length === 0 || isPatient && !isComplete) {
+      return;
+    }
+    void this.write(service, "first", (record) =>
+      record.revision > 0 ? undefined : record.assign(
+        assignUnowned(record, [{ from: 0, to: KEY_COUNT - 1 }], takers),
+      ));
+  }
+
+  private sealLost(service: string, known: OwnershipRecord): void {
+    const { view } = this.context;
+    const nowMs = steadyMs();
+    const heardForMs = nowMs - this.startedAtMs;
+    const lost = known.daemons.filter((daemon) =>
+      !known.sealedDaemons.includes(daemon) &&
+      Math.min(view.silentMs(daemon, nowMs), heardForMs) > SEAL_AFTER_MS
+    );
+    if (lost.length === 0) {
+      return;
+    }
+    void this.write(service, "seal", (record) =>
+      lost.reduce((sealed, daemon) => sealed.seal(daemon, true), record));
+  }
+
+  private allTakers(service: string): Candidate[] {
+    const { view, keeper } = this.context;
+    const own = keeper();
+    const isTaker = own.service === service && own.phase === "ready";
+    return [
+      ...this.takers(service),
+      ...(isTaker
+        ? [{ daemon: view.ownReport.address, weight: own.slots }]
+        : []),
+    ];
+  }
+
+  /**
+   * Changes a record by compare-and-swap, one change of a service at a time.
+   *
+   * Where the outcome stays unknown nothing is assumed: the ranges concerned stay given up here, and
+   * the next tick reads the record and decides anew.
+   */
+  private async write(
+    service: string,
+    purpose: string,
+    change: Change,
+  ): Promise<void> {
+    if (this.busy.has(service)) {
+      return;
+    }
+    this.busy.add(service);
+    try {
+      await this.tryWrite(service, purpose, change);
+    } finally {
+      this.busy.delete(service);
+    }
+  }
+
+  private async tryWrite(
+    service: string,
+    purpose: string,
+    change: Change,
+  ): Promise<void> {
+    const { store, directory, logger } = this.context;
+    const key = OWNERSHIP_PREFIX + service;
+    for (let attempt = 0; attempt < WRITE_ATTEMPTS; attempt += 1) {
+      const known = directory.record(service) ?? OwnershipRecord.create();
+      const changed = change(known);
+      if (changed === undefined) {
+        return;
+      }
+      const value = changed.encode();
+      const written = await writeSettled(store, {
+        key,
+        value,
+        expectedRevision: known.revision,
+      });
+      if (written.isOk()) {
+        logger.log("ownership_written", {
+          service,
+          purpose,
+          from_revision: known.revision,
+          revision: written.value,
+        });
+        directory.note(service, changed.withRevision(written.value));
+        return;
+      }
+      logger.log("ownership_write_failed", {
+        service,
+        purpose,
+        from_revision: known.revision,
+        cause: written.error,
+      });
+      if (written.error.code !== "conflict") {
+        return;
+      }
+      await this.reread(service);
+    }
+  }
+
+  private async reread(service: string): Promise<void> {
+    const { store, directory } = this.context;
+    const key = OWNERSHIP_PREFIX + service;
+    const found = await store.get(key);
+    if (found.isOk() && found.value !== undefined) {
+      directory.noteStored(key, found.value);
+    }
+  }
+}
+
+function toLoad({ address, utilization, slots }: MemberReport) {
+  return { daemon: address, utilization, slots };
+}
--- /dev/null
+++ b/packages/router/src/ports/router_settings.ts
@@ -0,0 +1,56 @@
+/**
+ * What a router must know to run, whoever tells it.
+ *
+ * @module
+ */
+import type { BamboolinkError } from "@bamboolink/errors";
+import type { Result } from "neverthrow";
+import { z } from "zod";
+
+const address = z.string().regex(/^[^:\s]+:\d+$/, "expected HOST:PORT");
+
+/** What a router must know to run. */
+export const RouterSettings = z.object({
+  /** Name of the host, for logs. */
+  host: z.string().min(1),
+  availabilityZone: z.string().min(1),
+  /** The service of the backend server on this host; callers on this host are told apart by it. */
+  service: z.string(),
+  /** Where the backend server on this host takes requests. */
+  backendAddress: address,
+  /** Where callers on this host send requests. */
+  callerAddress: address,
+  /** Where the backend server on this host sends heartbeats. */
+  heartbeatAddress: address,
+  /** Where readiness is asked for. */
+  readinessAddress: address,
+  /** Where other daemons send requests and questions. */
+  peerAddress: address,
+  /** Where other daemons send gossip, as datagrams. */
+  gossipAddress: address,
+  /** Where metrics are read; none are served without it. */
+  metricsAddress: address.optional(),
+  storeAddress: address,
+  bounds: z.object({
+    /** From the acknowledgement that a backend server leaves until it may get no more requests. */
+    drainMs: z.number().positive(),
+    /** From the request to stop until the process is killed. */
+    graceMs: z.number().positive(),
+    /** Resends for each request, over the fleet. */
+    resendRatio: z.number().min(0),
+    /** Resends beyond the ratio in one window, over the fleet. */
+    resendExtra: z.number().min(0),
+    resendWindowMs: z.number().positive(),
+  }),
+});
+/** What a router must know to run. */
+export type RouterSettings = z.infer<typeof RouterSettings>;
+
+/** Where settings come from. */
+export abstract class SettingsSource {
+  /** Reads the settings as they are now. */
+  abstract read(): Result<RouterSettings, BamboolinkError>;
+
+  /** A text that changes when the settings may have changed; cheap enough to be asked every second. */
+  abstract readVersion(): string;
+}
--- /dev/null
+++ b/packages/router/src/request_runner.ts
@@ -0,0 +1,228 @@
+/**
+ * Makes attempts for one request until one of them is final.
+ *
+ * @module
+ */
+import type { ResendBudget } from "@bamboolink/admission";
+import type { Logger } from "@bamboolink/logger";
+import {
+  type MemberReport,
+  type MemberView,
+  SILENT_AFTER_MS,
+} from "@bamboolink/membership";
+import { chooseBackend } from "@bamboolink/placement";
+import type { BackendBoard } from "./backend_board.ts";
+import { steadyMs } from "./clock.ts";
+import type { Forwarder } from "./forwarder.ts";
+import type { LocalBackend } from "./local_backend.ts";
+import type { OwnershipDirectory } from "./ownership_directory.ts";
+import { notRun, type Outcome, type Work } from "./work.ts";
+
+/** Attempts for one request, refused ones included; each refusal costs a way there and back. */
+const MAXIMUM_ROUNDS = 4;
+/** How long a request waits for its key to get an owner, in milliseconds. */
+const OWNER_WAIT_MS = 700;
+/** Pause between two looks at who owns a key, in milliseconds; the table changes within a few. */
+const OWNER_POLL_MS = 15;
+/** A resend must have this share of the time of a usual request left, or it would be wasted. */
+const USEFUL_TIME_SHARE = 0.8;
+/** Statuses of a backend server's own that say that the request failed there. */
+const FIRST_FAILURE_STATUS = 500;
+
+/** What the runner needs. */
+export interface RequestRunnerContext {
+  readonly logger: Logger;
+  readonly view: MemberView;
+  readonly board: BackendBoard;
+  readonly directory: OwnershipDirectory;
+  readonly backend: LocalBackend;
+  readonly forwarder: Forwarder;
+  readonly budget: ResendBudget;
+  readonly random: () => number;
+}
+
+/** What happened to a request so far. */
+interface Progress {
+  /** How often it arrived at a backend server, or may have. */
+  arrivals: number;
+  readonly tried: Set<string>;
+}
+
+/** Runs requests. */
+export class RequestRunner {
+  private constructor(private readonly context: RequestRunnerContext) {}
+
+  /** Creates a runner. */
+  static create(context: RequestRunnerContext): RequestRunner {
+    return new RequestRunner(context);
+  }
+
+  /** Runs a request; the outcome is final. */
+  async run(
+    work: Work,
+    options: { maximumAttempts: number; signal: AbortSignal },
+  ): Promise<Outcome> {
+    const progress: Progress = { arrivals: 0, tried: new Set() };
+    this.context.budget.noteRequest(work.service, steadyMs());
+    let last = notRun("no_backend");
+    for (let round = 0; round < MAXIMUM_ROUNDS; round += 1) {
+      const target = await this.findTarget(work, progress, options.signal);
+      if (target === undefined) {
+        return last;
+      }
+      if (progress.arrivals > 0) {
+        if (!this.mayResend(work, progress, options.maximumAttempts)) {
+          return last;
+        }
+        this.context.budget.noteResend(work.service, steadyMs());
+      }
+      last = await this.attempt(work, { target, signal: options.signal });
+      this.logAttempt(work, { target, round, outcome: last });
+      if (this.isFinal(work, last) || options.signal.aborted) {
+        return last;
+      }
+      progress.arrivals += hasArrived(last) ? 1 : 0;
+      progress.tried.add(target.address);
+    }
+    return last;
+  }
+
+  private attempt(
+    work: Work,
+    to: { target: MemberReport; signal: AbortSignal },
+  ): Promise<Outcome> {
+    const { view, backend, board, forwarder } = this.context;
+    const { target, signal } = to;
+    if (target.address === view.ownReport.address) {
+      return backend.attempt(work, signal);
+    }
+    board.noteSent(target.address);
+    return forwarder.forward(work, {
+      daemon: target.address,
+      address: target.forwardAddress,
+      signal,
+    });
+  }
+
+  private isFinal(work: Work, outcome: Outcome): boolean {
+    switch (outcome.kind) {
+      case "answer":
+        return outcome.status < FIRST_FAILURE_STATUS || !work.isIdempotent;
+      case "not_run":
+        return outcome.reason === "cancelled";
+      case "unknown":
+        return !work.isIdempotent || outcome.reason === "cancelled" ||
+          outcome.reason === "deadline";
+    }
+  }
+
+  private mayResend(
+    work: Work,
+    progress: Progress,
+    maximumAttempts: number,
+  ): boolean {
+    const { budget, view, backend } = this.context;
+    const nowMs = steadyMs();
+    const usualMs = backend.report().serviceMs;
+    return progress.arrivals < maximumAttempts &&
+      work.deadlineAtMs - nowMs > usualMs * USEFUL_TIME_SHARE &&
+      budget.allows(work.service, {
+        nowMs,
+        daemons: view.known.length + 1,
+      });
+  }
+
+  private findTarget(
+    work: Work,
+    progress: Progress,
+    signal: AbortSignal,
+  ): Promise<MemberReport | undefined> {
+    const { directory } = this.context;
+    return directory.isKeyed(work.service)
+      ? this.findOwner(work, progress, signal)
+      : Promise.resolve(this.choose(work, progress));
+  }
+
+  private choose(work: Work, progress: Progress): MemberReport | undefined {
+    const { view, board, random } = this.context;
+    const nowMs = steadyMs();
+    const own = view.ownReport;
+    const ready = [...view.alive(nowMs), own].filter((report) =>
+      report.service === work.service && report.phase === "ready" &&
+      !progress.tried.has(report.address)
+    );
+    const reachable = ready.filter(({ address }) =>
+      !board.isAvoided(address, nowMs)
+    );
+    const pool = reachable.length > 0 ? reachable : ready;
+    const place = {
+      daemon: own.address,
+      availabilityZone: own.availabilityZone,
+      nowMs,
+    };
+    const candidates = pool.map((report) => board.describe(report, place));
+    const chosen = chooseBackend(candidates, random);
+    return pool.find(({ address }) => address === chosen?.daemon);
+  }
+
+  /** Waits a little for a key that has just lost its owner: most get another within milliseconds. */
+  private async findOwner(
+    work: Work,
+    progress: Progress,
+    signal: AbortSignal,
+  ): Promise<MemberReport | undefined> {
+    const { directory, view } = this.context;
+    if (work.key === undefined) {
+      return undefined;
+    }
+    const leftMs = work.deadlineAtMs - steadyMs();
+    const untilMs = steadyMs() + Math.min(OWNER_WAIT_MS, leftMs / 3);
+    while (!signal.aborted) {
+      const daemon = directory.ownerOf(work.service, work.key);
+      const owner = daemon === undefined ? undefined : view.find(daemon);
+      if (owner !== undefined && this.isSilent(owner)) {
+        // A takeover takes seconds: the caller is told now, and not after a wait.
+        return undefined;
+      }
+      if (owner !== undefined && !progress.tried.has(owner.address)) {
+        return owner;
+      }
+      if (steadyMs() >= untilMs) {
+        return undefined;
+      }
+      directory.refresh(work.service);
+      await new Promise((resolve) => setTimeout(resolve, OWNER_POLL_MS));
+    }
+    return undefined;
+  }
+
+  private isSilent(owner: MemberReport): boolean {
+    const { view } = this.context;
+    return view.silentMs(owner.address, steadyMs()) > SILENT_AFTER_MS;
+  }
+
+  private logAttempt(
+    work: Work,
+    attempt: { target: MemberReport; round: number; outcome: Outcome },
+  ): void {
+    const { target, round, outcome } = attempt;
+    if (outcome.kind === "answer") {
+      return;
+    }
+    this.context.logger.log("attempt_failed", {
+      request_id: work.id,
+      service: work.service,
+      key: work.key,
+      round,
+      peer: target.address,
+      outcome: outcome.kind,
+      reason: outcome.reason,
+      wait_ms: outcome.kind === "not_run" ? outcome.waitMs : undefined,
+      left_ms: Math.round(work.deadlineAtMs - steadyMs()),
+    });
+  }
+}
+
+function hasArrived(outcome: Outcome): boolean {
+  return outcome.kind !== "not_run" || outcome.hasArrived;
+}
--- /dev/null
+++ b/packages/router/src/router.ts
@@ -0,0 +1,466 @@
+/**
+ * Puts the parts of the router together.
+ *
+ * @module
+ */
+import { createServer, type Server } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { ResendBudget } from "@bamboolink/admission";
+import { BamboolinkError } from "@bamboolink/errors";
+import { GrantBook, Tenure } from "@bamboolink/keyspace";
+import type { Logger } from "@bamboolink/logger";
+import { type MemberReport, MemberView } from "@bamboolink/membership";
+import { Metrics } from "@bamboolink/metrics";
+import type { Store } from "@bamboolink/store";
+import { BackendBoard } from "./backend_board.ts";
+import { BackendKeeper } from "./backend_keeper.ts";
+import { bootMs, steadyMs } from "./clock.ts";
+import { ConfigurationKeeper } from "./configuration_keeper.ts";
+import { Forwarder } from "./forwarder.ts";
+import { GossipNode, ROUND_MS, splitAddress } from "./gossip_node.ts";
+import { createHeartbeatServer } from "./heartbeat_server.ts";
+import { Ingress } from "./ingress.ts";
+import { LocalBackend } from "./local_backend.ts";
+import { MemberDirectory } from "./member_directory.ts";
+import { OWNERSHIP_PREFIX, OwnershipDirectory } from "./ownership_directory.ts";
+import { OwnershipKeeper } from "./ownership_keeper.ts";
+import { PeerQuestions } from "./peer_questions.ts";
+import { PeerServer } from "./peer_server.ts";
+import type { BackendProtocol } from "./ports/backend_protocol.ts";
+import type { CallerProtocol } from "./ports/caller_protocol.ts";
+import type { ConfigurationDocument } from "./ports/configuration_document.ts";
+import type { RouterSettings, SettingsSource } from "./ports/router_settings.ts";
+import { RelayedStore } from "./relayed_store.ts";
+import { RequestRunner } from "./request_runner.ts";
+import { StoreWatcher } from "./store_watcher.ts";
+
+/** Time between two steps of the control loop, in milliseconds. */
+const TICK_MS = 50;
+/** Time between two looks at the settings, in milliseconds. */
+const SETTINGS_MS = 1_000;
+/**
+ * After the request to stop, how long requests are taken as before, in milliseconds: until then those
+ * who asked for readiness have been told twice that there is none.
+ */
+const LEAVE_MS = 2_300;
+/** Time kept for closing before the process would be killed, in milliseconds. */
+const CLOSING_MS = 700;
+/** The health check of a service that no configuration names. */
+const USUAL_HEALTH_PATH = "/healthz";
+
+/** What the router meets outside, each through its port. */
+export interface RouterPorts {
+  readonly settings: SettingsSource;
+  readonly createStore: (address: string) => Store;
+  readonly document: ConfigurationDocument;
+  readonly callers: CallerProtocol;
+  readonly backends: BackendProtocol;
+  readonly logger: Logger;
+  readonly random: () => number;
+}
+
+/** The router beside one backend server. */
+export class Router {
+  private readonly metrics = Metrics.create();
+  private readonly grants = GrantBook.create(bootMs());
+  private readonly tenure = Tenure.create();
+  private readonly board = BackendBoard.create();
+  private readonly questions = PeerQuestions.create();
+  private readonly logger: Logger;
+  private readonly directStore: Store;
+  private readonly store: RelayedStore;
+  private readonly view: MemberView;
+  private readonly directory: OwnershipDirectory;
+  private readonly backend: LocalBackend;
+  private readonly keeper: BackendKeeper;
+  private readonly ownership: OwnershipKeeper;
+  private readonly configuration: ConfigurationKeeper;
+  private readonly members: MemberDirectory;
+  private readonly gossip: GossipNode;
+  private readonly forwarder: Forwarder;
+  private readonly budget: ResendBudget;
+  private readonly ingress: Ingress;
+  private readonly peerServer: PeerServer;
+  private readonly heartbeats: Server;
+  private readonly readiness: Server;
+  private readonly watchers: StoreWatcher[];
+  private readonly timers: NodeJS.Timeout[] = [];
+  private settingsVersion: string;
+  private isLeaving = false;
+  private isStopping = false;
+
+  private constructor(
+    private readonly ports: RouterPorts,
+    private settings: RouterSettings,
+  ) {
+    const { logger, random } = ports;
+    this.logger = logger;
+    this.settingsVersion = ports.settings.readVersion();
+    this.directStore = ports.createStore(settings.storeAddress);
+    this.view = MemberView.create(createOwnReport(settings));
+    this.store = RelayedStore.create({
+      direct: this.directStore,
+      questions: this.questions,
+      logger,
+      findHelper: () => this.findHelper(),
+    });
+    this.directory = OwnershipDirectory.create({ store: this.store, logger });
+    this.backend = LocalBackend.create({
+      address: settings.backendAddress,
+      protocol: ports.backends,
+      logger,
+      grants: this.grants,
+      onSuspicion: (suspicion) => void this.keeper.suspect(suspicion),
+    });
+    this.keeper = BackendKeeper.create({
+      address: settings.backendAddress,
+      protocol: ports.backends,
+      logger,
+      backend: this.backend,
+      grants: this.grants,
+      tenure: this.tenure,
+      healthPath: (service) =>
+        this.configuration.inForce?.services.get(service)?.healthPath ??
+          USUAL_HEALTH_PATH,
+      isKeyed: (service) => this.directory.isKeyed(service),
+      mayGrant: (service) => this.ownership.mayGrant(service),
+      onChange: () => this.gossip.announce(),
+      onFreed: (freed) => this.ownership.noteFreed(freed),
+    });
+    this.ownership = OwnershipKeeper.create({
+      store: this.store,
+      logger,
+      view: this.view,
+      directory: this.directory,
+      grants: this.grants,
+      tenure: this.tenure,
+      backend: this.backend,
+      keeper: () => this.keeper,
+    });
+    this.configuration = ConfigurationKeeper.create({
+      document: ports.document,
+      logger,
+      questions: this.questions,
+      onChange: ({ configuration }) => {
+        this.directory.configure(configuration);
+        this.ingress.setLimits(configuration.limits);
+      },
+    });
+    this.members = MemberDirectory.create({
+      store: this.store,
+      view: this.view,
+      logger,
+      onRegistered: (revision) => this.ownership.noteRegistration(revision),
+    });
+    this.gossip = GossipNode.create({
+      address: settings.gossipAddress,
+      view: this.view,
+      logger,
+      random,
+      describe: () => this.describe(),
+      onReports: (reports) => this.noteReports(reports),
+    });
+    this.forwarder = Forwarder.create({
+      logger,
+      onLoad: (daemon, load) => this.board.noteLoad(daemon, load, steadyMs()),
+      onUnreachable: (daemon) => this.board.noteUnreachable(daemon, steadyMs()),
+    });
+    const { resendRatio, resendExtra, resendWindowMs } = settings.bounds;
+    this.budget = ResendBudget.create({
+      ratio: resendRatio,
+      extra: resendExtra,
+      windowMs: resendWindowMs,
+    });
+    const runner = RequestRunner.create({
+      logger,
+      view: this.view,
+      board: this.board,
+      directory: this.directory,
+      backend: this.backend,
+      forwarder: this.forwarder,
+      budget: this.budget,
+      random,
+    });
+    this.ingress = Ingress.create({
+      protocol: ports.callers,
+      logger,
+      metrics: this.metrics,
+      configuration: this.configuration,
+      runner,
+      random,
+      callerService: () => this.settings.service,
+    });
+    this.peerServer = PeerServer.create({
+      logger,
+      backend: this.backend,
+      configuration: this.configuration,
+      store: this.directStore,
+    });
+    this.heartbeats = createHeartbeatServer({
+      keeper: this.keeper,
+      protocol: ports.backends,
+      logger,
+    });
+    this.readiness = this.createReadiness();
+    this.watchers = this.createWatchers();
+    this.createGauges();
+  }
+
+  /** Reads the settings and creates a router that does not run yet. */
+  static create(ports: RouterPorts): Router {
+    const settings = ports.settings.read();
+    if (settings.isErr()) {
+      throw settings.error;
+    }
+    return new Router(ports, settings.value);
+  }
+
+  /** Opens the addresses and begins to work. */
+  async start(): Promise<void> {
+    const { settings } = this;
+    this.watchers.forEach((watcher) => watcher.start());
+    this.members.start();
+    await Promise.all([
+      this.gossip.start(),
+      listen(this.heartbeats, settings.heartbeatAddress),
+      listen(this.peerServer.server, settings.peerAddress),
+      listen(this.readiness, settings.readinessAddress),
+      listen(this.ingress.server, settings.callerAddress),
+    ]);
+    this.startMetrics();
+    this.timers.push(
+      setInterval(() => this.tick(), TICK_MS),
+      setInterval(() => this.gossip.round(), ROUND_MS),
+      setInterval(() => this.checkSettings(), SETTINGS_MS),
+    );
+    this.logger.log("process_started", {
+      host: settings.host,
+      availability_zone: settings.availabilityZone,
+      service: settings.service,
+    });
+  }
+
+  /** Reads the settings again, because somebody said that they changed. */
+  reload(): void {
+    this.settingsVersion = "";
+    this.checkSettings();
+  }
+
+  /**
+   * Stops without cutting anything: readiness goes first; requests are taken until nobody new comes;
+   * then the daemon takes itself out, ends what is under way, and closes.
+   */
+  async stop(): Promise<void> {
+    if (this.isLeaving) {
+      return;
+    }
+    const untilMs = steadyMs() + this.settings.bounds.graceMs - CLOSING_MS;
+    this.isLeaving = true;
+    this.logger.log("process_stopping");
+    this.ingress.beginStop();
+    await sleep(LEAVE_MS);
+    this.isStopping = true;
+    this.gossip.announce();
+    this.ingress.server.close();
+    this.ingress.server.closeIdleConnections();
+    await sleep(TICK_MS);
+    this.peerServer.beginStop();
+    while (steadyMs() < untilMs && this.isBusy()) {
+      await sleep(TICK_MS / 2);
+      this.ingress.server.closeIdleConnections();
+    }
+    await this.close();
+    this.logger.log("process_stopped", {
+      unfinished: this.ingress.activeCount + this.peerServer.activeCount,
+    });
+  }
+
+  private isBusy(): boolean {
+    return this.ingress.activeCount + this.peerServer.activeCount > 0;
+  }
+
+  private async close(): Promise<void> {
+    this.timers.forEach((timer) => clearInterval(timer));
+    this.watchers.forEach((watcher) => watcher.stop());
+    this.members.stop();
+    this.gossip.close();
+    [this.peerServer.server, this.readiness, this.heartbeats].forEach(
+      (server) => server.close(),
+    );
+    await Promise.all([
+      this.forwarder.close(),
+      this.backend.close(),
+      this.store.close(),
+    ]);
+  }
+
+  private tick(): void {
+    this.backend.tick();
+    this.ownership.tick();
+    this.forwarder.tick();
+  }
+
+  private describe(): Partial<MemberReport> {
+    const load = this.backend.report();
+    return {
+      service: this.keeper.service ?? this.settings.service,
+      phase: this.isStopping ? "stopping" : this.keeper.phase,
+      slots: this.keeper.slots,
+      waitMs: Math.round(load.waitMs),
+      serviceMs: Math.round(load.serviceMs),
+      utilization: this.backend.utilization,
+      failureShare: load.failureShare,
+      configurationVersion: Math.max(0, this.configuration.version),
+      reachesStore: this.store.isReached,
+    };
+  }
+
+  private noteReports(reports: readonly MemberReport[]): void {
+    const nowMs = steadyMs();
+    reports.forEach((report) => {
+      this.board.noteLoad(report.address, report, nowMs);
+      this.configuration.notePeer(report);
+    });
+  }
+
+  /** A living daemon that reaches the store, any one. */
+  private findHelper(): string | undefined {
+    const helpers = this.view.alive(steadyMs())
+      .filter(({ reachesStore }) => reachesStore);
+    const index = Math.floor(this.ports.random() * helpers.length);
+    return helpers[index]?.forwardAddress;
+  }
+
+  private createWatchers(): StoreWatcher[] {
+    const { logger, random, document } = this.ports;
+    const common = { store: this.store, logger, random };
+    return [
+      StoreWatcher.create({
+        ...common,
+        prefix: document.key,
+        onRecord: ({ key, value }) => {
+          if (key === document.key) {
+            this.configuration.take(value, "store");
+          }
+        },
+      }),
+      StoreWatcher.create({
+        ...common,
+        prefix: "bamboolink/",
+        onRecord: (record) =>
+          record.key.startsWith(OWNERSHIP_PREFIX)
+            ? this.directory.noteStored(record.key, record)
+            : this.members.noteStored(record),
+      }),
+    ];
+  }
+
+  private createReadiness(): Server {
+    return createServer((incoming, response) => {
+      const { callers } = this.ports;
+      const isCheck = callers.isReadinessCheck(
+        incoming.method ?? "",
+        incoming.url ?? "",
+      );
+      const isReady = !this.isLeaving &&
+        this.configuration.inForce !== undefined;
+      response.writeHead(!isCheck ? 404 : isReady ? 200 : 503, {
+        "content-length": "0",
+      });
+      response.end();
+    });
+  }
+
+  private startMetrics(): void {
+    const { metricsAddress } = this.settings;
+    if (metricsAddress === undefined) {
+      return;
+    }
+    const server = createServer((_incoming, response) => {
+      void this.metrics.write().then((text) => {
+        response.writeHead(200, { "content-type": "text/plain" });
+        response.end(text);
+      });
+    });
+    server.on("error", (cause) =>
+      this.logger.log("metrics_unavailable", { peer: metricsAddress, cause }));
+    const { host, port } = splitAddress(metricsAddress);
+    server.listen(port, host);
+    server.unref();
+  }
+
+  private createGauges(): void {
+    const gauges: Record<string, () => number> = {
+      bamboolink_requests_running: () => this.backend.counts.running,
+      bamboolink_requests_queued: () => this.backend.counts.waiting,
+      bamboolink_configuration_version: () => this.configuration.version,
+      bamboolink_members_alive: () => this.view.alive(steadyMs()).length,
+      bamboolink_owned_keys: () => this.grants.ownCount,
+      bamboolink_tenure_left_ms: () =>
+        Math.max(0, this.tenure.untilMs - bootMs()),
+      bamboolink_store_reached: () => this.store.isReached ? 1 : 0,
+    };
+    Object.entries(gauges).forEach(([name, read]) =>
+      this.metrics.gauge(name, read)
+    );
+  }
+
+  /** Takes over changed settings; those that can't be read leave all as it is. */
+  private checkSettings(): void {
+    const version = this.ports.settings.readVersion();
+    if (version === this.settingsVersion) {
+      return;
+    }
+    this.settingsVersion = version;
+    this.ports.settings.read().match(
+      (settings) => this.applySettings(settings),
+      (cause) => this.logger.log("settings_unreadable", { cause }),
+    );
+  }
+
+  private applySettings(settings: RouterSettings): void {
+    this.settings = { ...settings };
+    const { resendRatio, resendExtra, resendWindowMs } = settings.bounds;
+    this.budget.setLimits({
+      ratio: resendRatio,
+      extra: resendExtra,
+      windowMs: resendWindowMs,
+    });
+    this.logger.log("settings_reloaded", { service: settings.service });
+  }
+}
+
+function createOwnReport(settings: RouterSettings): MemberReport {
+  return {
+    address: settings.gossipAddress,
+    incarnation: 1,
+    beat: 0,
+    availabilityZone: settings.availabilityZone,
+    forwardAddress: settings.peerAddress,
+    service: settings.service,
+    phase: "absent",
+    slots: 0,
+    waitMs: 0,
+    serviceMs: 0,
+    utilization: 0,
+    failureShare: 0,
+    configurationVersion: 0,
+    reachesStore: false,
+  };
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once("error", (cause) =>
+      reject(BamboolinkError.create("invalid", `can't listen at ${address}`, {
+        step: "router.listen",
+        peer: address,
+        cause,
+      })));
+    server.listen(port, host, () => {
+      server.removeAllListeners("error");
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/packages/router/src/store_watcher.ts
@@ -0,0 +1,97 @@
+/**
+ * Follows all records below a prefix of the store: lists them, then watches, and lists anew whenever
+ * changes may have been missed.
+ *
+ * @module
+ */
+import type { Logger } from "@bamboolink/logger";
+import type { Store, StoredRecord, Watch } from "@bamboolink/store";
+
+/** Pause after a failure, in milliseconds, growing to the longest. */
+const FIRST_PAUSE_MS = 100;
+const LONGEST_PAUSE_MS = 1_000;
+
+/** What the watcher needs. */
+export interface StoreWatcherContext {
+  readonly store: Store;
+  readonly logger: Logger;
+  readonly prefix: string;
+  readonly random: () => number;
+  readonly onRecord: (record: StoredRecord) => void;
+}
+
+/** Follows one prefix. */
+export class StoreWatcher {
+  private watch: Watch | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private failures = 0;
+  private isStopped = false;
+
+  private constructor(private readonly context: StoreWatcherContext) {}
+
+  /** Creates a watcher that does not follow yet. */
+  static create(context: StoreWatcherContext): StoreWatcher {
+    return new StoreWatcher(context);
+  }
+
+  /** Begins to follow. */
+  start(): void {
+    void this.follow();
+  }
+
+  /** Stops following. */
+  stop(): void {
+    this.isStopped = true;
+    clearTimeout(this.timer);
+    this.watch?.stop();
+  }
+
+  private async follow(): Promise<void> {
+    const { store, logger, prefix, onRecord } = this.context;
+    const listing = await store.list(prefix);
+    if (this.isStopped) {
+      return;
+    }
+    if (listing.isErr()) {
+      logger.log("store_call_failed", {
+        step: "watch.list",
+        prefix,
+        cause: listing.error,
+      });
+      this.followLater();
+      return;
+    }
+    this.failures = 0;
+    listing.value.records.forEach(onRecord);
+    this.watch = store.watch(prefix, {
+      fromRevision: listing.value.revision + 1,
+      handler: {
+        onChanges: (changes) =>
+          changes.forEach(({ key, value, revision }) => {
+            if (value !== undefined) {
+              onRecord({ key, value, revision });
+            }
+          }),
+        onEnd: (cause) => {
+          logger.log("store_watch_ended", { prefix, cause });
+          this.followLater();
+        },
+      },
+    });
+  }
+
+  private followLater(): void {
+    if (this.isStopped) {
+      return;
+    }
+    const pauseMs = Math.min(
+      LONGEST_PAUSE_MS,
+      FIRST_PAUSE_MS * 2 ** this.failures,
+    );
+    this.failures += 1;
+    this.timer = setTimeout(
+      () => void this.follow(),
+      pauseMs * (0.5 + this.context.random()),
+    );
+  }
+}
--- /dev/null
+++ b/packages/router/src/work.ts
@@ -0,0 +1,97 @@
+/**
+ * A request on its way through the router, and what becomes of it.
+ *
+ * @module
+ */
+import type { AnswerHeaders } from "./exchange.ts";
+
+/** A request on its way to a backend server. Times are on the steady clock of the holding daemon. */
+export interface Work {
+  readonly id: string;
+  readonly service: string;
+  /** Name of the route; requests of one route take about the same time. */
+  readonly route: string;
+  readonly rank: number;
+  readonly isIdempotent: boolean;
+  readonly key: number | undefined;
+  /** The service on the host where the request began. */
+  readonly callerService: string;
+  readonly objectiveAtMs: number;
+  readonly deadlineAtMs: number;
+  readonly method: string;
+  readonly target: string;
+  /** Headers to pass on, names and values in turn. */
+  readonly headers: string[];
+  readonly body: Buffer | undefined;
+}
+
+/** Why a request has not run. */
+export type RefusalReason =
+  /** The daemon has no configuration yet. */
+  | "no_configuration"
+  /** Nobody is there to run it. */
+  | "no_backend"
+  /** The key has no owner at present. */
+  | "no_owner"
+  /** The daemon's backend server does not own the key. */
+  | "not_owner"
+  /** The backend server leaves. */
+  | "draining"
+  /** The daemon stops. */
+  | "stopping"
+  /** It can't be done before the deadline. */
+  | "too_late"
+  /** It can't be done while it is worth doing. */
+  | "overloaded"
+  | "queue_full"
+  /** The daemon beside the backend server can't be reached. */
+  | "peer_unreachable"
+  | "backend_unreachable"
+  /** The backend server said that it has not run it. */
+  | "not_executed"
+  | "cancelled";
+
+/** Why it is not known whether a request has run. */
+export type UnknownReason =
+  | "deadline"
+  | "connection_lost"
+  | "foreign_answer"
+  | "cancelled";
+
+/** What became of a request at one backend server. */
+export type Outcome =
+  | {
+    readonly kind: "answer";
+    readonly status: number;
+    readonly headers: AnswerHeaders;
+    readonly body: Buffer;
+  }
+  | {
+    readonly kind: "not_run";
+    readonly reason: RefusalReason;
+    /** Until there may be room, in milliseconds. */
+    readonly waitMs: number;
+    /** Whether the request had arrived at the backend server, which then said no. */
+    readonly hasArrived: boolean;
+  }
+  | { readonly kind: "unknown"; readonly reason: UnknownReason };
+
+/** Makes the outcome of a request that has not run. */
+export function notRun(
+  reason: RefusalReason,
+  options: { waitMs?: number; hasArrived?: boolean } = {},
+): Outcome {
+  const { waitMs = 0, hasArrived = false } = options;
+  return { kind: "not_run", reason, waitMs, hasArrived };
+}
+
+/** Makes the outcome of a request that may have run. */
+export function unknown(reason: UnknownReason): Outcome {
+  return { kind: "unknown", reason };
+}
+
+/** Where a request can be sent: the own backend server, or another daemon. */
+export abstract class Destination {
+  /** Makes one attempt. It never throws. */
+  abstract attempt(work: Work, signal: AbortSignal): Promise<Outcome>;
+}
--- /dev/null
+++ b/packages/routing/src/prefix_router.ts
@@ -0,0 +1,60 @@
+/**
+ * Finds the route of a request by its host and the longest prefix of its path.
+ *
+ * @module
+ */
+import type { TrafficRoute } from "@bamboolink/types";
+
+/** Finds routes of one version of the configuration. */
+export class PrefixRouter {
+  private constructor(
+    private readonly hosts: ReadonlyMap<
+      string,
+      ReadonlyMap<string, TrafficRoute>
+    >,
+  ) {}
+
+  /** Indexes the routes by host and prefix. */
+  static create(routes: readonly TrafficRoute[]): PrefixRouter {
+    const hosts = new Map<string, Map<string, TrafficRoute>>();
+    routes.forEach((route) => {
+      const host = route.host.toLowerCase();
+      const prefixes = hosts.get(host) ?? new Map<string, TrafficRoute>();
+      hosts.set(host, prefixes);
+      prefixes.set(route.prefix, route);
+    });
+    return new PrefixRouter(hosts);
+  }
+
+  /**
+   * Finds the route with the longest prefix that begins the path.
+   *
+   * Prefixes end with a slash, so only the parts of the path up to each of its slashes can match: the
+   * cost grows with the depth of the path and not with the number of routes.
+   *
+   * @param host the `Host` header, with or without a port.
+   * @param target the request target; its query is left out.
+   */
+  find(host: string, target: string): TrafficRoute | undefined {
+    const prefixes = this.hosts.get(withoutPort(host).toLowerCase());
+    if (prefixes === undefined) {
+      return undefined;
+    }
+    const query = target.indexOf("?");
+    const path = query < 0 ? target : target.slice(0, query);
+    let slash = path.lastIndexOf("/");
+    while (slash >= 0) {
+      const route = prefixes.get(path.slice(0, slash + 1));
+      if (route !== undefined) {
+        return route;
+      }
+      slash = slash === 0 ? -1 : path.lastIndexOf("/", slash - 1);
+    }
+    return undefined;
+  }
+}
+
+function withoutPort(host: string): string {
+  const colon = host.lastIndexOf(":");
+  return colon < 0 || host.endsWith("]") ? host : host.slice(0, colon);
+}
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -10,3 +10,4 @@
 export * from "./announcement.ts";
 export * from "./session.ts";
 export * from "./table.ts";
+export * from "./traffic.ts";
