--- a/packages/router/src/configuration_keeper.ts
+++ b/packages/router/src/configuration_keeper.ts
@@ -6,7 +6,7 @@
  */
 import type { Logger } from "@bamboolink/logger";
 import type { MemberReport } from "@bamboolink/membership";
-import { PrefixRouter } from "@bamboolink/routing";
+import { PrefixRouter } from "@bamboolink/traffic";
 import type { TrafficConfiguration, TrafficService } from "@bamboolink/types";
 import type { PeerQuestions } from "./peer_questions.ts";
 import type { ConfigurationDocument } from "./ports/configuration_document.ts";
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -7,7 +7,7 @@
 import { createAnswerSpread } from "@bamboolink/admission";
 import type { Logger } from "@bamboolink/logger";
 import type { Metrics } from "@bamboolink/metrics";
-import { TrafficSplit } from "@bamboolink/routing";
+import { TrafficSplit } from "@bamboolink/traffic";
 import type { CallerLimits, TrafficRoute } from "@bamboolink/types";
 import { steadyMs } from "./clock.ts";
 import type { ConfigurationInForce, ConfigurationKeeper } from "./configuration_keeper.ts";
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -11,5 +11,3 @@
   type RequestTarget,
 } from "./request_matcher.ts";
 export { type Assignment, OwnershipTable } from "./ownership_table.ts";
-export { PrefixRouter } from "./prefix_router.ts";
-export { TrafficSplit } from "./traffic_split.ts";
--- /dev/null
+++ b/packages/traffic/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Finds the route of a request and the service that is to run it. Pure.
+ *
+ * @module
+ */
+export { PrefixRouter } from "./prefix_router.ts";
+export { TrafficSplit } from "./traffic_split.ts";
