Bring the two heartbeats of a handover together; spread ownership by datagrams

Ruled out: rejections for lack of slots (a fifth were idle). Change: moves are planned at once for all cooler owners and begin in the answer to a heartbeat that is held back until the takers hold back theirs; the queue plays its slots forward; ownership travels by datagrams and questions.

--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -54,6 +54,7 @@
 const OVERDUE_SHARE = 0.2;
 
 interface Running {
+  readonly rank: number;
   readonly startedAtMs: number;
   readonly estimateMs: number;
 }
@@ -97,7 +98,8 @@
     if (doneAtMs > request.deadlineAtMs) {
       return { kind: "refuse", reason: "too_late", waitMs };
     }
-    if (doneAtMs > latestUseful(request, nowMs)) {
+    const isLate = doneAtMs > latestUseful(request, nowMs);
+    if (isLate && !this.hasLessUrgent(request)) {
       return { kind: "refuse", reason: "overloaded", waitMs };
     }
     if (this.waiting.length >= this.slots * WAITING_PER_SLOT) {
@@ -134,36 +136,48 @@
 
   /** Until a request of the lowest urgency that arrives now would start, in milliseconds. */
   waitMs(nowMs: number): number {
-    if (this.running.size < this.slots) {
-      return 0;
-    }
-    const queued = this.waiting.reduce(
-      (sum, { estimateMs }) => sum + estimateMs,
-      0,
-    );
-    return (this.runningLeftMs(nowMs) + queued) / Math.max(1, this.slots);
+    return this.waitBehind(this.waiting, nowMs);
   }
 
   private waitAhead(request: WorkRequest, nowMs: number): number {
-    const ahead = this.waiting
-      .filter((other) => compareUrgency(other, request) <= 0)
-      .reduce((sum, { estimateMs }) => sum + estimateMs, 0);
-    return (this.runningLeftMs(nowMs) + ahead) / Math.max(1, this.slots);
+    const ahead = this.waiting.filter((other) =>
+      compareUrgency(other, request) <= 0
+    );
+    return this.waitBehind(ahead, nowMs);
   }
 
-  private runningLeftMs(nowMs: number): number {
-    return [...this.running.values()].reduce(
-      (sum, { startedAtMs, estimateMs }) =>
-        sum + Math.max(
-          startedAtMs + estimateMs - nowMs,
-          estimateMs * OVERDUE_SHARE,
-        ),
-      0,
+  /** Plays the slots forward: each request ahead takes the slot that is free first. */
+  private waitBehind(ahead: readonly WorkRequest[], nowMs: number): number {
+    if (this.slots === 0) {
+      return Infinity;
+    }
+    const left = [...this.running.values()].map(({ startedAtMs, estimateMs }) =>
+      Math.max(
+        startedAtMs + estimateMs - nowMs,
+        estimateMs * OVERDUE_SHARE,
+      )
+    );
+    const free = Array.from(
+      { length: Math.max(0, this.slots - left.length) },
+      () => 0,
     );
+    const ends = [...left, ...free];
+    ahead.forEach(({ estimateMs }) => {
+      const first = indexOfLeast(ends);
+      ends[first] = ends[first]! + estimateMs;
+    });
+    return ends[indexOfLeast(ends)]!;
+  }
+
+  /** Whether anything that runs or waits is less urgent, so that it makes room for the request. */
+  private hasLessUrgent(request: WorkRequest): boolean {
+    const isLess = ({ rank }: { rank: number }) => rank > request.rank;
+    return this.waiting.some(isLess) || [...this.running.values()].some(isLess);
   }
 
   private start(request: WorkRequest, nowMs: number): void {
     this.running.set(request.id, {
+      rank: request.rank,
       startedAtMs: nowMs,
       estimateMs: request.estimateMs,
     });
@@ -189,6 +203,13 @@
   }
 }
 
+function indexOfLeast(numbers: readonly number[]): number {
+  return numbers.reduce(
+    (least, number, index) => number < numbers[least]! ? index : least,
+    0,
+  );
+}
+
 function latestUseful(request: WorkRequest, nowMs: number): number {
   const leftMs = Math.max(0, request.objectiveAtMs - nowMs);
   return request.objectiveAtMs + LATE_ALLOWANCE * leftMs;
--- a/packages/keyspace/src/grant_book.ts
+++ b/packages/keyspace/src/grant_book.ts
@@ -156,15 +156,18 @@
   /**
    * Decides what a heartbeat is answered with.
    *
-   * @param longestHoldMs how long the daemon's own right lasts on the backend server's clock.
+   * @param limits `longestHoldMs`: how long the daemon's own right lasts, on the backend server's clock
+   *   from the heartbeat's arrival; `spentMs`: for how long the answer was held back since.
    */
-  answer(limits: { longestHoldMs: number; nowMs: number }): Grant {
-    const { longestHoldMs, nowMs } = limits;
+  answer(
+    limits: { longestHoldMs: number; nowMs: number; spentMs: number },
+  ): Grant {
+    const { longestHoldMs, nowMs, spentMs } = limits;
     const holdMs = Math.min(USUAL_HOLD_MS, longestHoldMs);
     const ranges = holdMs <= 0 ? [] : this.grantable();
     ranges.forEach((range) => {
       this.extend(range, nowMs + holdMs * (1 + CLOCK_DRIFT));
-      this.holdsUntil.set(range, nowMs + holdMs);
+      this.holdsUntil.set(range, nowMs + holdMs - spentMs);
     });
     this.hasGranted ||= ranges.length > 0;
     return { ranges, holdMs };
--- a/packages/keyspace/src/load_profile.ts
+++ b/packages/keyspace/src/load_profile.ts
@@ -49,7 +49,7 @@
    * Finds the fewest neighbouring keys among `ranges` that bring about `load`. Few keys with much work
    * are cheap to move: what a move costs grows with the number of keys and not with their work.
    *
-   * @returns `undefined` where no window of at most `most` brings between half of it and it.
+   * @returns `undefined` where no window brings between half of it and all of it.
    */
   findWindow(
     ranges: readonly KeyRange[],
--- a/packages/keyspace/src/plan_shedding.ts
+++ b/packages/keyspace/src/plan_shedding.ts
@@ -1,20 +1,27 @@
 /**
  * Decides which keys a hot backend server sheds, and to whom.
  *
+ * The load it answers: a few neighbouring keys get a third of all requests within a second, while the
+ * other backend servers have room.
+ *
  * @module
  */
 import type { LoadProfile } from "./load_profile.ts";
-import type { KeyRange } from "./range_map.ts";
+import { type KeyRange, RangeMap } from "./range_map.ts";
 
 /**
  * An owner sheds only while its utilization is above this: below it no request waits long, and a move
  * would cost more than it brings.
  */
-const HOT_UTILIZATION = 0.7;
-/** The least difference of utilization that is worth a move. */
-const WORTHWHILE_DIFFERENCE = 0.25;
-/** Share of the difference that is moved at once; less than half, so that loads don't swap places. */
-const MOVED_SHARE = 0.4;
+const HOT_UTILIZATION = 0.45;
+/** The least distance above the mean that is worth a move. */
+const WORTHWHILE_EXCESS = 0.15;
+/** Share of the distance to the mean that is moved at once, so that loads don't swap places. */
+const MOVED_SHARE = 0.8;
+/** An owner sheds to one without any keys from this utilization on, so that it takes part at all. */
+const SHARING_UTILIZATION = 0.05;
+/** Moves planned at once. */
+const MOST_MOVES = 4;
 
 /** The load of one owner of keys. */
 export interface OwnerLoad {
@@ -30,30 +37,71 @@
 }
 
 /**
- * Plans at most one move from one hot owner to the coolest other one.
+ * Plans moves from one hot owner to those below the mean, the coolest first. Each takes what it lacks to
+ * the mean, in the fewest keys: a move costs by keys and not by their work.
  *
  * @param own the load of the owner that may shed.
  * @param others the owners that may take keys.
+ * @param keys the keys of the owner, the work that each brings, and owners that have no keys yet.
  */
 export function planShedding(
   own: OwnerLoad,
   others: readonly OwnerLoad[],
-  keys: { ranges: readonly KeyRange[]; profile: LoadProfile },
-): PlannedMove | undefined {
-  if (own.utilization < HOT_UTILIZATION || others.length === 0) {
-    return undefined;
+  keys: {
+    ranges: readonly KeyRange[];
+    profile: LoadProfile;
+    keyless: ReadonlySet<string>;
+  },
+): PlannedMove[] {
+  if (others.length === 0) {
+    return [];
   }
-  const coolest = others.reduce((best, other) =>
-    other.utilization < best.utilization ? other : best
+  const mean = findMean([own, ...others]);
+  const excess = own.utilization - mean;
+  const isHot = own.utilization > HOT_UTILIZATION && excess > WORTHWHILE_EXCESS;
+  const takers = others
+    .filter(({ daemon, utilization }) =>
+      isHot && utilization < mean ||
+      own.utilization > SHARING_UTILIZATION && keys.keyless.has(daemon)
+    )
+    .sort((left, right) => left.utilization - right.utilization)
+    .slice(0, MOST_MOVES);
+  return divide(own, takers, { ...keys, mean });
+}
+
+function divide(
+  own: OwnerLoad,
+  takers: readonly OwnerLoad[],
+  keys: {
+    ranges: readonly KeyRange[];
+    profile: LoadProfile;
+    mean: number;
+  },
+): PlannedMove[] {
+  const left = RangeMap.create<true>();
+  keys.ranges.forEach((range) => left.set(range, true));
+  let excess = (own.utilization - keys.mean) * own.slots;
+  return takers.flatMap((taker) => {
+    const room = (keys.mean - taker.utilization) * taker.slots;
+    const load = Math.min(room, excess) * MOVED_SHARE * 1_000;
+    const window = load <= 0
+      ? undefined
+      : keys.profile.findWindow(left.segments, { load });
+    if (window === undefined) {
+      return [];
+    }
+    left.delete(window);
+    excess -= keys.profile.loadOf([window]) / 1_000;
+    return [{ ...window, daemon: taker.daemon }];
+  });
+}
+
+/** The utilization if all work were spread over all slots. */
+function findMean(owners: readonly OwnerLoad[]): number {
+  const slots = owners.reduce((sum, owner) => sum + owner.slots, 0);
+  const work = owners.reduce(
+    (sum, { utilization, slots }) => sum + utilization * slots,
+    0,
   );
-  const difference = own.utilization - coolest.utilization;
-  if (difference < WORTHWHILE_DIFFERENCE) {
-    return undefined;
-  }
-  const slots = Math.min(own.slots, coolest.slots);
-  const load = difference * MOVED_SHARE * slots * 1_000;
-  const window = keys.profile.findWindow(keys.ranges, { load });
-  return window === undefined
-    ? undefined
-    : { ...window, daemon: coolest.daemon };
+  return slots === 0 ? 0 : work / slots;
 }
--- a/packages/membership/src/member.ts
+++ b/packages/membership/src/member.ts
@@ -43,6 +43,8 @@
   failureShare: z.number().min(0).max(1),
   /** Version of the traffic configuration in force there. */
   configurationVersion: z.number().min(0),
+  /** The newest revision of ownership records known there, over all services. */
+  ownershipRevision: z.int().min(0),
   /** Whether the daemon reaches the store. */
   reachesStore: z.boolean(),
 });
--- a/packages/placement/src/choose_backend.ts
+++ b/packages/placement/src/choose_backend.ts
@@ -26,9 +26,9 @@
 
 /**
  * What a request to another availability zone costs in the score, in milliseconds: the way there and
- * back, and the bytes. Small beside the time of a request, so that no caller waits for a near server.
+ * back, and the bytes, which are paid for. Small beside latency objectives of some 100 ms.
  */
-const OTHER_ZONE_MS = 10;
+const OTHER_ZONE_MS = 25;
 /** What the way to another daemon in the own zone costs, in milliseconds. */
 const OTHER_DAEMON_MS = 1;
 /**
--- a/packages/router/src/backend_keeper.ts
+++ b/packages/router/src/backend_keeper.ts
@@ -47,6 +47,8 @@
   readonly onFreed: (
     freed: readonly { from: number; to: number; handover: string }[],
   ) => void;
+  /** Called before a grant is decided; it may hold the answer back for a handover. */
+  readonly beforeGrant: () => Promise<void>;
 }
 
 /** The state of the backend server on this host. */
@@ -124,10 +126,10 @@
     }
   }
 
-  private accept(
+  private async accept(
     heartbeat: BackendHeartbeat,
     isNewIncarnation: boolean,
-  ): Grant | undefined {
+  ): Promise<Grant | undefined> {
     const { grants, tenure, backend, isKeyed } = this.context;
     const nowMs = bootMs();
     this.instances.accept(heartbeat, nowMs);
@@ -153,8 +155,16 @@
     if (!keyed || !this.context.mayGrant(heartbeat.service)) {
       return undefined;
     }
+    await this.context.beforeGrant();
+    if (this.instances.current !== heartbeat.instance) {
+      // Another incarnation was found meanwhile; this answer reaches nobody.
+      return undefined;
+    }
+    const answeredMs = bootMs();
+    // The hold counts from when the heartbeat was sent, which was before it arrived.
+    const spentMs = answeredMs - nowMs;
     const longestHoldMs = tenure.longestHoldMs(nowMs);
-    const grant = grants.answer({ longestHoldMs, nowMs });
+    const grant = grants.answer({ longestHoldMs, nowMs: answeredMs, spentMs });
     backend.noteGranted();
     return grant.holdMs > 0 ? grant : undefined;
   }
--- /dev/null
+++ b/packages/router/src/datagram_codec.ts
@@ -0,0 +1,75 @@
+/**
+ * The datagrams that daemons send each other beside gossip.
+ *
+ * @module
+ */
+import { BamboolinkError } from "@bamboolink/errors";
+import { decode, encode } from "@msgpack/msgpack";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+
+/** A newer record of ownership; without its text it is to be asked for. */
+const OwnershipNews = z.object({
+  kind: z.literal("ownership"),
+  sender: z.string(),
+  service: z.string(),
+  revision: z.int(),
+  text: z.string().optional(),
+});
+
+/** Keys are about to be handed over to the receiver's backend server. */
+const HandoverExpected = z.object({
+  kind: z.literal("expect"),
+  sender: z.string(),
+});
+
+/** The receiver of such a word holds back the answer to a heartbeat, so that it can grant at once. */
+const HandoverAwaited = z.object({
+  kind: z.literal("awaiting"),
+  sender: z.string(),
+});
+
+const Datagram = z.discriminatedUnion("kind", [
+  OwnershipNews,
+  HandoverExpected,
+  HandoverAwaited,
+]);
+/** A datagram beside gossip. */
+export type Datagram = z.infer<typeof Datagram>;
+
+/** Gossip begins with the byte of a list, these with the byte of a map. */
+const LARGEST_LIST_BYTE = 0x9f;
+const SMALLEST_LIST_BYTE = 0x90;
+
+/** Whether a datagram is gossip. */
+export function isGossip(bytes: Uint8Array): boolean {
+  const first = bytes[0] ?? 0;
+  return first >= SMALLEST_LIST_BYTE && first <= LARGEST_LIST_BYTE;
+}
+
+/** Encodes a datagram. */
+export function encodeDatagram(datagram: Datagram): Uint8Array {
+  return encode(datagram, { ignoreUndefined: true });
+}
+
+/** Decodes a datagram; anybody can send one, so nothing in it is taken on trust. */
+export function decodeDatagram(
+  bytes: Uint8Array,
+): Result<Datagram, BamboolinkError> {
+  const checked = Datagram.safeParse(tryDecode(bytes));
+  return checked.success ? ok(checked.data) : err(
+    BamboolinkError.create("invalid", "a datagram can't be read", {
+      step: "datagram.decode",
+      cause: checked.error,
+    }),
+  );
+}
+
+function tryDecode(bytes: Uint8Array): unknown {
+  try {
+    return decode(bytes);
+  } catch {
+    // The schema refuses `undefined`, and the error then says what was expected.
+    return undefined;
+  }
+}
--- a/packages/router/src/gossip_node.ts
+++ b/packages/router/src/gossip_node.ts
@@ -15,6 +15,12 @@
   type MemberView,
 } from "@bamboolink/membership";
 import { steadyMs } from "./clock.ts";
+import {
+  type Datagram,
+  decodeDatagram,
+  encodeDatagram,
+  isGossip,
+} from "./datagram_codec.ts";
 
 /** Time between two rounds, in milliseconds. */
 export const ROUND_MS = 250;
@@ -29,6 +35,8 @@
   readonly describe: () => Partial<MemberReport>;
   /** Called with the reports that were new. */
   readonly onReports: (reports: readonly MemberReport[]) => void;
+  /** Called with each datagram beside gossip. */
+  readonly onDatagram: (datagram: Datagram) => void;
 }
 
 /** One daemon's end of the gossip. */
@@ -72,6 +80,18 @@
     this.tell(view.alive(steadyMs()).map(({ address }) => address));
   }
 
+  /** Sends a datagram beside gossip to one daemon. */
+  sendDatagram(datagram: Datagram, address: string): void {
+    this.send(encodeDatagram(datagram), address);
+  }
+
+  /** Sends a datagram beside gossip to all living daemons. */
+  spread(datagram: Datagram): void {
+    const bytes = encodeDatagram(datagram);
+    this.context.view.alive(steadyMs())
+      .forEach(({ address }) => this.send(bytes, address));
+  }
+
   /** Stops. */
   close(): void {
     this.socket.close();
@@ -95,7 +115,14 @@
   }
 
   private receive(bytes: Uint8Array): void {
-    const { view, logger, onReports } = this.context;
+    const { view, logger, onReports, onDatagram } = this.context;
+    if (!isGossip(bytes)) {
+      decodeDatagram(bytes).match(
+        onDatagram,
+        (cause) => logger.log("gossip_malformed", { cause }),
+      );
+      return;
+    }
     decodeGossip(bytes).match(
       ({ reports }) => {
         const fresh = view.merge(reports, steadyMs());
--- a/packages/router/src/member_directory.ts
+++ b/packages/router/src/member_directory.ts
@@ -7,6 +7,8 @@
 import type { MemberView } from "@bamboolink/membership";
 import type { Store, StoredRecord } from "@bamboolink/store";
 
+/** All records of the product lie below this. */
+const PRODUCT_PREFIX = "bamboolink/";
 /** Addresses of all daemons lie below this. */
 const MEMBER_PREFIX = "bamboolink/members/";
 /** Pause between two tries to register, in milliseconds. */
@@ -19,6 +21,8 @@
   readonly logger: Logger;
   /** Called with the revision of the store at which the registration was written. */
   readonly onRegistered: (revision: number) => void;
+  /** Called with each record of the product that is not an address. */
+  readonly onRecord: (record: StoredRecord) => void;
 }
 
 /** The addresses of the daemons. */
@@ -44,10 +48,30 @@
     clearTimeout(this.timer);
   }
 
-  /** Takes over an address from the store. */
-  noteStored(record: StoredRecord): void {
-    if (record.key.startsWith(MEMBER_PREFIX)) {
-      this.context.view.name(record.key.slice(MEMBER_PREFIX.length));
+  /**
+   * Reads what others have left. Daemons register before they read, so of two that start together one
+   * finds the other; from then on they hear of each other by gossip, and the store is not watched.
+   */
+  private async read(): Promise<void> {
+    const { store, view, logger, onRecord } = this.context;
+    const listing = await store.list(PRODUCT_PREFIX);
+    listing.match(
+      ({ records }) =>
+        records.forEach((record) =>
+          record.key.startsWith(MEMBER_PREFIX)
+            ? view.name(record.key.slice(MEMBER_PREFIX.length))
+            : onRecord(record)
+        ),
+      (cause) => {
+        logger.log("store_call_failed", { step: "members.list", cause });
+        this.later(() => this.read());
+      },
+    );
+  }
+
+  private later(step: () => Promise<void>): void {
+    if (!this.isStopped) {
+      this.timer = setTimeout(() => void step(), RETRY_MS);
     }
   }
 
@@ -70,12 +94,11 @@
       (revision) => {
         logger.log("member_registered", { address, revision });
         onRegistered(revision);
+        void this.read();
       },
       (cause) => {
         logger.log("store_call_failed", { step: "register", cause });
-        if (!this.isStopped) {
-          this.timer = setTimeout(() => void this.register(), RETRY_MS);
-        }
+        this.later(() => this.register());
       },
     );
   }
--- a/packages/router/src/ownership_directory.ts
+++ b/packages/router/src/ownership_directory.ts
@@ -5,14 +5,10 @@
  */
 import { OwnershipRecord } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
-import type { Store } from "@bamboolink/store";
 import type { TrafficConfiguration } from "@bamboolink/types";
-import { steadyMs } from "./clock.ts";
 
 /** Records of all services lie below this. */
 export const OWNERSHIP_PREFIX = "bamboolink/ownership/";
-/** The least time between two reads of a record on behalf of requests, in milliseconds. */
-const REFRESH_MS = 250;
 
 /** Called with each newer record. */
 export type RecordListener = (service: string, record: OwnershipRecord) => void;
@@ -20,19 +16,14 @@
 /** The records by service. */
 export class OwnershipDirectory {
   private readonly records = new Map<string, OwnershipRecord>();
-  private readonly refreshedAtMs = new Map<string, number>();
   private listener: RecordListener = () => undefined;
   private keyed: ReadonlySet<string> = new Set();
 
-  private constructor(
-    private readonly context: { store: Store; logger: Logger },
-  ) {}
+  private constructor(private readonly logger: Logger) {}
 
   /** Creates an empty directory. */
-  static create(
-    context: { store: Store; logger: Logger },
-  ): OwnershipDirectory {
-    return new OwnershipDirectory(context);
+  static create(logger: Logger): OwnershipDirectory {
+    return new OwnershipDirectory(logger);
   }
 
   /** Sets who is told of newer records. */
@@ -66,6 +57,29 @@
     return this.records.get(service);
   }
 
+  /** The newest revision over all services. */
+  get revision(): number {
+    return Math.max(
+      0,
+      ...[...this.records.values()].map(({ revision }) => revision),
+    );
+  }
+
+  /** All records, for a daemon that has missed some. */
+  get all(): { service: string; revision: number; text: string }[] {
+    return [...this.records].map(([service, record]) => ({
+      service,
+      revision: record.revision,
+      text: record.encode(),
+    }));
+  }
+
+  /** Takes over a record that another daemon knows. */
+  noteText(news: { service: string; revision: number; text: string }): void {
+    const { service, revision, text } = news;
+    this.noteStored(OWNERSHIP_PREFIX + service, { value: text, revision });
+  }
+
   /** Takes over a record, if it is newer than what is known. */
   note(service: string, record: OwnershipRecord): void {
     const known = this.records.get(service);
@@ -73,7 +87,7 @@
       return;
     }
     this.records.set(service, record);
-    this.context.logger.log("ownership_seen", {
+    this.logger.log("ownership_seen", {
       service,
       revision: record.revision,
       ranges: record.segments.length,
@@ -87,23 +101,8 @@
     OwnershipRecord.decode(stored.value, stored.revision).match(
       (record) => this.note(service, record),
       (cause) =>
-        this.context.logger.log("ownership_unreadable", { service, cause }),
+        this.logger.log("ownership_unreadable", { service, cause }),
     );
   }
 
-  /** Reads a record again, because a request found it wrong; at most a few times a second. */
-  refresh(service: string): void {
-    const nowMs = steadyMs();
-    const last = this.refreshedAtMs.get(service) ?? -Infinity;
-    if (nowMs - last < REFRESH_MS) {
-      return;
-    }
-    this.refreshedAtMs.set(service, nowMs);
-    const key = OWNERSHIP_PREFIX + service;
-    void this.context.store.get(key).match(
-      (found) => found === undefined ? undefined : this.noteStored(key, found),
-      (cause) =>
-        this.context.logger.log("store_call_failed", { step: "refresh", cause }),
-    );
-  }
 }
--- a/packages/router/src/ownership_keeper.ts
+++ b/packages/router/src/ownership_keeper.ts
@@ -13,6 +13,7 @@
   KEY_COUNT,
   type KeyRange,
   OwnershipRecord,
+  type PlannedMove,
   planShedding,
   TakeoverWaits,
   type Tenure,
@@ -25,6 +26,7 @@
 } from "@bamboolink/membership";
 import { type Store, writeSettled } from "@bamboolink/store";
 import type { BackendKeeper } from "./backend_keeper.ts";
+import type { HandoverDesk } from "./handover_desk.ts";
 import { bootMs, steadyMs } from "./clock.ts";
 import type { LocalBackend } from "./local_backend.ts";
 import {
@@ -33,7 +35,7 @@
 } from "./ownership_directory.ts";
 
 /** Time between two reads that extend the tenure, in milliseconds. Each is a paid call to the store. */
-const CONFIRM_MS = 1_000;
+const CONFIRM_MS = 1_500;
 /** A silent owner is sealed after this, in milliseconds: half again as long as it takes to be silent. */
 const SEAL_AFTER_MS = 3_000;
 /** A leading daemon acts only once it has heard the others for so long, in milliseconds. */
@@ -55,6 +57,11 @@
   readonly tenure: Tenure;
   readonly backend: LocalBackend;
   readonly keeper: () => BackendKeeper;
+  readonly desk: HandoverDesk;
+  /** Tells all daemons of a newer record. */
+  readonly onWritten: (service: string, record: OwnershipRecord) => void;
+  /** Tells a daemon that keys are about to come to it. */
+  readonly onPlanned: (daemon: string) => void;
 }
 
 /** Changes a record; `undefined` if there is nothing to change any more. */
@@ -65,7 +72,8 @@
   private readonly waits = new Map<string, TakeoverWaits>();
   private readonly busy = new Set<string>();
   private readonly handovers: FreedRange[] = [];
-  private readonly destinations: (KeyRange & { daemon: string })[] = [];
+  private planned: readonly PlannedMove[] = [];
+  private destinations: PlannedMove[] = [];
   private registration = 0;
   private confirmSentMs = -Infinity;
   private isConfirming = false;
@@ -135,10 +143,15 @@
     this.waits.set(service, waits);
     waits.note(record.sealedDaemons, bootMs());
     if (service === this.ownService && this.registration > 0) {
-      this.context.grants.noteOwnership(record, {
+      const { grants, desk } = this.context;
+      const before = grants.ownCount;
+      grants.noteOwnership(record, {
         daemon: this.own,
         revision: Math.max(record.revision, this.registration),
       });
+      if (grants.ownCount > before) {
+        desk.noteDone();
+      }
     }
   }
 
@@ -342,7 +355,8 @@
       return;
     }
     this.shedAtMs = nowMs;
-    if (keeper().phase !== "ready" || grants.isReleasing) {
+    const isMoving = grants.isReleasing || this.planned.length > 0;
+    if (keeper().phase !== "ready" || isMoving) {
       return;
     }
     const others = view.alive(nowMs)
@@ -353,16 +367,41 @@
       utilization: backend.utilization,
       slots: keeper().slots,
     };
-    const move = planShedding(own, others, {
+    const record = this.context.directory.record(service);
+    const owners = new Set(record?.daemons ?? []);
+    this.planned = planShedding(own, others, {
       ranges: grants.ownRanges,
       profile: backend.profile,
+      keyless: new Set(
+        others
+          .map(({ daemon }) => daemon)
+          .filter((daemon) => !owners.has(daemon)),
+      ),
+    });
+    this.planned.forEach((move) => {
+      logger.log("ownership_shed", {
+        service,
+        ...move,
+        utilization: own.utilization,
+      });
+      this.context.onPlanned(move.daemon);
     });
-    if (move === undefined) {
+  }
+
+  /**
+   * Begins the planned moves, in the answer to a heartbeat: until then the backend server goes on
+   * serving the keys, and the new owners are ready to take them.
+   */
+  async beginMoves(): Promise<void> {
+    const { planned } = this;
+    if (planned.length === 0) {
       return;
     }
-    logger.log("ownership_shed", { service, ...move, own: own.utilization });
-    this.destinations.push(move);
-    grants.beginRelease([move]);
+    const takers = [...new Set(planned.map(({ daemon }) => daemon))];
+    await this.context.desk.awaitTakers(takers);
+    this.planned = [];
+    this.destinations = [...planned];
+    this.context.grants.beginRelease(planned);
   }
 
   /** The leading daemon gives keys without an owner to one, and takes them from lost ones. */
@@ -505,7 +544,9 @@
           from_revision: known.revision,
           revision: written.value,
         });
-        directory.note(service, changed.withRevision(written.value));
+        const record = changed.withRevision(written.value);
+        directory.note(service, record);
+        this.context.onWritten(service, record);
         return;
       }
       logger.log("ownership_write_failed", {
--- a/packages/router/src/peer_questions.ts
+++ b/packages/router/src/peer_questions.ts
@@ -13,6 +13,8 @@
 
 /** Where the configuration document is asked for. */
 export const CONFIGURATION_PATH = "/bamboolink/configuration";
+/** Where all records of ownership are asked for. */
+export const OWNERSHIP_PATH = "/bamboolink/ownership";
 /** Where a record of the store is asked for. */
 export const STORE_GET_PATH = "/bamboolink/store/get";
 /** Where a conditional write to the store is asked for. */
@@ -28,6 +30,11 @@
   value: z.string().optional(),
   expectedRevision: z.int().min(0),
 });
+const OwnershipAnswer = z.array(z.object({
+  service: z.string(),
+  revision: z.int(),
+  text: z.string(),
+}));
 const GetAnswer = z.object({
   record: z.object({
     key: z.string(),
@@ -56,6 +63,17 @@
     return ask(peer, { target: CONFIGURATION_PATH });
   }
 
+  /** Asks for all records of ownership that a peer knows. */
+  askOwnership(
+    peer: string,
+  ): ResultAsync<
+    { service: string; revision: number; text: string }[],
+    BamboolinkError
+  > {
+    return ask(peer, { target: OWNERSHIP_PATH })
+      .andThen((text) => check(OwnershipAnswer, text, peer));
+  }
+
   /** Asks a peer to read a record of the store. */
   askRecord(
     peer: string,
--- a/packages/router/src/peer_server.ts
+++ b/packages/router/src/peer_server.ts
@@ -19,9 +19,11 @@
 import { readBody } from "./http_body.ts";
 import { selectAnswerHeaders, selectRequestHeaders } from "./http_headers.ts";
 import type { LocalBackend } from "./local_backend.ts";
+import type { OwnershipDirectory } from "./ownership_directory.ts";
 import {
   CONFIGURATION_PATH,
   GetQuestion,
+  OWNERSHIP_PATH,
   STORE_GET_PATH,
   STORE_WRITE_PATH,
   WriteQuestion,
@@ -39,6 +41,7 @@
   readonly logger: Logger;
   readonly backend: LocalBackend;
   readonly configuration: ConfigurationKeeper;
+  readonly directory: OwnershipDirectory;
   /** The store as this daemon itself reaches it. */
   readonly store: Store;
 }
@@ -181,6 +184,8 @@
     switch (target) {
       case CONFIGURATION_PATH:
         return configuration.inForce?.text;
+      case OWNERSHIP_PATH:
+        return JSON.stringify(this.context.directory.all);
       case STORE_GET_PATH: {
         const { key } = GetQuestion.parse(readJson(body));
         const found = await store.get(key);
--- a/packages/router/src/request_runner.ts
+++ b/packages/router/src/request_runner.ts
@@ -190,7 +190,6 @@
       if (steadyMs() >= untilMs) {
         return undefined;
       }
-      directory.refresh(work.service);
       await new Promise((resolve) => setTimeout(resolve, OWNER_POLL_MS));
     }
     return undefined;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -7,7 +7,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { ResendBudget } from "@bamboolink/admission";
 import { BamboolinkError } from "@bamboolink/errors";
-import { GrantBook, Tenure } from "@bamboolink/keyspace";
+import {
+  GrantBook,
+  type OwnershipRecord,
+  Tenure,
+} from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import { type MemberReport, MemberView } from "@bamboolink/membership";
 import { Metrics } from "@bamboolink/metrics";
@@ -16,13 +20,15 @@
 import { BackendKeeper } from "./backend_keeper.ts";
 import { bootMs, steadyMs } from "./clock.ts";
 import { ConfigurationKeeper } from "./configuration_keeper.ts";
+import type { Datagram } from "./datagram_codec.ts";
 import { Forwarder } from "./forwarder.ts";
 import { GossipNode, ROUND_MS, splitAddress } from "./gossip_node.ts";
 import { createHeartbeatServer } from "./heartbeat_server.ts";
+import { HandoverDesk } from "./handover_desk.ts";
 import { Ingress } from "./ingress.ts";
 import { LocalBackend } from "./local_backend.ts";
 import { MemberDirectory } from "./member_directory.ts";
-import { OWNERSHIP_PREFIX, OwnershipDirectory } from "./ownership_directory.ts";
+import { OwnershipDirectory } from "./ownership_directory.ts";
 import { OwnershipKeeper } from "./ownership_keeper.ts";
 import { PeerQuestions } from "./peer_questions.ts";
 import { PeerServer } from "./peer_server.ts";
@@ -45,6 +51,8 @@
 const LEAVE_MS = 2_300;
 /** Time kept for closing before the process would be killed, in milliseconds. */
 const CLOSING_MS = 700;
+/** Records up to this size travel with the news of them, in bytes: they fit into one datagram. */
+const LARGEST_NEWS_BYTES = 1_100;
 /** The health check of a service that no configuration names. */
 const USUAL_HEALTH_PATH = "/healthz";
 
@@ -66,6 +74,7 @@
   private readonly tenure = Tenure.create();
   private readonly board = BackendBoard.create();
   private readonly questions = PeerQuestions.create();
+  private readonly desk = HandoverDesk.create();
   private readonly logger: Logger;
   private readonly directStore: Store;
   private readonly store: RelayedStore;
@@ -83,9 +92,10 @@
   private readonly peerServer: PeerServer;
   private readonly heartbeats: Server;
   private readonly readiness: Server;
-  private readonly watchers: StoreWatcher[];
+  private readonly watcher: StoreWatcher;
   private readonly timers: NodeJS.Timeout[] = [];
   private settingsVersion: string;
+  private isAskingOwnership = false;
   private isLeaving = false;
   private isStopping = false;
 
@@ -104,7 +114,7 @@
       logger,
       findHelper: () => this.findHelper(),
     });
-    this.directory = OwnershipDirectory.create({ store: this.store, logger });
+    this.directory = OwnershipDirectory.create(logger);
     this.backend = LocalBackend.create({
       address: settings.backendAddress,
       protocol: ports.backends,
@@ -126,6 +136,7 @@
       mayGrant: (service) => this.ownership.mayGrant(service),
       onChange: () => this.gossip.announce(),
       onFreed: (freed) => this.ownership.noteFreed(freed),
+      beforeGrant: () => this.meetHandovers(),
     });
     this.ownership = OwnershipKeeper.create({
       store: this.store,
@@ -136,6 +147,13 @@
       tenure: this.tenure,
       backend: this.backend,
       keeper: () => this.keeper,
+      desk: this.desk,
+      onWritten: (service, record) => this.tellOwnership(service, record),
+      onPlanned: (daemon) =>
+        this.gossip.sendDatagram(
+          { kind: "expect", sender: this.view.ownReport.address },
+          daemon,
+        ),
     });
     this.configuration = ConfigurationKeeper.create({
       document: ports.document,
@@ -151,6 +169,7 @@
       view: this.view,
       logger,
       onRegistered: (revision) => this.ownership.noteRegistration(revision),
+      onRecord: (record) => this.directory.noteStored(record.key, record),
     });
     this.gossip = GossipNode.create({
       address: settings.gossipAddress,
@@ -159,6 +178,7 @@
       random,
       describe: () => this.describe(),
       onReports: (reports) => this.noteReports(reports),
+      onDatagram: (datagram) => this.takeDatagram(datagram),
     });
     this.forwarder = Forwarder.create({
       logger,
@@ -194,6 +214,7 @@
       logger,
       backend: this.backend,
       configuration: this.configuration,
+      directory: this.directory,
       store: this.directStore,
     });
     this.heartbeats = createHeartbeatServer({
@@ -202,7 +223,7 @@
       logger,
     });
     this.readiness = this.createReadiness();
-    this.watchers = this.createWatchers();
+    this.watcher = this.createWatcher();
     this.createGauges();
   }
 
@@ -218,7 +239,7 @@
   /** Opens the addresses and begins to work. */
   async start(): Promise<void> {
     const { settings } = this;
-    this.watchers.forEach((watcher) => watcher.start());
+    this.watcher.start();
     this.members.start();
     await Promise.all([
       this.gossip.start(),
@@ -281,7 +302,7 @@
 
   private async close(): Promise<void> {
     this.timers.forEach((timer) => clearInterval(timer));
-    this.watchers.forEach((watcher) => watcher.stop());
+    this.watcher.stop();
     this.members.stop();
     this.gossip.close();
     [this.peerServer.server, this.readiness, this.heartbeats].forEach(
@@ -311,6 +332,7 @@
       utilization: this.backend.utilization,
       failureShare: load.failureShare,
       configurationVersion: Math.max(0, this.configuration.version),
+      ownershipRevision: this.directory.revision,
       reachesStore: this.store.isReached,
     };
   }
@@ -320,9 +342,72 @@
     reports.forEach((report) => {
       this.board.noteLoad(report.address, report, nowMs);
       this.configuration.notePeer(report);
+      if (report.ownershipRevision > this.directory.revision) {
+        this.askOwnership(report.forwardAddress);
+      }
     });
   }
 
+  private takeDatagram(datagram: Datagram): void {
+    switch (datagram.kind) {
+      case "ownership": {
+        const { sender, service, revision, text } = datagram;
+        if (text !== undefined) {
+          this.directory.noteText({ service, revision, text });
+          return;
+        }
+        const address = this.view.find(sender)?.forwardAddress;
+        if (address !== undefined) {
+          this.askOwnership(address);
+        }
+        return;
+      }
+      case "expect":
+        this.desk.noteExpected(datagram.sender, steadyMs());
+        return;
+      case "awaiting":
+        this.desk.noteAwaiting(datagram.sender);
+    }
+  }
+
+  /** Asks a daemon that knows newer records of ownership, one question at a time. */
+  private askOwnership(peer: string): void {
+    if (this.isAskingOwnership) {
+      return;
+    }
+    this.isAskingOwnership = true;
+    void this.questions.askOwnership(peer).match(
+      (records) => records.forEach((news) => this.directory.noteText(news)),
+      (cause) => this.logger.log("peer_question_failed", { peer, cause }),
+    ).finally(() => {
+      this.isAskingOwnership = false;
+    });
+  }
+
+  private tellOwnership(service: string, record: OwnershipRecord): void {
+    const text = record.encode();
+    this.gossip.spread({
+      kind: "ownership",
+      sender: this.view.ownReport.address,
+      service,
+      revision: record.revision,
+      ...(text.length <= LARGEST_NEWS_BYTES ? { text } : {}),
+    });
+  }
+
+  /** Holds back the answer to a heartbeat while keys come or go, so that they have a holder sooner. */
+  private async meetHandovers(): Promise<void> {
+    const givers = this.desk.expectedFrom(steadyMs());
+    if (givers.length > 0) {
+      const sender = this.view.ownReport.address;
+      givers.forEach((giver) =>
+        this.gossip.sendDatagram({ kind: "awaiting", sender }, giver)
+      );
+      await this.desk.awaitKeys(steadyMs);
+    }
+    await this.ownership.beginMoves();
+  }
+
   /** A living daemon that reaches the store, any one. */
   private findHelper(): string | undefined {
     const helpers = this.view.alive(steadyMs())
@@ -331,28 +416,19 @@
     return helpers[index]?.forwardAddress;
   }
 
-  private createWatchers(): StoreWatcher[] {
+  private createWatcher(): StoreWatcher {
     const { logger, random, document } = this.ports;
-    const common = { store: this.store, logger, random };
-    return [
-      StoreWatcher.create({
-        ...common,
-        prefix: document.key,
-        onRecord: ({ key, value }) => {
-          if (key === document.key) {
-            this.configuration.take(value, "store");
-          }
-        },
-      }),
-      StoreWatcher.create({
-        ...common,
-        prefix: "bamboolink/",
-        onRecord: (record) =>
-          record.key.startsWith(OWNERSHIP_PREFIX)
-            ? this.directory.noteStored(record.key, record)
-            : this.members.noteStored(record),
-      }),
-    ];
+    return StoreWatcher.create({
+      store: this.store,
+      logger,
+      random,
+      prefix: document.key,
+      onRecord: ({ key, value }) => {
+        if (key === document.key) {
+          this.configuration.take(value, "store");
+        }
+      },
+    });
   }
 
   private createReadiness(): Server {
@@ -445,6 +521,7 @@
     utilization: 0,
     failureShare: 0,
     configurationVersion: 0,
+    ownershipRevision: 0,
     reachesStore: false,
   };
 }
