Take only what is whole for an answer; acknowledge forwarded requests

Change: the connection notes how it ends before the client hears of it. Forwarded requests are acknowledged by an informational answer; idempotent ones whose daemon does not say so within 260 ms go elsewhere. What waits at a leaving backend server is handed over only in the first three quarters of the bound. Tests: raw servers for each way an answer can end, and the whole path with real processes against stand-ins of the platform.

--- a/packages/router/src/backend_keeper.ts
+++ b/packages/router/src/backend_keeper.ts
@@ -28,6 +28,12 @@
 /** A backend server that refuses connections for so long is gone, in milliseconds. */
 const REFUSED_MS = 150;
 
+/**
+ * Share of the drain's bound in which requests that wait already are still handed over; the rest is for
+ * their way to the backend server and for differences of clocks.
+ */
+const DRAIN_SHARE = 0.75;
+
 /** What the keeper needs. */
 export interface BackendKeeperContext {
   readonly address: string;
@@ -36,6 +42,8 @@
   readonly backend: LocalBackend;
   readonly grants: GrantBook;
   readonly tenure: Tenure;
+  /** From the word that the backend server leaves until it may get nothing more, in milliseconds. */
+  readonly drainMs: () => number;
   /** Path of the health check of a service. */
   readonly healthPath: (service: string) => string;
   readonly isKeyed: (service: string) => boolean;
@@ -56,6 +64,7 @@
   private readonly instances = InstanceBook.create();
   private last: BackendHeartbeat | undefined;
   private current: MemberPhase = "absent";
+  private drainingSinceMs = Infinity;
 
   private constructor(private readonly context: BackendKeeperContext) {}
 
@@ -172,6 +181,10 @@
   private setPhase(phase: MemberPhase, cause: string): void {
     const { backend, logger, isKeyed, onChange } = this.context;
     const { last } = this;
+    const isDraining = phase === "draining";
+    this.drainingSinceMs = isDraining
+      ? Math.min(this.drainingSinceMs, steadyMs())
+      : Infinity;
     backend.identify(
       last === undefined || phase === "absent" ? undefined : {
         instance: last.instance,
@@ -179,6 +192,8 @@
         slots: last.slots,
         phase,
         isKeyed: isKeyed(last.service),
+        handOverUntilMs: this.drainingSinceMs +
+          this.context.drainMs() * DRAIN_SHARE,
       },
     );
     if (phase !== this.current) {
--- a/packages/router/src/exchange.ts
+++ b/packages/router/src/exchange.ts
@@ -4,10 +4,12 @@
  * @module
  */
 import { BamboolinkError } from "@bamboolink/errors";
-import { Client, type Dispatcher } from "undici";
+import { buildConnector, Client, type Dispatcher } from "undici";
 
 /** How long a new connection may take, in milliseconds. All peers are within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 400;
+/** Statuses below this are informational: the answer is still to come. */
+const FIRST_FINAL_STATUS = 200;
 /** Answers up to this size are taken, in bytes; they are kept whole so that none is passed on in part. */
 const MAXIMUM_ANSWER_BYTES = 67_108_864;
 
@@ -42,6 +44,18 @@
   /** It was sent, and no whole answer came. */
   | { readonly kind: "lost"; readonly error: BamboolinkError };
 
+/** How an exchange may end early. */
+export interface ExchangeOptions {
+  readonly signal: AbortSignal;
+  readonly nowMs: () => number;
+  readonly acknowledgeMs?: number | undefined;
+}
+
+/** How the present connection of a client ended, if it did. */
+interface ConnectionEnd {
+  state: "open" | "ended" | "reset";
+}
+
 type Controller = Dispatcher.DispatchController;
 
 /** One connection that carries one request at a time; it connects anew by itself. */
@@ -51,18 +65,20 @@
   private constructor(
     private readonly client: Client,
     private readonly peer: string,
+    private readonly end: ConnectionEnd,
   ) {}
 
   /** Creates a connection that connects with its first request. */
   static create(peer: string): Connection {
+    const end: ConnectionEnd = { state: "open" };
     const client = new Client(`http://${peer}`, {
       pipelining: 1,
-      connectTimeout: CONNECT_TIMEOUT_MS,
+      connect: createConnector(end),
       headersTimeout: 0,
       bodyTimeout: 0,
       maxResponseSize: MAXIMUM_ANSWER_BYTES,
     });
-    return new Connection(client, peer);
+    return new Connection(client, peer, end);
   }
 
   /** When the last request ended. */
@@ -70,13 +86,20 @@
     return this.usedAtMs;
   }
 
-  /** Sends a request; `cancel` ends it and its connection. It never throws. */
+  /**
+   * Sends a request. It never throws.
+   *
+   * @param options `signal` ends the request and its connection; so does a peer that has not said within
+   *   `acknowledgeMs` that it has the request (an informational answer, or any other).
+   */
   exchange(
     request: ExchangeRequest,
-    options: { signal: AbortSignal; nowMs: () => number },
+    options: ExchangeOptions,
   ): Promise<ExchangeResult> {
     return new Promise((resolve) => {
-      const handler = ExchangeHandler.create(this.peer, (result) => {
+      const { peer, end } = this;
+      const handler = ExchangeHandler.create({ peer, end }, (result) => {
+        clearTimeout(timer);
         options.signal.removeEventListener("abort", cancel);
         this.usedAtMs = options.nowMs();
         resolve(result);
@@ -85,6 +108,13 @@
         handler.cancel();
         void this.destroy();
       };
+      const timer = options.acknowledgeMs === undefined
+        ? undefined
+        : setTimeout(() => {
+          if (!handler.isAcknowledged) {
+            cancel();
+          }
+        }, options.acknowledgeMs);
       if (options.signal.aborted) {
         handler.cancel();
         return;
@@ -115,6 +145,8 @@
 
 /** Collects one answer. */
 class ExchangeHandler {
+  /** Whether the peer has said anything. */
+  isAcknowledged = false;
   private isSent = false;
   private isDone = false;
   private status = 0;
@@ -122,15 +154,15 @@
   private readonly chunks: Buffer[] = [];
 
   private constructor(
-    private readonly peer: string,
+    private readonly connection: { peer: string; end: ConnectionEnd },
     private readonly settle: (result: ExchangeResult) => void,
   ) {}
 
   static create(
-    peer: string,
+    connection: { peer: string; end: ConnectionEnd },
     settle: (result: ExchangeResult) => void,
   ): ExchangeHandler {
-    return new ExchangeHandler(peer, settle);
+    return new ExchangeHandler(connection, settle);
   }
 
   /** Called just before the first byte is written, never when no connection could be made. */
@@ -143,8 +175,11 @@
     status: number,
     headers: AnswerHeaders,
   ): void {
-    this.status = status;
-    this.headers = headers;
+    this.isAcknowledged = true;
+    if (status >= FIRST_FINAL_STATUS) {
+      this.status = status;
+      this.headers = headers;
+    }
   }
 
   onResponseData(_controller: Controller, chunk: Buffer): void {
@@ -153,6 +188,10 @@
 
   onResponseEnd(): void {
     const { status, headers } = this;
+    if (!isWhole(headers, this.connection.end)) {
+      this.fail(new Error("the connection ended within the answer"));
+      return;
+    }
     const body = this.chunks.length === 1
       ? this.chunks[0]!
       : Buffer.concat(this.chunks);
@@ -169,7 +208,7 @@
   }
 
   fail(cause: unknown): void {
-    const details = { step: "exchange", peer: this.peer, cause };
+    const details = { step: "exchange", peer: this.connection.peer, cause };
     if (this.isSent) {
       const message = "the connection ended before the answer was whole";
       this.finish({
@@ -194,6 +233,44 @@
   }
 }
 
+/**
+ * Whether an answer that the client takes for whole is so.
+ *
+ * What goes wrong without it: the client takes what came before a reset, or before the end of the
+ * connection, for the whole answer, and a caller gets half an answer that looks complete. Only an answer
+ * without any framing ends with its connection, and only in good order.
+ */
+function isWhole(headers: AnswerHeaders, end: ConnectionEnd): boolean {
+  switch (end.state) {
+    case "open":
+      return true;
+    case "ended":
+      return headers["transfer-encoding"] === undefined;
+    case "reset":
+      return false;
+  }
+}
+
+/** Connects, and notes how the connection ends before the client hears of it. */
+function createConnector(end: ConnectionEnd): buildConnector.connector {
+  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  return (options, callback) =>
+    connect(options, (...[error, socket]) => {
+      if (error !== null || !socket) {
+        callback(error ?? new Error("no connection"), null);
+        return;
+      }
+      end.state = "open";
+      socket.on("end", () => {
+        end.state = "ended";
+      });
+      socket.on("error", () => {
+        end.state = "reset";
+      });
+      callback(null, socket);
+    });
+}
+
 function codeOf(cause: unknown): string | undefined {
   return cause instanceof Error
     ? (cause as NodeJS.ErrnoException).code
--- a/packages/router/src/forwarder.ts
+++ b/packages/router/src/forwarder.ts
@@ -18,6 +18,12 @@
 /** Daemons keep idle connections for longer than this, in milliseconds; see `peer_server.ts`. */
 const REUSE_MS = 20_000;
 
+/**
+ * A daemon says at once that it has a request; one that has not after so long is frozen, cut off, or the
+ * connection is dead, in milliseconds. A lost packet is sent again after 200 ms, which must not look so.
+ */
+const ACKNOWLEDGE_MS = 260;
+
 /** What the forwarder needs. */
 export interface ForwarderContext {
   readonly logger: Logger;
@@ -47,7 +53,12 @@
     const connection = pool.take({ nowMs, longestIdleMs: REUSE_MS });
     const result = await connection.exchange(
       encodeWork(work, nowMs),
-      { signal: to.signal, nowMs: steadyMs },
+      {
+        signal: to.signal,
+        nowMs: steadyMs,
+        // A request that may run once only can't go elsewhere, so it goes on waiting.
+        acknowledgeMs: work.isIdempotent ? ACKNOWLEDGE_MS : undefined,
+      },
     );
     if (result.kind !== "answer") {
       pool.discard(connection);
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -55,6 +55,8 @@
   readonly slots: number;
   readonly phase: MemberPhase;
   readonly isKeyed: boolean;
+  /** After this nothing is handed over any more, on the steady clock; infinite while it takes work. */
+  readonly handOverUntilMs: number;
 }
 
 interface Waiting {
@@ -291,7 +293,13 @@
     if (work.deadlineAtMs - steadyMs() < 1) {
       return notRun("too_late");
     }
-    return this.identity === undefined ? notRun("no_backend") : undefined;
+    const { identity } = this;
+    if (identity === undefined || identity.service !== work.service) {
+      return notRun("no_backend");
+    }
+    return steadyMs() > identity.handOverUntilMs
+      ? notRun("draining")
+      : undefined;
   }
 
   private describe(work: Work, nowMs: number) {
--- a/packages/router/src/peer_server.ts
+++ b/packages/router/src/peer_server.ts
@@ -126,6 +126,7 @@
       response.writeHead(400).end();
       return;
     }
+    response.writeProcessing();
     const outcome = this.isStopping
       ? notRun("stopping")
       : await this.runUntilDeadline(work.value, response);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -128,6 +128,7 @@
       backend: this.backend,
       grants: this.grants,
       tenure: this.tenure,
+      drainMs: () => this.settings.bounds.drainMs,
       healthPath: (service) =>
         this.configuration.inForce?.services.get(service)?.healthPath ??
           USUAL_HEALTH_PATH,
