Take callers that come back for late, and short requests until their deadline

Change: how long a caller has waited is learned from its deadline; requests that take little are refused only when they can't meet the deadline.

--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -33,3 +33,4 @@
 export { ServiceTimes } from "./service_times.ts";
 export { ResendBudget, type ResendLimits } from "./resend_budget.ts";
 export { createAnswerSpread } from "./answer_spread.ts";
+export { CallerPatience } from "./caller_patience.ts";
--- a/packages/admission/src/service_times.ts
+++ b/packages/admission/src/service_times.ts
@@ -6,8 +6,8 @@
 
 /** Weight of the latest request in the average of its kind. */
 const LEARNING_RATE = 0.1;
-/** What a kind of request that was never seen is taken for, as a share of its objective. */
-const UNSEEN_SHARE = 0.35;
+/** What a kind of request that was never seen is taken for, as a share of the time that it has. */
+const UNSEEN_SHARE = 0.1;
 
 /** Moving averages by kind of request. */
 export class ServiceTimes {
@@ -29,8 +29,8 @@
   }
 
   /** How long a request of a kind is expected to hold a slot, in milliseconds. */
-  estimate(kind: string, objectiveMs: number): number {
-    return this.averages.get(kind) ?? objectiveMs * UNSEEN_SHARE;
+  estimate(kind: string, leftMs: number): number {
+    return this.averages.get(kind) ?? Math.max(0, leftMs) * UNSEEN_SHARE;
   }
 
   /** The average over all requests, in milliseconds; 0 before the first. */
--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -52,6 +52,8 @@
  * allowance beyond it all would (replayed in the test: 24 requests in time of 564).
  */
 const ESTIMATE_MARGIN = 0.25;
+/** A request is short up to this share of the mean estimate. */
+const SHORT_SHARE = 0.4;
 /** An overdue running request is expected to take at least this share of its estimate still. */
 const OVERDUE_SHARE = 0.2;
 
@@ -102,7 +104,8 @@
     }
     const isLate = doneAtMs + request.estimateMs * ESTIMATE_MARGIN >
       request.objectiveAtMs;
-    if (isLate && !this.hasLessUrgent(request)) {
+    const makesRoom = this.hasLessUrgent(request) || this.isShort(request);
+    if (isLate && !makesRoom) {
       return { kind: "refuse", reason: "overloaded", waitMs };
     }
     if (this.waiting.length >= this.slots * WAITING_PER_SLOT) {
@@ -172,6 +175,16 @@
     return ends[indexOfLeast(ends)]!;
   }
 
+  /**
+   * Whether a request takes little of the slots' time beside the others. Short requests are mostly calls
+   * that other work waits for while it holds a slot: refusing one saves little and wastes much.
+   */
+  private isShort(request: WorkRequest): boolean {
+    const others = [...this.running.values(), ...this.waiting];
+    const sum = others.reduce((total, { estimateMs }) => total + estimateMs, 0);
+    return request.estimateMs * others.length <= sum * SHORT_SHARE;
+  }
+
   /** Whether anything that runs or waits is less urgent, so that it makes room for the request. */
   private hasLessUrgent(request: WorkRequest): boolean {
     const isLess = ({ rank }: { rank: number }) => rank > request.rank;
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -9,7 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { createAnswerSpread } from "@bamboolink/admission";
+import { CallerPatience, createAnswerSpread } from "@bamboolink/admission";
 import type { Logger } from "@bamboolink/logger";
 import type { Metrics } from "@bamboolink/metrics";
 import { TrafficSplit } from "@bamboolink/traffic";
@@ -59,6 +59,7 @@
 export class Ingress {
   /** Takes the callers' connections. */
   readonly server: Server;
+  private readonly patience = CallerPatience.create();
   private readonly split: TrafficSplit;
   private readonly spread: (waitMs: number) => number;
   private active = 0;
@@ -195,6 +196,9 @@
       (request.deadlineMs ?? Infinity) - WAY_BACK_MS,
       route.timeoutMs,
     );
+    const waitedMs = request.deadlineMs === undefined
+      ? 0
+      : this.patience.note(route.name, request.deadlineMs);
     const service = this.split.choose(route);
     const isKeyed = match.inForce.services.get(service)?.keyed === true;
     return {
@@ -205,7 +209,8 @@
       isIdempotent: route.idempotent,
       key: isKeyed ? request.key : undefined,
       callerService: callerService(),
-      objectiveAtMs: arrivedMs + Math.min(route.objectiveMs, patienceMs),
+      objectiveAtMs: arrivedMs +
+        Math.min(route.objectiveMs - waitedMs, patienceMs),
       deadlineAtMs: arrivedMs + patienceMs,
       method: incoming.method ?? "GET",
       target: incoming.url ?? "/",
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -147,7 +147,7 @@
     }
     const estimateMs = this.times.estimate(
       work.route,
-      work.objectiveAtMs - steadyMs(),
+      work.deadlineAtMs - steadyMs(),
     );
     this.meter.noteOffered(estimateMs);
     if (work.key !== undefined) {
