Let requests that were overtaken give way at dispatch

Change: when a slot is free, what can't meet its objective any more is refused if another that can waits. One line in the log says every 2 s how busy the backend server is.

--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -98,14 +98,10 @@
       return { kind: "run" };
     }
     const waitMs = this.waitAhead(request, nowMs);
-    const doneAtMs = nowMs + waitMs + request.estimateMs;
-    if (doneAtMs > request.deadlineAtMs) {
+    if (nowMs + waitMs + request.estimateMs > request.deadlineAtMs) {
       return { kind: "refuse", reason: "too_late", waitMs };
     }
-    const isLate = doneAtMs + request.estimateMs * ESTIMATE_MARGIN >
-      request.objectiveAtMs;
-    const makesRoom = this.hasLessUrgent(request) || this.isShort(request);
-    if (isLate && !makesRoom) {
+    if (endsLate(request, nowMs + waitMs) && !this.makesRoom(request)) {
       return { kind: "refuse", reason: "overloaded", waitMs };
     }
     if (this.waiting.length >= this.slots * WAITING_PER_SLOT) {
@@ -175,6 +171,11 @@
     return ends[indexOfLeast(ends)]!;
   }
 
+  /** Whether a request is worth a slot also when it misses its objective, because others make room. */
+  private makesRoom(request: WorkRequest): boolean {
+    return this.hasLessUrgent(request) || this.isShort(request);
+  }
+
   /**
    * Whether a request takes little of the slots' time beside the others. Short requests are mostly calls
    * that other work waits for while it holds a slot: refusing one saves little and wastes much.
@@ -210,15 +211,41 @@
     const hopeless = this.waiting.filter((request) =>
       nowMs + request.estimateMs > request.deadlineAtMs
     );
-    if (hopeless.length > 0) {
+    this.remove(hopeless);
+    const overtaken = this.findOvertaken(nowMs);
+    this.remove(overtaken);
+    return [
+      ...hopeless.map(({ id }) => ({ id, reason: "too_late" as const })),
+      ...overtaken.map(({ id }) => ({ id, reason: "overloaded" as const })),
+    ];
+  }
+
+  /**
+   * Requests that were overtaken by more urgent ones and miss their objective now, while others wait
+   * that can still meet theirs: a slot given to the first would make the second late, too.
+   */
+  private findOvertaken(nowMs: number): WorkRequest[] {
+    const late = this.waiting.filter((request) =>
+      endsLate(request, nowMs) && !this.makesRoom(request)
+    );
+    return late.length < this.waiting.length ? late : [];
+  }
+
+  private remove(requests: readonly WorkRequest[]): void {
+    if (requests.length > 0) {
       this.waiting = this.waiting.filter((request) =>
-        !hopeless.includes(request)
+        !requests.includes(request)
       );
     }
-    return hopeless.map(({ id }) => ({ id, reason: "too_late" as const }));
   }
 }
 
+/** Whether a request that starts then must be expected to miss its objective. */
+function endsLate(request: WorkRequest, startMs: number): boolean {
+  return startMs + request.estimateMs * (1 + ESTIMATE_MARGIN) >
+    request.objectiveAtMs;
+}
+
 function indexOfLeast(numbers: readonly number[]): number {
   return numbers.reduce(
     (least, number, index) => number < numbers[least]! ? index : least,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -417,6 +417,13 @@
       "Lines of an event were left out to bound the volume of the log; `count` says how many.",
     action: NOTHING,
   },
+  backend_load: {
+    number: 1830,
+    severity: "info",
+    meaning:
+      "How busy the backend server was since the last such line: requests that run and wait, offered and finished, its usual time and the share that failed.",
+    action: NOTHING,
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -75,6 +75,7 @@
   private connections: ConnectionPool;
   private identity: BackendIdentity | undefined;
   private lastId = 0;
+  private totals = { offered: 0, finished: 0 };
 
   private constructor(private context: LocalBackendContext) {
     super();
@@ -120,6 +121,22 @@
     };
   }
 
+  /** Describes the load since the last call, for the log. */
+  takeLoadSummary(): Record<string, number> {
+    const { offered, finished } = this.totals;
+    this.totals = { offered: 0, finished: 0 };
+    return {
+      ...this.counts,
+      offered,
+      finished,
+      slots: this.identity?.slots ?? 0,
+      wait_ms: Math.round(this.queue.waitMs(steadyMs())),
+      service_ms: Math.round(this.times.averageMs),
+      utilization: Math.round(this.utilization * 100) / 100,
+      failure_share: Math.round(this.meter.failureShare * 100) / 100,
+    };
+  }
+
   /** Lets time pass: what can't be done in time any more is refused, and old load is forgotten. */
   tick(): void {
     const nowMs = steadyMs();
@@ -150,6 +167,7 @@
       work.deadlineAtMs - steadyMs(),
     );
     this.meter.noteOffered(estimateMs);
+    this.totals.offered += 1;
     if (work.key !== undefined) {
       this.profile.note(work.key, estimateMs);
     }
@@ -371,6 +389,7 @@
   }
 
   private leaveSlot(id: number): void {
+    this.totals.finished += 1;
     this.apply(this.queue.finish(id, steadyMs()));
   }
 
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -41,6 +41,8 @@
 
 /** Time between two steps of the control loop, in milliseconds. */
 const TICK_MS = 50;
+/** Time between two lines of the log on how busy the backend server is, in milliseconds. */
+const LOAD_LINE_MS = 2_000;
 /** Time between two looks at the settings, in milliseconds. */
 const SETTINGS_MS = 1_000;
 /**
@@ -253,6 +255,10 @@
       setInterval(() => this.tick(), TICK_MS),
       setInterval(() => this.gossip.round(), ROUND_MS),
       setInterval(() => this.checkSettings(), SETTINGS_MS),
+      setInterval(
+        () => this.logger.log("backend_load", this.backend.takeLoadSummary()),
+        LOAD_LINE_MS,
+      ),
     );
     this.logger.log("process_started", {
       host: settings.host,
