Ask fewer daemons under overload, wait for slow ones, and start from compiled code

Change: the time for an acknowledgement follows what is usual, and only requests that can go elsewhere give up; after a refusal only servers with room are asked; figures in gossip are finite. The log tells every 5 s at most how many lines it left out.

--- a/packages/logger/src/line_budget.ts
+++ b/packages/logger/src/line_budget.ts
@@ -9,8 +9,12 @@
 /** Lines that one event may save up for a moment in which much happens. */
 const SAVED_LINES = 60;
 
+/** How many were left out is told at most so often, in milliseconds. */
+const TELL_MS = 5_000;
+
 interface Bucket {
   lines: number;
+  toldAtMs: number;
   filledAtMs: number;
   leftOut: number;
 }
@@ -32,7 +36,7 @@
   /**
    * Asks for a line.
    *
-   * @returns whether it may be written, and how many were left out since the last that was.
+   * @returns whether it may be written, and how many were left out that nobody was told of yet.
    */
   take(event: string, nowMs: number): { mayWrite: boolean; leftOut: number } {
     const bucket = this.bucketOf(event, nowMs);
@@ -46,8 +50,12 @@
       bucket.leftOut += 1;
       return { mayWrite: false, leftOut: bucket.leftOut };
     }
-    const { leftOut } = bucket;
     bucket.lines -= 1;
+    if (nowMs - bucket.toldAtMs < TELL_MS) {
+      return { mayWrite: true, leftOut: 0 };
+    }
+    const { leftOut } = bucket;
+    bucket.toldAtMs = nowMs;
     bucket.leftOut = 0;
     return { mayWrite: true, leftOut };
   }
@@ -55,7 +63,7 @@
   private bucketOf(event: string, nowMs: number): Bucket {
     const known = this.buckets.get(event);
     const bucket = known ??
-      { lines: SAVED_LINES, filledAtMs: nowMs, leftOut: 0 };
+      { lines: SAVED_LINES, toldAtMs: nowMs, filledAtMs: nowMs, leftOut: 0 };
     this.buckets.set(event, bucket);
     return bucket;
   }
--- a/packages/router/src/exchange.ts
+++ b/packages/router/src/exchange.ts
@@ -49,6 +49,10 @@
   readonly signal: AbortSignal;
   readonly nowMs: () => number;
   readonly acknowledgeMs?: number | undefined;
+  /** Called when the peer has said that it has the request, or has answered it. */
+  readonly onAcknowledged?: () => void;
+  /** Asked when the acknowledgement stays away: whether the request is better sent elsewhere. */
+  readonly mayGiveUp?: () => boolean;
 }
 
 /** How the present connection of a client ended, if it did. */
@@ -98,7 +102,9 @@
   ): Promise<ExchangeResult> {
     return new Promise((resolve) => {
       const { peer, end } = this;
-      const handler = ExchangeHandler.create({ peer, end }, (result) => {
+      const { onAcknowledged } = options;
+      const connection = { peer, end, onAcknowledged };
+      const handler = ExchangeHandler.create(connection, (result) => {
         clearTimeout(timer);
         options.signal.removeEventListener("abort", cancel);
         this.usedAtMs = options.nowMs();
@@ -111,7 +117,7 @@
       const timer = options.acknowledgeMs === undefined
         ? undefined
         : setTimeout(() => {
-          if (!handler.isAcknowledged) {
+          if (!handler.isAcknowledged && options.mayGiveUp?.() !== false) {
             cancel();
           }
         }, options.acknowledgeMs);
@@ -143,6 +149,12 @@
   }
 }
 
+interface HandlerContext {
+  readonly peer: string;
+  readonly end: ConnectionEnd;
+  readonly onAcknowledged: (() => void) | undefined;
+}
+
 /** Collects one answer. */
 class ExchangeHandler {
   /** Whether the peer has said anything. */
@@ -154,12 +166,12 @@
   private readonly chunks: Buffer[] = [];
 
   private constructor(
-    private readonly connection: { peer: string; end: ConnectionEnd },
+    private readonly connection: HandlerContext,
     private readonly settle: (result: ExchangeResult) => void,
   ) {}
 
   static create(
-    connection: { peer: string; end: ConnectionEnd },
+    connection: HandlerContext,
     settle: (result: ExchangeResult) => void,
   ): ExchangeHandler {
     return new ExchangeHandler(connection, settle);
@@ -175,7 +187,10 @@
     status: number,
     headers: AnswerHeaders,
   ): void {
-    this.isAcknowledged = true;
+    if (!this.isAcknowledged) {
+      this.isAcknowledged = true;
+      this.connection.onAcknowledged?.();
+    }
     if (status >= FIRST_FINAL_STATUS) {
       this.status = status;
       this.headers = headers;
--- a/packages/router/src/forwarder.ts
+++ b/packages/router/src/forwarder.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Logger } from "@bamboolink/logger";
+import { AcknowledgementTimes } from "./acknowledgement_times.ts";
 import { steadyMs } from "./clock.ts";
 import { ConnectionPool } from "./connection_pool.ts";
 import type { ExchangeResult } from "./exchange.ts";
@@ -18,12 +19,6 @@
 /** Daemons keep idle connections for longer than this, in milliseconds; see `peer_server.ts`. */
 const REUSE_MS = 20_000;
 
-/**
- * A daemon says at once that it has a request; one that has not after so long is frozen, cut off, or the
- * connection is dead, in milliseconds. A lost packet is sent again after 200 ms, which must not look so.
- */
-const ACKNOWLEDGE_MS = 260;
-
 /** What the forwarder needs. */
 export interface ForwarderContext {
   readonly logger: Logger;
@@ -35,6 +30,7 @@
 /** The ways to all other daemons. */
 export class Forwarder {
   private readonly pools = new Map<string, ConnectionPool>();
+  private readonly acknowledgements = AcknowledgementTimes.create();
 
   private constructor(private readonly context: ForwarderContext) {}
 
@@ -46,7 +42,13 @@
   /** Sends a request to a daemon. It never throws. */
   async forward(
     work: Work,
-    to: { daemon: string; address: string; signal: AbortSignal },
+    to: {
+      daemon: string;
+      address: string;
+      signal: AbortSignal;
+      /** Whether the request is better sent elsewhere than left with a daemon that says nothing. */
+      mayGiveUp: () => boolean;
+    },
   ): Promise<Outcome> {
     const pool = this.poolOf(to.address);
     const nowMs = steadyMs();
@@ -56,8 +58,9 @@
       {
         signal: to.signal,
         nowMs: steadyMs,
-        // A request that may run once only can't go elsewhere, so it goes on waiting.
-        acknowledgeMs: work.isIdempotent ? ACKNOWLEDGE_MS : undefined,
+        acknowledgeMs: this.acknowledgements.limitMs,
+        onAcknowledged: () => this.acknowledgements.note(steadyMs() - nowMs),
+        mayGiveUp: to.mayGiveUp,
       },
     );
     if (result.kind !== "answer") {
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -100,8 +100,10 @@
 
   /** How busy the backend server is. */
   report(): LoadReport {
+    // Without slots nobody sends anything; the phase says so, and the figure must be one that travels.
+    const hasSlots = (this.identity?.slots ?? 0) > 0;
     return {
-      waitMs: this.queue.waitMs(steadyMs()),
+      waitMs: hasSlots ? this.queue.waitMs(steadyMs()) : 0,
       serviceMs: this.times.averageMs,
       failureShare: this.meter.failureShare,
     };
@@ -130,7 +132,7 @@
       offered,
       finished,
       slots: this.identity?.slots ?? 0,
-      wait_ms: Math.round(this.queue.waitMs(steadyMs())),
+      wait_ms: Math.round(this.report().waitMs),
       service_ms: Math.round(this.times.averageMs),
       utilization: Math.round(this.utilization * 100) / 100,
       failure_share: Math.round(this.meter.failureShare * 100) / 100,
--- a/packages/router/src/request_runner.ts
+++ b/packages/router/src/request_runner.ts
@@ -6,7 +6,11 @@
 import type { ResendBudget } from "@bamboolink/admission";
 import type { Logger } from "@bamboolink/logger";
 import type { MemberReport, MemberView } from "@bamboolink/membership";
-import { chooseBackend } from "@bamboolink/placement";
+import {
+  chooseBackend,
+  expectedMs,
+  type PlacementCandidate,
+} from "@bamboolink/placement";
 import type { BackendBoard } from "./backend_board.ts";
 import { steadyMs } from "./clock.ts";
 import type { Forwarder } from "./forwarder.ts";
@@ -67,12 +71,23 @@
         return last;
       }
       if (progress.arrivals > 0) {
-        if (!this.mayResend(work, progress, options.maximumAttempts)) {
+        if (
+          !this.mayResend(work, progress.arrivals, options.maximumAttempts)
+        ) {
           return last;
         }
         this.context.budget.noteResend(work.service, steadyMs());
       }
-      last = await this.attempt(work, { target, signal: options.signal });
+      const mayGiveUp = () =>
+        work.isIdempotent &&
+        !this.context.directory.isKeyed(work.service) &&
+        this.mayResend(work, progress.arrivals + 1, options.maximumAttempts) &&
+        this.choose(work, withTried(progress, target)) !== undefined;
+      last = await this.attempt(work, {
+        target,
+        signal: options.signal,
+        mayGiveUp,
+      });
       this.logAttempt(work, { target, round, outcome: last });
       if (this.isFinal(work, last) || options.signal.aborted) {
         return last;
@@ -85,10 +100,14 @@
 
   private attempt(
     work: Work,
-    to: { target: MemberReport; signal: AbortSignal },
+    to: {
+      target: MemberReport;
+      signal: AbortSignal;
+      mayGiveUp: () => boolean;
+    },
   ): Promise<Outcome> {
     const { view, backend, board, forwarder } = this.context;
-    const { target, signal } = to;
+    const { target, signal, mayGiveUp } = to;
     if (target.address === view.ownReport.address) {
       return backend.attempt(work, signal);
     }
@@ -97,6 +116,7 @@
       daemon: target.address,
       address: target.forwardAddress,
       signal,
+      mayGiveUp,
     });
   }
 
@@ -114,13 +134,13 @@
 
   private mayResend(
     work: Work,
-    progress: Progress,
+    arrivals: number,
     maximumAttempts: number,
   ): boolean {
     const { budget, view, backend } = this.context;
     const nowMs = steadyMs();
     const usualMs = backend.report().serviceMs;
-    return progress.arrivals < maximumAttempts &&
+    return arrivals < maximumAttempts &&
       work.deadlineAtMs - nowMs > usualMs * USEFUL_TIME_SHARE &&
       budget.allows(work.service, {
         nowMs,
@@ -156,11 +176,22 @@
       availabilityZone: own.availabilityZone,
       nowMs,
     };
-    const candidates = pool.map((report) => board.describe(report, place));
+    const described = pool.map((report) => board.describe(report, place));
+    const candidates = progress.tried.size === 0
+      ? described
+      : described.filter((candidate) => this.hasRoom(candidate, work));
     const chosen = chooseBackend(candidates, random);
     return pool.find(({ address }) => address === chosen?.daemon);
   }
 
+  /**
+   * Whether a backend server may do the work in time, after another has refused it. Under overload all
+   * are full: asking each would cost more than the answer that it saves.
+   */
+  private hasRoom(candidate: PlacementCandidate, work: Work): boolean {
+    return steadyMs() + expectedMs(candidate) < work.objectiveAtMs;
+  }
+
   /** Waits a little for a key that has just lost its owner: most get another within milliseconds. */
   private async findOwner(
     work: Work,
@@ -218,6 +249,13 @@
   }
 }
 
+function withTried(progress: Progress, target: MemberReport): Progress {
+  return {
+    arrivals: progress.arrivals,
+    tried: new Set([...progress.tried, target.address]),
+  };
+}
+
 function hasArrived(outcome: Outcome): boolean {
   return outcome.kind !== "not_run" || outcome.hasArrived;
 }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,20 +1,54 @@
 /**
- * Bundles the deployed programs into one file each under `target/`: a start reads one file instead of
- * hundreds.
+ * Bundles the deployed programs into one file each under `target/`, with the code that V8 compiled from
+ * it: a start reads two files instead of hundreds and compiles little. Starts after a crash are where
+ * requests wait for it.
  *
  * @module
  */
+import { execFileSync } from "node:child_process";
+import { writeFileSync } from "node:fs";
 import { build } from "esbuild";
 
+/** Must be those of `run` in `deploy/system.toml`: compiled code fits only the flags it was made with. */
+const FLAGS = ["--max-old-space-size=160"];
+const BUNDLE = "target/bamboolink-router.bundle.cjs";
+const CACHE = "target/bamboolink-router.cache";
+const PROGRAM = "target/bamboolink-router.cjs";
+
+/** Runs the bundle from compiled code where that fits, and from its text where not. */
+const LOADER = `"use strict";
+const { readFileSync } = require("node:fs");
+const { join } = require("node:path");
+const { Script } = require("node:vm");
+const filename = join(__dirname, "bamboolink-router.bundle.cjs");
+const cache = join(__dirname, "bamboolink-router.cache");
+const text = readFileSync(filename, "utf8");
+const source = "(function (exports, require, module, __filename, __dirname) {" + text + "\\n})";
+const makesCache = process.argv[2] === "--make-cache";
+let cachedData;
+try {
+  cachedData = makesCache ? undefined : readFileSync(cache);
+} catch {
+  // Without compiled code the text is compiled.
+}
+const script = new Script(source, { filename, ...(cachedData ? { cachedData } : {}) });
+const wrapped = { exports: {} };
+script.runInThisContext()(wrapped.exports, require, wrapped, filename, __dirname);
+if (makesCache) {
+  require("node:fs").writeFileSync(cache, script.createCachedData());
+  process.exit(0);
+}
+`;
+
 await build({
-  entryPoints: { "bamboolink-router": "platform/dist/main.js" },
-  outdir: "target",
-  outExtension: { ".js": ".cjs" },
+  entryPoints: ["platform/dist/main.js"],
+  outfile: BUNDLE,
   bundle: true,
   platform: "node",
   target: "node20",
   format: "cjs",
   minifySyntax: true,
+  minifyWhitespace: true,
   // Holds a native library, which is loaded from where it is installed.
   external: ["koffi"],
   define: { "import.meta.url": "bundleUrl" },
@@ -23,3 +57,7 @@
   },
   logLevel: "warning",
 });
+writeFileSync(PROGRAM, LOADER);
+execFileSync(process.execPath, [...FLAGS, PROGRAM, "--make-cache"], {
+  stdio: ["ignore", "ignore", "inherit"],
+});
