--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -225,7 +225,7 @@
   },
   peer_unreachable: {
     number: 1701,
-    severity: "debug",
+    severity: "info",
     meaning: "Another daemon did not answer.",
     action: NOTHING,
   },
@@ -266,7 +266,7 @@
   },
   attempt_failed: {
     number: 1806,
-    severity: "debug",
+    severity: "info",
     meaning:
       "One attempt for a request brought no answer; `reason` and `left_ms` decided what came next.",
     action: NOTHING,
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -31,6 +31,8 @@
 
 /** What the answer's way back to the caller takes, in milliseconds: the deadline is met there. */
 const WAY_BACK_MS = 8;
+/** What a request usually takes of its objective; operators set objectives at about three times it. */
+const USUAL_SERVICE_SHARE = 0.35;
 /** Headers above this are refused while no configuration is in force, in bytes. */
 const MAXIMUM_HEADER_BYTES = 65_536;
 /** Limits until a configuration is in force. */
@@ -55,13 +57,19 @@
   readonly callerService: () => string;
 }
 
+/** Work as its entrance sees it. */
+interface CallerWork extends Work {
+  /** Until when the request must start to meet its objective, as a rule. */
+  readonly latestStartMs: number;
+}
+
 /** The entrance for callers of one daemon. */
 export class Ingress {
   /** Takes the callers' connections. */
   readonly server: Server;
   private readonly patience = CallerPatience.create();
   private readonly split: TrafficSplit;
-  private readonly spread: (waitMs: number) => number;
+  private readonly spread: ReturnType<typeof createAnswerSpread>;
   private active = 0;
   private isStopping = false;
 
@@ -129,7 +137,10 @@
       this.refuse(response, {
         kind: "not_run",
         reason: "no_configuration",
-        retryAfterMs: this.spread(NO_CONFIGURATION_MS),
+        retryAfterMs: this.spread({
+          waitMs: NO_CONFIGURATION_MS,
+          usefulMs: 0,
+        }),
       }, request);
       return;
     }
@@ -188,7 +199,7 @@
       body: Buffer | undefined;
     },
     match: { inForce: ConfigurationInForce; route: TrafficRoute },
-  ): Work {
+  ): CallerWork {
     const { incoming, request, arrivedMs, body } = arrival;
     const { route } = match;
     const { protocol, callerService } = this.context;
@@ -211,6 +222,8 @@
       callerService: callerService(),
       objectiveAtMs: arrivedMs +
         Math.min(route.objectiveMs - waitedMs, patienceMs),
+      latestStartMs: arrivedMs +
+        (route.objectiveMs - waitedMs) * (1 - USUAL_SERVICE_SHARE),
       deadlineAtMs: arrivedMs + patienceMs,
       method: incoming.method ?? "GET",
       target: incoming.url ?? "/",
@@ -248,7 +261,7 @@
 
   private answer(
     response: ServerResponse,
-    end: { outcome: Outcome; work: Work },
+    end: { outcome: Outcome; work: CallerWork },
   ): string {
     const { outcome, work } = end;
     if (response.destroyed) {
@@ -261,7 +274,10 @@
     const { logger } = this.context;
     const request = { id: work.id };
     if (outcome.kind === "not_run") {
-      const retryAfterMs = this.spread(outcome.waitMs);
+      const retryAfterMs = this.spread({
+        waitMs: outcome.waitMs,
+        usefulMs: work.latestStartMs - steadyMs(),
+      });
       logger.log("request_not_run", {
         request_id: work.id,
         route: work.route,
