Notice how far the process is behind, and refuse keys whose owner is away at once

An answer to a heartbeat could be held back twice, longer than the backend server waits. Requests for keys of a daemon that restarts waited a third of their time in vain. Change: requests count as arrived as much earlier as the loop lags, and while it lags a turn is left to read that the caller has left.

--- a/packages/router/src/backend_keeper.ts
+++ b/packages/router/src/backend_keeper.ts
@@ -164,7 +164,10 @@
     if (!keyed || !this.context.mayGrant(heartbeat.service)) {
       return undefined;
     }
-    await this.context.beforeGrant();
+    if (!heartbeat.isDraining) {
+      // One that leaves must hear at once that this is known.
+      await this.context.beforeGrant();
+    }
     if (this.instances.current !== heartbeat.instance) {
       // Another incarnation was found meanwhile; this answer reaches nobody.
       return undefined;
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -26,6 +26,7 @@
   CallerRequest,
   OwnOutcome,
 } from "./ports/caller_protocol.ts";
+import type { LoopLag } from "./loop_lag.ts";
 import type { RequestRunner } from "./request_runner.ts";
 import type { Outcome, Work } from "./work.ts";
 
@@ -52,6 +53,7 @@
   readonly metrics: Metrics;
   readonly configuration: ConfigurationKeeper;
   readonly runner: RequestRunner;
+  readonly lag: LoopLag;
   readonly random: () => number;
   /** The service on this host, in whose name callers here send. */
   readonly callerService: () => string;
@@ -123,9 +125,13 @@
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { protocol, configuration, metrics } = this.context;
-    const arrivedMs = steadyMs();
+    const { protocol, configuration, metrics, lag } = this.context;
+    const arrivedMs = steadyMs() - lag.currentMs;
     response.sendDate = false;
+    await lag.catchUp();
+    if (response.destroyed || incoming.destroyed) {
+      return;
+    }
     const request = protocol.read(incoming.headers);
     if (request === undefined) {
       const reason = "the request's own headers are malformed";
--- a/packages/router/src/peer_server.ts
+++ b/packages/router/src/peer_server.ts
@@ -24,6 +24,7 @@
 import { readBody } from "./http_body.ts";
 import { selectAnswerHeaders, selectRequestHeaders } from "./http_headers.ts";
 import type { LocalBackend } from "./local_backend.ts";
+import type { LoopLag } from "./loop_lag.ts";
 import type { OwnershipDirectory } from "./ownership_directory.ts";
 import {
   CONFIGURATION_PATH,
@@ -47,6 +48,7 @@
   readonly backend: LocalBackend;
   readonly configuration: ConfigurationKeeper;
   readonly directory: OwnershipDirectory;
+  readonly lag: LoopLag;
   /** The store as this daemon itself reaches it. */
   readonly store: Store;
 }
@@ -120,12 +122,16 @@
       method: incoming.method ?? "GET",
       target: incoming.url ?? "/",
       headers: selectRequestHeaders(incoming.rawHeaders, NOTHING_RESERVED),
-    }, steadyMs());
+    }, steadyMs() - this.context.lag.currentMs);
     if (work.isErr()) {
       this.context.logger.log("peer_request_malformed", { cause: work.error });
       response.writeHead(400).end();
       return;
     }
+    await this.context.lag.catchUp();
+    if (response.destroyed) {
+      return;
+    }
     response.writeProcessing();
     const outcome = this.isStopping
       ? notRun("stopping")
--- a/packages/router/src/request_runner.ts
+++ b/packages/router/src/request_runner.ts
@@ -16,7 +16,7 @@
 import type { Forwarder } from "./forwarder.ts";
 import type { LocalBackend } from "./local_backend.ts";
 import type { OwnershipDirectory } from "./ownership_directory.ts";
-import { notRun, type Outcome, type Work } from "./work.ts";
+import { notRun, type Outcome, type RefusalReason, type Work } from "./work.ts";
 
 /** Attempts for one request, refused ones included; each refusal costs a way there and back. */
 const MAXIMUM_ROUNDS = 4;
@@ -29,6 +29,12 @@
 /** Statuses of a backend server's own that say that the request failed there. */
 const FIRST_FAILURE_STATUS = 500;
 
+/** Refusals by which the owner of a key is away. */
+const OWNER_AWAY: ReadonlySet<RefusalReason> = new Set([
+  "peer_unreachable",
+  "stopping",
+]);
+
 /** What the runner needs. */
 export interface RequestRunnerContext {
   readonly logger: Logger;
@@ -89,7 +95,10 @@
         mayGiveUp,
       });
       this.logAttempt(work, { target, round, outcome: last });
-      if (this.isFinal(work, last) || options.signal.aborted) {
+      if (this.isFinal(work, last) || this.isOwnerAway(work, last)) {
+        return last;
+      }
+      if (options.signal.aborted) {
         return last;
       }
       progress.arrivals += hasArrived(last) ? 1 : 0;
@@ -120,6 +129,15 @@
     });
   }
 
+  /**
+   * Whether the one owner of a key is away for longer than a request could wait: its daemon restarts or
+   * is cut off. Its keys stay its own meanwhile, so nobody else can run the request.
+   */
+  private isOwnerAway(work: Work, outcome: Outcome): boolean {
+    return work.key !== undefined && outcome.kind === "not_run" &&
+      OWNER_AWAY.has(outcome.reason);
+  }
+
   private isFinal(work: Work, outcome: Outcome): boolean {
     switch (outcome.kind) {
       case "answer":
@@ -207,7 +225,7 @@
     while (!signal.aborted) {
       const daemon = directory.ownerOf(work.service, work.key);
       const owner = daemon === undefined ? undefined : view.find(daemon);
-      if (owner !== undefined && this.isSilent(owner)) {
+      if (owner !== undefined && this.isAway(owner)) {
         // A takeover takes seconds: the caller is told now, and not after a wait.
         return undefined;
       }
@@ -222,9 +240,10 @@
     return undefined;
   }
 
-  private isSilent(owner: MemberReport): boolean {
+  private isAway(owner: MemberReport): boolean {
     const { view } = this.context;
-    return view.silentMs(owner.address, steadyMs()) > view.silentAfterMs;
+    return owner.phase === "stopping" ||
+      view.silentMs(owner.address, steadyMs()) > view.silentAfterMs;
   }
 
   private logAttempt(
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -23,6 +23,7 @@
 import { HandoverDesk } from "./handover_desk.ts";
 import { Ingress } from "./ingress.ts";
 import { LocalBackend } from "./local_backend.ts";
+import { LoopLag } from "./loop_lag.ts";
 import { MemberDirectory } from "./member_directory.ts";
 import { OwnershipDirectory } from "./ownership_directory.ts";
 import { OwnershipKeeper } from "./ownership_keeper.ts";
@@ -76,6 +77,7 @@
   private readonly board = BackendBoard.create();
   private readonly questions = PeerQuestions.create();
   private readonly desk = HandoverDesk.create();
+  private readonly lag = LoopLag.create(TICK_MS);
   private readonly logger: Logger;
   private readonly directStore: Store;
   private readonly store: RelayedStore;
@@ -96,6 +98,7 @@
   private readonly watcher: StoreWatcher;
   private readonly timers: NodeJS.Timeout[] = [];
   private settingsVersion: string;
+  private tickedAtMs = steadyMs();
   private isAskingOwnership = false;
   private isLeaving = false;
   private isStopping = false;
@@ -209,6 +212,7 @@
       metrics: this.metrics,
       configuration: this.configuration,
       runner,
+      lag: this.lag,
       random,
       callerService: () => this.settings.service,
     });
@@ -217,6 +221,7 @@
       backend: this.backend,
       configuration: this.configuration,
       directory: this.directory,
+      lag: this.lag,
       store: this.directStore,
     });
     this.heartbeats = createHeartbeatServer({
@@ -322,6 +327,9 @@
   }
 
   private tick(): void {
+    const nowMs = steadyMs();
+    this.lag.noteTick(nowMs - this.tickedAtMs);
+    this.tickedAtMs = nowMs;
     this.backend.tick();
     this.ownership.tick();
     this.forwarder.tick();
@@ -410,6 +418,8 @@
         this.gossip.sendDatagram({ kind: "awaiting", sender }, giver)
       );
       await this.desk.awaitKeys(steadyMs);
+      // Two holds in one answer would take longer than the backend server waits for it.
+      return;
     }
     await this.ownership.beginMoves();
   }
