A fault soak of real processes, with faults from outside

Signals, restarts, pauses, crashes, drains, lost answers, a store that is down, slow or loses answers, and a loopback relay before the store that silences, cuts one way and resets; checks who holds what every 15 ms, and each caller's answer against the ledgers.

--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -22,6 +22,7 @@
 const folders = [
   ...readdirSync("packages").map((name) => `packages/${name}/dist`),
   "platform/dist",
+  "soak/dist",
 ];
 const files = folders
   .flatMap((folder) =>
--- /dev/null
+++ b/soak/src/fault_schedule.ts
@@ -0,0 +1,60 @@
+/**
+ * Draws the faults of one run from its seed.
+ *
+ * @module
+ */
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+/** What can be done to a fleet. */
+export const FAULT_KINDS = [
+  "kill_daemon",
+  "stop_daemon",
+  "pause_daemon",
+  "crash_backend",
+  "drain_backend",
+  "lose_answers",
+  "store_down",
+  "store_slow",
+  "store_loses_answers",
+  "store_relay_silent",
+  "store_relay_one_way",
+  "store_relay_reset",
+  "change_configuration",
+] as const;
+/** What can be done to a fleet. */
+export type FaultKind = typeof FAULT_KINDS[number];
+
+/** One fault of a schedule. */
+export interface Fault {
+  readonly kind: FaultKind;
+  /** Chooses the host, where one is harmed. */
+  readonly host: number;
+  /** When it begins, in milliseconds from the start. */
+  readonly atMs: number;
+  /** How long it lasts, in milliseconds. */
+  readonly forMs: number;
+}
+
+/** A drawer of numbers that gives the same sequence for the same seed. */
+export type Draw = (least: number, most: number) => number;
+
+/** Creates the drawer of a seed. */
+export function createDraw(seed: number): Draw {
+  const generator = xoroshiro128plus(seed);
+  return (least, most) => uniformInt(generator, least, most);
+}
+
+/** Draws faults that overlap, over a time. */
+export function drawFaults(
+  draw: Draw,
+  run: { hosts: number; lengthMs: number },
+): Fault[] {
+  const count = Math.max(2, Math.round(run.lengthMs / 1_500));
+  return Array.from({ length: count }, () => ({
+    kind: FAULT_KINDS[draw(0, FAULT_KINDS.length - 1)]!,
+    host: draw(0, run.hosts - 1),
+    atMs: draw(0, run.lengthMs),
+    forMs: draw(200, 3_500),
+  })).sort((left, right) => left.atMs - right.atMs);
+}
--- /dev/null
+++ b/soak/src/main.ts
@@ -0,0 +1,50 @@
+/**
+ * Runs the soak by hand.
+ *
+ * @module
+ */
+import { parseArgs } from "node:util";
+import { runSoak } from "./soak_run.ts";
+
+const { values } = parseArgs({
+  options: {
+    seeds: { type: "string", default: "10" },
+    first: { type: "string" },
+    seconds: { type: "string", default: "12" },
+    together: { type: "string", default: "2" },
+  },
+});
+const first = Number(values.first ?? Math.floor(Math.random() * 1_000_000));
+const seeds = Array.from(
+  { length: Number(values.seeds) },
+  (_, at) => first + at,
+);
+let failed = 0;
+
+/** Runs seeds one after the other on one network of loopback addresses. */
+async function work(network: number): Promise<void> {
+  const seed = seeds.shift();
+  if (seed === undefined) {
+    return;
+  }
+  const result = await runSoak(seed, {
+    lengthMs: Number(values.seconds) * 1_000,
+    network,
+  });
+  failed += result.broken.length > 0 ? 1 : 0;
+  const verdict = result.broken.length === 0 ? "ok" : "BROKEN";
+  console.log(
+    `seed ${seed}: ${verdict}, ${result.served} of ${result.asked} served`,
+  );
+  result.broken.slice(0, 5).forEach((line) => console.log(`  ${line}`));
+  if (result.broken.length > 0) {
+    result.faults.forEach((fault) => console.log(`  ${JSON.stringify(fault)}`));
+  }
+  await work(network);
+}
+
+await Promise.all(
+  Array.from({ length: Number(values.together) }, (_, at) => work(60 + at)),
+);
+console.log(`${failed} seeds broke a promise`);
+process.exit(failed === 0 ? 0 : 1);
--- /dev/null
+++ b/soak/src/soak_run.ts
@@ -0,0 +1,246 @@
+/**
+ * One run of the soak: a fleet, callers, faults, and the promises.
+ *
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  describeConfiguration,
+  type FleetHost,
+  PlatformFleet,
+  STORE_PORT,
+} from "@bamboolink/platform/testing";
+import {
+  createDraw,
+  type Draw,
+  drawFaults,
+  type Fault,
+} from "./fault_schedule.ts";
+import {
+  type Asked,
+  findBrokenPromises,
+  findDoubleHolds,
+} from "./promise_check.ts";
+import { Relay, type RelayMode } from "./relay.ts";
+
+const SERVICES = ["plain", "plain", "keyed", "keyed", "keyed"];
+/** Callers that send one request after the other. */
+const CALLERS = 6;
+/** Time between two looks at who holds what, in milliseconds. */
+const LOOK_MS = 15;
+/** After the last fault, how long the fleet may take to serve everything again, in milliseconds. */
+const RECOVER_MS = 25_000;
+const KEYS = 65_536;
+
+/** How a run ended. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly asked: number;
+  readonly served: number;
+  readonly faults: readonly Fault[];
+  /** Broken promises, in words; none if all was well. */
+  readonly broken: readonly string[];
+}
+
+/**
+ * Runs one seed.
+ *
+ * @param network the second number of the loopback addresses, so that runs side by side don't meet.
+ */
+export async function runSoak(
+  seed: number,
+  options: { lengthMs: number; network: number },
+): Promise<SoakResult> {
+  const draw = createDraw(seed);
+  const host = `127.${options.network}.0.2`;
+  const relay = await Relay.create(
+    { host, port: STORE_PORT },
+    { host: `127.${options.network}.0.1`, port: STORE_PORT },
+  );
+  const fleet = await PlatformFleet.create(SERVICES, options.network, {
+    storeHost: host,
+  });
+  const run = new SoakRun(fleet, relay, draw);
+  try {
+    return await run.play(seed, options.lengthMs);
+  } finally {
+    relay.close();
+    await fleet.close();
+  }
+}
+
+class SoakRun {
+  private readonly asked: Asked[] = [];
+  private readonly broken = new Set<string>();
+  private isOver = false;
+  private version = 1;
+
+  constructor(
+    private readonly fleet: PlatformFleet,
+    private readonly relay: Relay,
+    private readonly draw: Draw,
+  ) {}
+
+  async play(seed: number, lengthMs: number): Promise<SoakResult> {
+    const faults = drawFaults(this.draw, {
+      hosts: this.fleet.hosts.length,
+      lengthMs,
+    });
+    const looking = setInterval(
+      () =>
+        findDoubleHolds(this.fleet).forEach((found) => this.broken.add(found)),
+      LOOK_MS,
+    );
+    const callers = Array.from(
+      { length: CALLERS },
+      (_, index) => this.call(index),
+    );
+    await Promise.all(faults.map((fault) => this.inject(fault)));
+    if (!await this.hasRecovered()) {
+      this.broken.add("the fleet does not serve everything again");
+    }
+    this.isOver = true;
+    await Promise.all(callers);
+    clearInterval(looking);
+    findBrokenPromises(this.fleet, this.asked)
+      .forEach((found) => this.broken.add(found));
+    return {
+      seed,
+      asked: this.asked.length,
+      served: this.asked.filter(({ status }) => status === 200).length,
+      faults,
+      broken: [...this.broken],
+    };
+  }
+
+  private async call(caller: number): Promise<void> {
+    let count = 0;
+    while (!this.isOver) {
+      count += 1;
+      const host = this.fleet
+        .hosts[(caller + count) % this.fleet.hosts.length]!;
+      const kind = count % 3;
+      const method = kind === 0 ? "POST" : "GET";
+      const path = kind === 0
+        ? `/orders/${caller}-${count}`
+        : kind === 1
+        ? `/plain/${caller}-${count}`
+        : `/keyed/${caller}-${count}`;
+      const answer = await this.fleet.send(host, {
+        path,
+        method,
+        ...(kind === 2
+          ? { key: (caller * 7_919 + count * 104_729) % KEYS }
+          : {}),
+        deadlineMs: 1_200,
+      });
+      this.asked.push({ ...answer, method, path });
+      if (answer.status !== 200) {
+        await sleep(30);
+      }
+    }
+  }
+
+  private async inject(fault: Fault): Promise<void> {
+    await sleep(fault.atMs);
+    const host = this.fleet.hosts[fault.host]!;
+    const { faults } = this.fleet.store;
+    switch (fault.kind) {
+      case "kill_daemon":
+        return await this.restart(host, "SIGKILL");
+      case "stop_daemon":
+        return await this.restart(host, "SIGTERM");
+      case "pause_daemon":
+        host.daemon.kill("SIGSTOP");
+        await sleep(fault.forMs);
+        host.daemon.kill("SIGCONT");
+        return;
+      case "crash_backend":
+        return await this.replaceBackend(host, fault.forMs);
+      case "drain_backend":
+        host.backend.isDraining = true;
+        await sleep(fault.forMs);
+        return await this.replaceBackend(host, 100);
+      case "lose_answers":
+        return await this.during(fault, (on) => host.backend.losesAnswers = on);
+      case "store_down":
+        return await this.during(fault, (on) => faults.isDown = on);
+      case "store_slow":
+        return await this.during(fault, (on) => faults.slowMs = on ? 250 : 0);
+      case "store_loses_answers":
+        return await this.during(fault, (on) => faults.losesAnswers = on);
+      case "store_relay_silent":
+        return await this.relayDuring(fault, "silent");
+      case "store_relay_one_way":
+        return await this.relayDuring(fault, "one_way");
+      case "store_relay_reset":
+        return await this.relayDuring(fault, "reset");
+      case "change_configuration":
+        this.version += 1;
+        this.fleet.store.write(
+          "op/config",
+          describeConfiguration(this.version),
+        );
+    }
+  }
+
+  private async during(
+    fault: Fault,
+    set: (isOn: boolean) => void,
+  ): Promise<void> {
+    set(true);
+    await sleep(fault.forMs);
+    set(false);
+  }
+
+  private async relayDuring(fault: Fault, mode: RelayMode): Promise<void> {
+    this.relay.setMode(mode);
+    await sleep(fault.forMs);
+    // Connections that a cut has harmed don't come back by themselves.
+    this.relay.setMode("reset");
+    this.relay.setMode("pass");
+  }
+
+  private async restart(
+    host: FleetHost,
+    signal: "SIGKILL" | "SIGTERM",
+  ): Promise<void> {
+    const { daemon } = host;
+    const ended = daemon.exitCode !== null || daemon.signalCode !== null
+      ? Promise.resolve()
+      : new Promise((resolve) => daemon.once("exit", resolve));
+    daemon.kill("SIGCONT");
+    daemon.kill(signal);
+    await ended;
+    await sleep(150);
+    if (host.daemon === daemon) {
+      this.fleet.startDaemon(host);
+    }
+  }
+
+  private async replaceBackend(
+    host: FleetHost,
+    afterMs: number,
+  ): Promise<void> {
+    const { backend } = host;
+    backend.crash();
+    await sleep(afterMs);
+    if (host.backend === backend) {
+      await this.fleet.startBackend(host);
+    }
+  }
+
+  private hasRecovered(): Promise<boolean> {
+    return this.fleet.until(async () => {
+      const answers = await Promise.all(
+        this.fleet.hosts.flatMap((host) => [
+          this.fleet.send(host, { path: "/plain/end" }),
+          ...[1, 22_000, 44_000, 65_535].map((key) =>
+            this.fleet.send(host, { path: "/keyed/end", key })
+          ),
+        ]),
+      );
+      return answers.every(({ status }) => status === 200);
+    }, RECOVER_MS);
+  }
+}
--- /dev/null
+++ b/soak/src/soak_test.ts
@@ -0,0 +1,38 @@
+/**
+ * A short seeded run of the soak, and every seed that broke a promise once.
+ *
+ * @module
+ */
+import { expect } from "chai";
+import { REGRESSION_SEEDS } from "./regression_seeds.ts";
+import { runSoak } from "./soak_run.ts";
+
+const SHORT_SEED = 20_261_202;
+const LENGTH_MS = 8_000;
+
+describe("soak", function () {
+  this.timeout(90_000);
+
+  describe("with a short seeded run", () => {
+    it("keeps all promises", async () => {
+      const result = await runSoak(SHORT_SEED, {
+        lengthMs: LENGTH_MS,
+        network: 58,
+      });
+      expect(result.broken).to.deep.equal([]);
+      expect(result.served).to.be.above(0);
+    });
+  });
+
+  describe("with a seed that broke a promise once", () => {
+    REGRESSION_SEEDS.forEach(({ seed, cause }) => {
+      it(`keeps all promises with ${seed}: ${cause}`, async () => {
+        const result = await runSoak(seed, {
+          lengthMs: LENGTH_MS,
+          network: 58,
+        });
+        expect(result.broken).to.deep.equal([]);
+      });
+    });
+  });
+});
