--- a/packages/router/src/exchange.ts
+++ b/packages/router/src/exchange.ts
@@ -34,6 +34,11 @@
     readonly status: number;
     readonly headers: AnswerHeaders;
     readonly body: Buffer;
+    /**
+     * Whether the answer itself said where it ends. One that ends with its connection may have been cut
+     * without a trace, so it must be passed on in the same way and not as one that is known to be whole.
+     */
+    readonly isFramed: boolean;
   }
   /** No byte of it was sent. `isRefused`: the address is there and nobody listens. */
   | {
@@ -210,7 +215,8 @@
     const body = this.chunks.length === 1
       ? this.chunks[0]!
       : Buffer.concat(this.chunks);
-    this.finish({ kind: "answer", status, headers, body });
+    const isFramed = this.connection.end.state === "open";
+    this.finish({ kind: "answer", status, headers, body, isFramed });
   }
 
   onResponseError(_controller: Controller, cause: Error): void {
--- a/packages/router/src/exchange_test.ts
+++ b/packages/router/src/exchange_test.ts
@@ -39,6 +39,7 @@
       expect(result.kind === "answer" && result.body.toString()).to.equal(
         "whole",
       );
+      expect(result.kind === "answer" && result.isFramed).to.equal(false);
     });
 
     // Symptom: a caller gets a success whose body is cut short.
--- a/packages/router/src/forward_codec.ts
+++ b/packages/router/src/forward_codec.ts
@@ -38,6 +38,9 @@
   z.boolean(),
 ]);
 
+/** Says that the backend server's answer ended with its connection. */
+const UNFRAMED = "unframed";
+
 /** How busy a backend server is. */
 export const LoadFields = z.tuple([z.number(), z.number(), z.number()]);
 
@@ -103,7 +106,7 @@
 /** Writes the header that describes an outcome. */
 export function encodeOutcome(outcome: Outcome): string {
   const fields: z.infer<typeof OutcomeFields> = outcome.kind === "answer"
-    ? ["answer", "", 0, true]
+    ? ["answer", outcome.isFramed ? "" : UNFRAMED, 0, true]
     : outcome.kind === "not_run"
     ? [
       "not_run",
@@ -127,7 +130,7 @@
       switch (kind) {
         case "answer": {
           const { status, headers, body } = answer;
-          return { kind, status, headers, body };
+          return { kind, status, headers, body, isFramed: reason !== UNFRAMED };
         }
         case "not_run": {
           return { kind, reason: reason as RefusalReason, waitMs, hasArrived };
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -321,6 +321,14 @@
     const length = hasNoBody
       ? answer.headers["content-length"]?.toString()
       : String(answer.body.length);
+    if (!answer.isFramed) {
+      // The caller must not take for whole what may have been cut: it ends with the connection here, too.
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+      response.writeHead(answer.status, { ...headers, connection: "close" });
+      response.end(answer.body);
+      return;
+    }
     response.writeHead(answer.status, {
       ...headers,
       ...(length === undefined ? {} : { "content-length": length }),
--- a/packages/router/src/work.ts
+++ b/packages/router/src/work.ts
@@ -65,6 +65,8 @@
     readonly status: number;
     readonly headers: AnswerHeaders;
     readonly body: Buffer;
+    /** Whether the backend server said where its answer ends. */
+    readonly isFramed: boolean;
   }
   | {
     readonly kind: "not_run";
