Refuse at once while the process is behind

Ruled out: a single late read, which the lag already accounts for; here both daemons on the way were behind. Change: from 120 ms of lag requests are refused at once, urgent ones from 240 ms.

--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -158,6 +158,10 @@
       this.refuse(response, { kind: "no_route" }, request);
       return;
     }
+    if (lag.isOverloaded(route.rank)) {
+      this.refuseBehind(response, { request, route });
+      return;
+    }
     const ended = await this.run(
       { incoming, response, request, arrivedMs },
       { inForce, route },
@@ -170,6 +174,30 @@
     );
   }
 
+  /** The process itself is short of time: whatever it does for this request comes too late. */
+  private refuseBehind(
+    response: ServerResponse,
+    arrival: { request: CallerRequest; route: TrafficRoute },
+  ): void {
+    const { logger, metrics, lag } = this.context;
+    const { request, route } = arrival;
+    const reason = "process_behind";
+    const lagMs = lag.currentMs;
+    const retryAfterMs = this.spread({ waitMs: lagMs, usefulMs: 0 });
+    logger.log("request_not_run", {
+      request_id: request.id,
+      route: route.name,
+      reason,
+      lag_ms: Math.round(lagMs),
+      retry_after_ms: Math.round(retryAfterMs),
+    });
+    metrics.count("bamboolink_requests", {
+      route: route.name,
+      ended: `not_run_${reason}`,
+    });
+    this.refuse(response, { kind: "not_run", reason, retryAfterMs }, request);
+  }
+
   private async run(
     arrival: {
       incoming: IncomingMessage;
--- a/packages/router/src/loop_lag.ts
+++ b/packages/router/src/loop_lag.ts
@@ -7,6 +7,12 @@
 
 /** Ticks over which the largest lag counts. */
 const REMEMBERED = 4;
+/** From this lag on requests are refused, in milliseconds: about half of a short latency objective. */
+const LIMIT_MS = 120;
+/** The same for urgent requests, in milliseconds. */
+const URGENT_LIMIT_MS = 240;
+/** Requests up to this rank are urgent; 0 is the most urgent. */
+const URGENT_RANK = 1;
 /** From this lag on a request may have been overtaken by its caller's leaving, in milliseconds. */
 const NOTEWORTHY_MS = 40;
 
@@ -38,6 +44,15 @@
     return largest >= NOTEWORTHY_MS ? largest : 0;
   }
 
+  /**
+   * Whether the process is so far behind that a request of a rank is better refused at once. Without
+   * this, every request is read late, is run for too long, and makes the next one later.
+   */
+  isOverloaded(rank: number): boolean {
+    const limitMs = rank <= URGENT_RANK ? URGENT_LIMIT_MS : LIMIT_MS;
+    return this.currentMs > limitMs;
+  }
+
   /**
    * While the process is behind, gives it the chance to read that a caller has left, which lies right
    * behind the caller's request.
--- a/packages/router/src/peer_server.ts
+++ b/packages/router/src/peer_server.ts
@@ -147,6 +147,8 @@
     );
     const outcome = this.isStopping
       ? notRun("stopping")
+      : this.context.lag.isOverloaded(work.value.rank)
+      ? notRun("overloaded", { waitMs: this.context.lag.currentMs })
       : await this.runUntilDeadline(work.value, response);
     clearTimeout(acknowledging);
     this.answer(response, outcome);
