--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -12,7 +12,6 @@
 /** Must be those of `run` in `deploy/system.toml`: compiled code fits only the flags it was made with. */
 const FLAGS = ["--max-old-space-size=160"];
 const BUNDLE = "target/bamboolink-router.bundle.cjs";
-const CACHE = "target/bamboolink-router.cache";
 const PROGRAM = "target/bamboolink-router.cjs";
 
 /** Runs the bundle from compiled code where that fits, and from its text where not. */
--- a/soak/src/soak_run.ts
+++ b/soak/src/soak_run.ts
@@ -72,6 +72,8 @@
 class SoakRun {
   private readonly asked: Asked[] = [];
   private readonly broken = new Set<string>();
+  /** What the last look at the recovery found, for the report. */
+  private unserved: string[] = [];
   private isOver = false;
   private version = 1;
 
@@ -97,7 +99,11 @@
     );
     await Promise.all(faults.map((fault) => this.inject(fault)));
     if (!await this.hasRecovered()) {
-      this.broken.add("the fleet does not serve everything again");
+      this.broken.add(
+        `the fleet does not serve everything again: ${
+          this.unserved.join(", ")
+        }`,
+      );
     }
     this.isOver = true;
     await Promise.all(callers);
@@ -231,16 +237,30 @@
   }
 
   private hasRecovered(): Promise<boolean> {
+    const paths = [
+      { path: "/plain/end" },
+      ...[1, 22_000, 44_000, 65_535].map((key) => ({
+        path: "/keyed/end",
+        key,
+      })),
+    ];
     return this.fleet.until(async () => {
       const answers = await Promise.all(
-        this.fleet.hosts.flatMap((host) => [
-          this.fleet.send(host, { path: "/plain/end" }),
-          ...[1, 22_000, 44_000, 65_535].map((key) =>
-            this.fleet.send(host, { path: "/keyed/end", key })
-          ),
-        ]),
+        this.fleet.hosts.flatMap((host) =>
+          paths.map(async (asked) => {
+            const { status, body } = await this.fleet.send(host, asked);
+            return {
+              status,
+              said: `${host.address} ${
+                JSON.stringify(asked)
+              } ${status} ${body}`,
+            };
+          })
+        ),
       );
-      return answers.every(({ status }) => status === 200);
+      const unserved = answers.filter(({ status }) => status !== 200);
+      this.unserved = unserved.map(({ said }) => said);
+      return unserved.length === 0;
     }, RECOVER_MS);
   }
 }
