Keep soak seed 309 as an open finding

Once of six runs the fleet did not serve everything again within 25 s; the five others, with the same faults, did. The machine was busy, but no run shows that it was that.

--- a/soak/src/regression_seeds.ts
+++ b/soak/src/regression_seeds.ts
@@ -11,4 +11,10 @@
 }
 
 /** Seeds that broke a promise once. */
-export const REGRESSION_SEEDS: readonly RegressionSeed[] = [];
+export const REGRESSION_SEEDS: readonly RegressionSeed[] = [
+  {
+    seed: 309,
+    cause:
+      "open: once of six runs the fleet did not serve everything again within 25 s after a drain and a cut of the store",
+  },
+];
