Wait for the turn in which a caller's leaving is read

Request and end of connection had waited together; the end is read in the turn after the last bytes, and only one turn was waited for. Ruled out: waits for a grant (they end with the caller), a queue at the backend server (the run began at once). Change: two turns, and a closed connection is seen before it is torn down.

--- a/packages/router/src/http_body.ts
+++ b/packages/router/src/http_body.ts
@@ -1,5 +1,5 @@
 /**
- * Reads whole bodies.
+ * Reads whole bodies, and notices callers that have left.
  *
  * @module
  */
@@ -44,3 +44,9 @@
     message.on("error", () => resolve({ kind: "cut" }));
   });
 }
+
+/** Whether the other side has closed its connection, or this side has. */
+export function hasLeft(message: IncomingMessage): boolean {
+  const { socket } = message;
+  return socket.destroyed || socket.readableEnded || socket.writableEnded;
+}
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -19,7 +19,7 @@
   ConfigurationInForce,
   ConfigurationKeeper,
 } from "./configuration_keeper.ts";
-import { readBody } from "./http_body.ts";
+import { hasLeft, readBody } from "./http_body.ts";
 import { selectAnswerHeaders, selectRequestHeaders } from "./http_headers.ts";
 import type {
   CallerProtocol,
@@ -129,7 +129,8 @@
     const arrivedMs = steadyMs() - lag.currentMs;
     response.sendDate = false;
     await lag.catchUp();
-    if (response.destroyed || incoming.destroyed) {
+    if (hasLeft(incoming)) {
+      response.destroy();
       return;
     }
     const request = protocol.read(incoming.headers);
--- a/packages/router/src/loop_lag.ts
+++ b/packages/router/src/loop_lag.ts
@@ -69,11 +69,13 @@
 
   /**
    * While the process is behind, gives it the chance to read that a caller has left, which lies right
-   * behind the caller's request.
+   * behind the caller's request. The end of a connection is read in the turn after its last bytes, so it
+   * takes the rest of this turn and all of the next.
    */
   async catchUp(): Promise<void> {
     if (this.currentMs > 0) {
       await nextTurn();
+      await nextTurn();
     }
   }
 
--- a/packages/router/src/loop_lag_test.ts
+++ b/packages/router/src/loop_lag_test.ts
@@ -3,7 +3,10 @@
  *
  * @module
  */
+import { createServer, type IncomingMessage } from "node:http";
+import { type AddressInfo, connect } from "node:net";
 import { expect } from "chai";
+import { hasLeft } from "./http_body.ts";
 import { LoopLag } from "./loop_lag.ts";
 
 /** A measure fed by a timer of 50 ms, on a clock that is set by hand. */
@@ -64,4 +67,34 @@
       expect(lag.currentMs).to.equal(0);
     });
   });
+
+  describe("when a request is read together with its caller's leaving", () => {
+    // Symptom: a request reaches a backend server long after its caller has left, and is cut at once.
+    // Sequence: the process is behind; request and end of the connection wait together; the request is
+    // read in one turn and handed over before the end is read in the next.
+    // Cause: one turn was waited for.
+    it("notices that before the request goes on", async () => {
+      const { lag, pass } = createLag();
+      pass(1_000);
+      const left = await new Promise<boolean>((resolve) => {
+        const serve = async (incoming: IncomingMessage) => {
+          await lag.catchUp();
+          resolve(hasLeft(incoming));
+        };
+        const server = createServer((incoming) => void serve(incoming));
+        server.listen(0, "127.0.0.1", () => {
+          const { port } = server.address() as AddressInfo;
+          const socket = connect(port, "127.0.0.1");
+          socket.end("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+          // Both lie in the server's buffer before it reads again.
+          const untilMs = performance.now() + 50;
+          socket.on("connect", () => {
+            while (performance.now() < untilMs);
+          });
+        });
+        server.unref();
+      });
+      expect(left).to.equal(true);
+    });
+  });
 });
--- a/packages/router/src/peer_server.ts
+++ b/packages/router/src/peer_server.ts
@@ -21,7 +21,7 @@
   OUTCOME_HEADER,
   WORK_HEADER,
 } from "./forward_codec.ts";
-import { readBody } from "./http_body.ts";
+import { hasLeft, readBody } from "./http_body.ts";
 import { selectAnswerHeaders, selectRequestHeaders } from "./http_headers.ts";
 import type { LocalBackend } from "./local_backend.ts";
 import type { LoopLag } from "./loop_lag.ts";
@@ -134,7 +134,8 @@
       return;
     }
     await this.context.lag.catchUp();
-    if (response.destroyed) {
+    if (hasLeft(incoming)) {
+      response.destroy();
       return;
     }
     const acknowledging = setTimeout(
