Look whether a caller is still there at the first request of its connection

A lost opening packet is sent again after a second; the connection then brings request and leaving together to a process that is not behind. Ruled out: requests that are sent when a cancelled connection comes up (tried on loopback: nothing is sent), waits at the backend server, a lag of the loop (no line says so). Change: the first request of each connection waits two turns of the loop, under a tenth of a millisecond at rest, and is dropped if its caller has left.

--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -9,6 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { CallerPatience, createAnswerSpread } from "@bamboolink/admission";
 import type { Logger } from "@bamboolink/logger";
 import type { Metrics } from "@bamboolink/metrics";
@@ -72,6 +73,8 @@
   private readonly patience = CallerPatience.create();
   private readonly split: TrafficSplit;
   private readonly spread: ReturnType<typeof createAnswerSpread>;
+  /** Connections that have brought a request before. */
+  private readonly served = new WeakSet<Socket>();
   private active = 0;
   private isStopping = false;
 
@@ -128,7 +131,7 @@
     const { protocol, configuration, metrics, lag } = this.context;
     const arrivedMs = steadyMs() - lag.currentMs;
     response.sendDate = false;
-    await lag.catchUp();
+    await lag.catchUp({ isFirst: this.isFirst(incoming.socket) });
     if (hasLeft(incoming)) {
       response.destroy();
       return;
@@ -199,6 +202,12 @@
     this.refuse(response, { kind: "not_run", reason, retryAfterMs }, request);
   }
 
+  private isFirst(socket: Socket): boolean {
+    const isFirst = !this.served.has(socket);
+    this.served.add(socket);
+    return isFirst;
+  }
+
   private async run(
     arrival: {
       incoming: IncomingMessage;
--- a/packages/router/src/loop_lag.ts
+++ b/packages/router/src/loop_lag.ts
@@ -68,12 +68,14 @@
   }
 
   /**
-   * While the process is behind, gives it the chance to read that a caller has left, which lies right
-   * behind the caller's request. The end of a connection is read in the turn after its last bytes, so it
-   * takes the rest of this turn and all of the next.
+   * Gives the process the chance to read that a caller has left, which lies right behind the caller's
+   * request: while the process is behind, and for the first request of a connection. A connection whose
+   * opening packet was lost comes about a second late, with all that its caller has sent meanwhile. The
+   * end of a connection is read in the turn after its last bytes, so it takes the rest of this turn and
+   * all of the next.
    */
-  async catchUp(): Promise<void> {
-    if (this.currentMs > 0) {
+  async catchUp(request: { isFirst: boolean }): Promise<void> {
+    if (request.isFirst || this.currentMs > 0) {
       await nextTurn();
       await nextTurn();
     }
--- a/packages/router/src/loop_lag_test.ts
+++ b/packages/router/src/loop_lag_test.ts
@@ -69,16 +69,14 @@
   });
 
   describe("when a request is read together with its caller's leaving", () => {
-    // Symptom: a request reaches a backend server long after its caller has left, and is cut at once.
-    // Sequence: the process is behind; request and end of the connection wait together; the request is
-    // read in one turn and handed over before the end is read in the next.
-    // Cause: one turn was waited for.
-    it("notices that before the request goes on", async () => {
-      const { lag, pass } = createLag();
-      pass(1_000);
-      const left = await new Promise<boolean>((resolve) => {
+    /** Serves one request whose caller has left at once; tells whether that is noticed. */
+    function serveOne(
+      lag: LoopLag,
+      request: { isFirst: boolean },
+    ): Promise<boolean> {
+      return new Promise((resolve) => {
         const serve = async (incoming: IncomingMessage) => {
-          await lag.catchUp();
+          await lag.catchUp(request);
           resolve(hasLeft(incoming));
         };
         const server = createServer((incoming) => void serve(incoming));
@@ -94,7 +92,25 @@
         });
         server.unref();
       });
-      expect(left).to.equal(true);
+    }
+
+    // Symptom: a request reaches a backend server long after its caller has left, and is cut at once.
+    // Sequence: the process is behind; request and end of the connection wait together; the request is
+    // read in one turn and handed over before the end is read in the next.
+    // Cause: one turn was waited for.
+    it("notices that while the process is behind", async () => {
+      const { lag, pass } = createLag();
+      pass(1_000);
+      expect(await serveOne(lag, { isFirst: false })).to.equal(true);
+    });
+
+    // Symptom: the same, at a process that is not behind.
+    // Sequence: the packet that opens a connection is lost and sent again after a second; the caller has
+    // left meanwhile, and its request and its leaving come together.
+    // Cause: only a process that was behind looked whether the caller was still there.
+    it("notices that for the first request of a connection", async () => {
+      const { lag } = createLag();
+      expect(await serveOne(lag, { isFirst: true })).to.equal(true);
     });
   });
 });
--- a/packages/router/src/peer_server.ts
+++ b/packages/router/src/peer_server.ts
@@ -133,7 +133,7 @@
       response.writeHead(400).end();
       return;
     }
-    await this.context.lag.catchUp();
+    await this.context.lag.catchUp({ isFirst: false });
     if (hasLeft(incoming)) {
       response.destroy();
       return;
