--- a/soak/src/regression_seeds.ts
+++ b/soak/src/regression_seeds.ts
@@ -15,6 +15,6 @@
   {
     seed: 309,
     cause:
-      "open: once of six runs the fleet did not serve everything again within 25 s after a drain and a cut of the store",
+      "open: the fleet once did not serve everything again within 25 s after a drain and a cut of the store",
   },
 ];
