Carry requests between daemons in frames over one link for each pair

A profile of six daemons showed about a third of a request's cost in the hop between two daemons: HTTP client and server, streams, abort signals, headers filtered twice, schemas for each header.

Change: one connection for each pair of daemons carries many requests in frames; a cancellation is a frame; a farewell tells what was read before a stop; a silent link is left. Cancellations are a small class in place of abort signals.

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -229,6 +229,12 @@
     meaning: "Another daemon did not answer.",
     action: NOTHING,
   },
+  link_ended: {
+    number: 1702,
+    severity: "info",
+    meaning: "A link from another daemon has ended.",
+    action: NOTHING,
+  },
   backend_phase_changed: {
     number: 1801,
     severity: "info",
@@ -278,18 +284,6 @@
       "A caller was told that its request has not run, and when to come back.",
     action: "Look at `reason`; see docs/OPERATIONS.md.",
   },
-  peer_answer_malformed: {
-    number: 1808,
-    severity: "error",
-    meaning: "Another daemon's answer could not be read.",
-    action: "Compare the versions of the two daemons.",
-  },
-  peer_request_malformed: {
-    number: 1809,
-    severity: "error",
-    meaning: "Another daemon's request could not be read.",
-    action: "Compare the versions of the two daemons.",
-  },
   peer_question_failed: {
     number: 1810,
     severity: "warn",
--- a/packages/router/src/backend_board.ts
+++ b/packages/router/src/backend_board.ts
@@ -5,7 +5,7 @@
  */
 import type { MemberReport } from "@bamboolink/membership";
 import type { PlacementCandidate } from "@bamboolink/placement";
-import type { LoadReport } from "./forward_codec.ts";
+import type { LoadReport } from "./link_codec.ts";
 
 /** A daemon that could not be reached is left out for so long, in milliseconds, if others are there. */
 const AVOID_MS = 500;
--- a/packages/router/src/backend_keeper.ts
+++ b/packages/router/src/backend_keeper.ts
@@ -12,6 +12,7 @@
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { MemberPhase } from "@bamboolink/membership";
+import { Cancellation } from "./cancellation.ts";
 import { bootMs, steadyMs } from "./clock.ts";
 import { Connection } from "./exchange.ts";
 import type { LocalBackend } from "./local_backend.ts";
@@ -231,7 +232,10 @@
       target: healthPath(this.last?.service ?? ""),
       headers: ["host", address],
       body: undefined,
-    }, { signal: AbortSignal.timeout(PROBE_TIMEOUT_MS), nowMs: steadyMs });
+    }, {
+      cancellation: Cancellation.createAfter(PROBE_TIMEOUT_MS),
+      nowMs: steadyMs,
+    });
     void connection.destroy();
     if (result.kind === "answer") {
       return protocol.readInstance(result.headers);
--- a/packages/router/src/exchange.ts
+++ b/packages/router/src/exchange.ts
@@ -5,6 +5,7 @@
  */
 import { BamboolinkError } from "@bamboolink/errors";
 import { buildConnector, Client, type Dispatcher } from "undici";
+import type { Cancellation } from "./cancellation.ts";
 
 /** How long a new connection may take, in milliseconds. All peers are within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -51,13 +52,9 @@
 
 /** How an exchange may end early. */
 export interface ExchangeOptions {
-  readonly signal: AbortSignal;
+  /** Ends the exchange and its connection. */
+  readonly cancellation: Cancellation;
   readonly nowMs: () => number;
-  readonly acknowledgeMs?: number | undefined;
-  /** Called when the peer has said that it has the request, or has answered it. */
-  readonly onAcknowledged?: () => void;
-  /** Asked when the acknowledgement stays away: whether the request is better sent elsewhere. */
-  readonly mayGiveUp?: () => boolean;
 }
 
 /** How the present connection of a client ended, if it did. */
@@ -95,42 +92,28 @@
     return this.usedAtMs;
   }
 
-  /**
-   * Sends a request. It never throws.
-   *
-   * @param options `signal` ends the request and its connection; so does a peer that has not said within
-   *   `acknowledgeMs` that it has the request (an informational answer, or any other).
-   */
+  /** Sends a request. It never throws. */
   exchange(
     request: ExchangeRequest,
     options: ExchangeOptions,
   ): Promise<ExchangeResult> {
     return new Promise((resolve) => {
       const { peer, end } = this;
-      const { onAcknowledged } = options;
-      const connection = { peer, end, onAcknowledged };
-      const handler = ExchangeHandler.create(connection, (result) => {
-        clearTimeout(timer);
-        options.signal.removeEventListener("abort", cancel);
-        this.usedAtMs = options.nowMs();
+      const { cancellation, nowMs } = options;
+      const handler = ExchangeHandler.create({ peer, end }, (result) => {
+        cancellation.remove(cancel);
+        this.usedAtMs = nowMs();
         resolve(result);
       });
       const cancel = () => {
         handler.cancel();
         void this.destroy();
       };
-      const timer = options.acknowledgeMs === undefined
-        ? undefined
-        : setTimeout(() => {
-          if (!handler.isAcknowledged && options.mayGiveUp?.() !== false) {
-            cancel();
-          }
-        }, options.acknowledgeMs);
-      if (options.signal.aborted) {
+      if (cancellation.isCancelled) {
         handler.cancel();
         return;
       }
-      options.signal.addEventListener("abort", cancel, { once: true });
+      cancellation.onCancel(cancel);
       this.dispatch(request, handler);
     });
   }
@@ -157,13 +140,10 @@
 interface HandlerContext {
   readonly peer: string;
   readonly end: ConnectionEnd;
-  readonly onAcknowledged: (() => void) | undefined;
 }
 
 /** Collects one answer. */
 class ExchangeHandler {
-  /** Whether the peer has said anything. */
-  isAcknowledged = false;
   private isSent = false;
   private isDone = false;
   private status = 0;
@@ -192,10 +172,6 @@
     status: number,
     headers: AnswerHeaders,
   ): void {
-    if (!this.isAcknowledged) {
-      this.isAcknowledged = true;
-      this.connection.onAcknowledged?.();
-    }
     if (status >= FIRST_FINAL_STATUS) {
       this.status = status;
       this.headers = headers;
--- a/packages/router/src/exchange_test.ts
+++ b/packages/router/src/exchange_test.ts
@@ -5,6 +5,7 @@
  */
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { expect } from "chai";
+import { Cancellation } from "./cancellation.ts";
 import { Connection, type ExchangeResult } from "./exchange.ts";
 
 const HEAD = "HTTP/1.1 200 OK\r\n";
@@ -23,7 +24,11 @@
   const connection = Connection.create(`127.0.0.1:${port}`);
   const result = await connection.exchange(
     { method: "GET", target: "/", headers: ["host", "x"], body: undefined },
-    { signal: AbortSignal.timeout(2_000), nowMs: () => 0, ...options },
+    {
+      cancellation: Cancellation.createAfter(2_000),
+      nowMs: () => 0,
+      ...options,
+    },
   );
   await connection.destroy();
   server.close();
@@ -97,7 +102,7 @@
       const connection = Connection.create("127.0.0.1:1");
       const result = await connection.exchange(
         { method: "GET", target: "/", headers: [], body: undefined },
-        { signal: AbortSignal.timeout(2_000), nowMs: () => 0 },
+        { cancellation: Cancellation.createAfter(2_000), nowMs: () => 0 },
       );
       await connection.destroy();
       expect(result).to.deep.include({ kind: "unsent", isRefused: true });
--- a/packages/router/src/forwarder.ts
+++ b/packages/router/src/forwarder.ts
@@ -3,21 +3,17 @@
  *
  * @module
  */
+import type { BamboolinkError } from "@bamboolink/errors";
 import type { Logger } from "@bamboolink/logger";
 import { AcknowledgementTimes } from "./acknowledgement_times.ts";
+import type { Cancellation } from "./cancellation.ts";
 import { steadyMs } from "./clock.ts";
-import { ConnectionPool } from "./connection_pool.ts";
-import type { ExchangeResult } from "./exchange.ts";
-import {
-  decodeLoad,
-  decodeOutcome,
-  encodeWork,
-  type LoadReport,
-} from "./forward_codec.ts";
+import { LinkClient, type LinkRequest } from "./link_client.ts";
+import type { LoadReport } from "./link_codec.ts";
 import { notRun, type Outcome, unknown, type Work } from "./work.ts";
 
-/** Daemons keep idle connections for longer than this, in milliseconds; see `peer_server.ts`. */
-const REUSE_MS = 20_000;
+/** A link on which nothing was sent for so long is closed, in milliseconds: most pairs of daemons rest. */
+const IDLE_MS = 20_000;
 
 /** What the forwarder needs. */
 export interface ForwarderContext {
@@ -27,105 +23,146 @@
   readonly onUnreachable: (daemon: string) => void;
 }
 
+/** Where a request goes, and until when it is wanted. */
+export interface ForwardTarget {
+  /** Address of the daemon; its links are taken there. */
+  readonly daemon: string;
+  readonly cancellation: Cancellation;
+  /** Whether the request is better sent elsewhere than left with a daemon that says nothing. */
+  readonly mayGiveUp: () => boolean;
+}
+
 /** The ways to all other daemons. */
 export class Forwarder {
-  private readonly pools = new Map<string, ConnectionPool>();
+  /** The link to each daemon that new requests are sent on. */
+  private readonly links = new Map<string, LinkClient>();
+  /** Links that have gone silent, with what is still under way on them. */
+  private retired: LinkClient[] = [];
   private readonly acknowledgements = AcknowledgementTimes.create();
 
   private constructor(private readonly context: ForwarderContext) {}
 
-  /** Creates a forwarder without connections. */
+  /** Creates a forwarder without links. */
   static create(context: ForwarderContext): Forwarder {
     return new Forwarder(context);
   }
 
   /** Sends a request to a daemon. It never throws. */
-  async forward(
-    work: Work,
-    to: {
-      daemon: string;
-      address: string;
-      signal: AbortSignal;
-      /** Whether the request is better sent elsewhere than left with a daemon that says nothing. */
-      mayGiveUp: () => boolean;
-    },
-  ): Promise<Outcome> {
-    const pool = this.poolOf(to.address);
-    const nowMs = steadyMs();
-    const connection = pool.take({ nowMs, longestIdleMs: REUSE_MS });
-    const result = await connection.exchange(
-      encodeWork(work, nowMs),
-      {
-        signal: to.signal,
-        nowMs: steadyMs,
-        acknowledgeMs: this.acknowledgements.limitMs,
-        onAcknowledged: () => this.acknowledgements.note(steadyMs() - nowMs),
-        mayGiveUp: to.mayGiveUp,
-      },
-    );
-    if (result.kind !== "answer") {
-      pool.discard(connection);
-      return this.describeFailure(work, { ...to, result });
+  forward(work: Work, to: ForwardTarget): Promise<Outcome> {
+    const { cancellation, mayGiveUp } = to;
+    if (cancellation.isCancelled) {
+      return Promise.resolve(notRun("cancelled"));
     }
-    const outcome = decodeOutcome(result);
-    if (outcome.isErr()) {
-      pool.discard(connection);
-      this.context.logger.log("peer_answer_malformed", {
-        request_id: work.id,
-        cause: outcome.error,
+    const { daemon } = to;
+    const link = this.linkTo(daemon);
+    const sentAtMs = steadyMs();
+    return new Promise((resolve) => {
+      const finish = (outcome: Outcome) => {
+        cancellation.remove(cancel);
+        resolve(outcome);
+      };
+      const lose = (isSent: boolean, cause?: BamboolinkError) => {
+        this.noteUnreachable(work, { daemon, cause });
+        finish(
+          isSent ? unknown("connection_lost") : notRun("peer_unreachable"),
+        );
+      };
+      const id = link.send(work, {
+        onAcknowledged: () => this.acknowledgements.note(steadyMs() - sentAtMs),
+        onOutcome: (outcome, load) => {
+          this.context.onLoad(daemon, load);
+          finish(outcome);
+        },
+        onSilent: () => {
+          if (mayGiveUp()) {
+            lose(link.cancel(id));
+          }
+        },
+        onLost: lose,
       });
-      return unknown("foreign_answer");
-    }
-    pool.give(connection);
-    const load = decodeLoad(result.headers);
-    if (load !== undefined) {
-      this.context.onLoad(to.daemon, load);
-    }
-    return outcome.value;
+      const cancel = () => {
+        const reason = cancellation.reason ?? "cancelled";
+        finish(link.cancel(id) ? unknown(reason) : notRun("cancelled"));
+      };
+      cancellation.onCancel(cancel);
+    });
   }
 
-  /** Closes connections that are not needed any more. */
+  /** Gives up on daemons that say nothing, and closes links that are not needed any more. */
   tick(): void {
     const nowMs = steadyMs();
-    this.pools.forEach((pool) =>
-      pool.prune({ nowMs, longestIdleMs: REUSE_MS })
-    );
+    this.links.forEach((link, daemon) => this.review(link, { daemon, nowMs }));
+    this.retired = this.retired.filter((link) => {
+      this.giveUpSilent(link, nowMs);
+      if (link.isIdle) {
+        link.close();
+      }
+      return !link.isIdle;
+    });
   }
 
-  /** Closes all connections. */
-  async close(): Promise<void> {
-    await Promise.all([...this.pools.values()].map((pool) => pool.destroy()));
+  /** Closes all links. */
+  close(): void {
+    [...this.links.values(), ...this.retired].forEach((link) => link.close());
+    this.links.clear();
+    this.retired = [];
   }
 
-  private describeFailure(
-    work: Work,
-    end: {
-      daemon: string;
-      signal: AbortSignal;
-      result: Exclude<ExchangeResult, { kind: "answer" }>;
-    },
-  ): Outcome {
-    const { daemon, signal, result } = end;
-    if (signal.aborted) {
-      return result.kind === "unsent"
-        ? notRun("cancelled")
-        : unknown(signal.reason === "deadline" ? "deadline" : "cancelled");
+  private review(
+    link: LinkClient,
+    at: { daemon: string; nowMs: number },
+  ): void {
+    const { daemon, nowMs } = at;
+    const isUnneeded = link.isIdle && nowMs - link.lastUsedMs > IDLE_MS;
+    if (isUnneeded || !link.isUsable && link.isIdle) {
+      this.links.delete(daemon);
+      link.close();
+      return;
     }
+    const silent = this.findSilent(link, nowMs);
+    if (silent.some(({ sentAtMs }) => link.lastHeardMs < sentAtMs)) {
+      // The connection may be dead while new ones work; what is under way on it stays there.
+      this.links.delete(daemon);
+      this.retired.push(link);
+    }
+    this.giveUpSilent(link, nowMs);
+  }
+
+  private giveUpSilent(link: LinkClient, nowMs: number): void {
+    this.findSilent(link, nowMs).forEach(({ listener }) => listener.onSilent());
+  }
+
+  /** Requests that should have been acknowledged long ago. */
+  private findSilent(link: LinkClient, nowMs: number): LinkRequest[] {
+    const { limitMs } = this.acknowledgements;
+    return link.findUnacknowledged().filter(({ sentAtMs }) =>
+      nowMs - sentAtMs > limitMs
+    );
+  }
+
+  private noteUnreachable(
+    work: Work,
+    loss: { daemon: string; cause: BamboolinkError | undefined },
+  ): void {
+    const { daemon, cause } = loss;
     this.context.logger.log("peer_unreachable", {
       request_id: work.id,
       peer: daemon,
-      cause: result.error,
+      cause: cause ?? "silent",
     });
     this.context.onUnreachable(daemon);
-    return result.kind === "unsent"
-      ? notRun("peer_unreachable")
-      : unknown("connection_lost");
   }
 
-  private poolOf(address: string): ConnectionPool {
-    const known = this.pools.get(address);
-    const pool = known ?? ConnectionPool.create(address);
-    this.pools.set(address, pool);
-    return pool;
+  private linkTo(daemon: string): LinkClient {
+    const known = this.links.get(daemon);
+    if (known?.isUsable === true) {
+      return known;
+    }
+    if (known !== undefined) {
+      this.retired.push(known);
+    }
+    const link = LinkClient.create(daemon, steadyMs);
+    this.links.set(daemon, link);
+    return link;
   }
 }
--- /dev/null
+++ b/packages/router/src/frame_socket.ts
@@ -0,0 +1,120 @@
+/**
+ * One end of a link between two daemons: frames over a connection.
+ *
+ * @module
+ */
+import type { Socket } from "node:net";
+import { BamboolinkError } from "@bamboolink/errors";
+import {
+  encodeFrame,
+  type Frame,
+  FRAME_KINDS,
+  FrameReader,
+  GreetingHead,
+  LINK_FORMAT,
+} from "./link_codec.ts";
+
+/** What one end of a link tells of. */
+export interface FrameSocketEvents {
+  readonly onFrame: (frame: Frame) => void;
+  /** Called once: nothing comes any more. */
+  readonly onEnd: (cause: BamboolinkError) => void;
+}
+
+/** Writes frames in batches, and reads them. */
+export class FrameSocket {
+  private readonly reader = FrameReader.create();
+  private isGreeted = false;
+  private isEnded = false;
+  private isCorked = false;
+
+  private constructor(
+    private readonly socket: Socket,
+    private readonly peer: string,
+    private readonly events: FrameSocketEvents,
+  ) {}
+
+  /** Takes over a connection that is open, or about to be. */
+  static create(
+    socket: Socket,
+    peer: string,
+    events: FrameSocketEvents,
+  ): FrameSocket {
+    const frames = new FrameSocket(socket, peer, events);
+    socket.setNoDelay(true);
+    socket.on("data", (bytes: Buffer) => frames.read(bytes));
+    socket.on("error", (cause) => frames.end("the link broke", cause));
+    socket.on("end", () => frames.end("the link was ended"));
+    socket.on("close", () => frames.end("the link was closed"));
+    frames.write(encodeFrame({
+      kind: FRAME_KINDS.greeting,
+      id: 0,
+      head: [LINK_FORMAT],
+    }));
+    return frames;
+  }
+
+  /**
+   * Writes a frame. All frames of one turn of the event loop go out in one write: calls to the system
+   * are a good part of what a request costs.
+   */
+  write(bytes: Buffer): void {
+    if (!this.isCorked) {
+      this.isCorked = true;
+      this.socket.cork();
+      process.nextTick(() => this.flush());
+    }
+    this.socket.write(bytes);
+  }
+
+  /** Writes what is left and ends the connection. */
+  finish(): void {
+    this.isEnded = true;
+    this.flush();
+    this.socket.end();
+  }
+
+  /** Ends the connection at once, without a word to the owner. */
+  destroy(): void {
+    this.isEnded = true;
+    this.socket.destroy();
+  }
+
+  private flush(): void {
+    this.isCorked = false;
+    this.socket.uncork();
+  }
+
+  private read(bytes: Buffer): void {
+    if (this.isEnded) {
+      return;
+    }
+    try {
+      this.reader.push(bytes).forEach((frame) => this.take(frame));
+    } catch (cause) {
+      this.end("the link brought what can't be read", cause);
+    }
+  }
+
+  private take(frame: Frame): void {
+    if (this.isGreeted) {
+      this.events.onFrame(frame);
+      return;
+    }
+    GreetingHead.parse(frame.head);
+    this.isGreeted = true;
+  }
+
+  private end(message: string, cause?: unknown): void {
+    if (this.isEnded) {
+      return;
+    }
+    this.isEnded = true;
+    this.socket.destroy();
+    this.events.onEnd(BamboolinkError.create("unreachable", message, {
+      step: "link",
+      peer: this.peer,
+      cause,
+    }));
+  }
+}
--- a/packages/router/src/http_headers.ts
+++ b/packages/router/src/http_headers.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { PEER_HEADER_PREFIX } from "./forward_codec.ts";
 import type { AnswerHeaders } from "./exchange.ts";
 
 /** Headers that concern one connection only (RFC 9110, section 7.6.1), and the framing of the body. */
@@ -28,10 +27,9 @@
 ): string[] {
   const named = namedByConnection(raw);
   const isKept = (name: string) =>
-    !CONNECTION_HEADERS.has(name) && !named.has(name) && !reserved.has(name) &&
-    !name.startsWith(PEER_HEADER_PREFIX);
-  return raw.flatMap((text, index) =>
-    index % 2 === 0 && isKept(text.toLowerCase()) ? [text, raw[index + 1]!] : []
+    !CONNECTION_HEADERS.has(name) && !reserved.has(name) && !named.has(name);
+  return raw.filter((_text, index) =>
+    isKept(raw[index - index % 2]!.toLowerCase())
   );
 }
 
@@ -39,11 +37,12 @@
 export function selectAnswerHeaders(
   headers: AnswerHeaders,
 ): Record<string, string | string[]> {
-  const named = new Set(splitList(String(headers["connection"] ?? "")));
+  const { connection } = headers;
+  const named = connection === undefined ? [] : splitList(String(connection));
   return Object.fromEntries(
     Object.entries(headers).filter(([name, value]) =>
       value !== undefined && !CONNECTION_HEADERS.has(name) &&
-      !named.has(name) && !name.startsWith(PEER_HEADER_PREFIX)
+      !named.includes(name)
     ),
   ) as Record<string, string | string[]>;
 }
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -15,13 +15,14 @@
 import type { Metrics } from "@bamboolink/metrics";
 import { TrafficSplit } from "@bamboolink/traffic";
 import type { CallerLimits, TrafficRoute } from "@bamboolink/types";
+import { Cancellation } from "./cancellation.ts";
 import { steadyMs } from "./clock.ts";
 import type {
   ConfigurationInForce,
   ConfigurationKeeper,
 } from "./configuration_keeper.ts";
 import { hasLeft, readBody } from "./http_body.ts";
-import { selectAnswerHeaders, selectRequestHeaders } from "./http_headers.ts";
+import { selectRequestHeaders } from "./http_headers.ts";
 import type {
   CallerProtocol,
   CallerRequest,
@@ -285,17 +286,17 @@
     response: ServerResponse,
     route: TrafficRoute,
   ): Promise<Outcome> {
-    const controller = new AbortController();
+    const cancellation = Cancellation.create();
     const timer = setTimeout(
-      () => controller.abort("deadline"),
+      () => cancellation.cancel("deadline"),
       Math.max(0, work.deadlineAtMs - steadyMs()),
     );
-    const leave = () => controller.abort("cancelled");
+    const leave = () => cancellation.cancel("cancelled");
     response.once("close", leave);
     try {
       return await this.context.runner.run(work, {
         maximumAttempts: route.maximumAttempts,
-        signal: controller.signal,
+        cancellation,
       });
     } finally {
       clearTimeout(timer);
@@ -353,7 +354,7 @@
     response: ServerResponse,
     answer: Extract<Outcome, { kind: "answer" }>,
   ): void {
-    const headers = selectAnswerHeaders(answer.headers);
+    const { headers } = answer;
     const hasNoBody = response.req.method === "HEAD" ||
       answer.status === 204 || answer.status === 304;
     const length = hasNoBody
--- /dev/null
+++ b/packages/router/src/link_server.ts
@@ -0,0 +1,177 @@
+/**
+ * The receiving end of the links from other daemons: runs their requests at the backend server here.
+ *
+ * @module
+ */
+import { createServer, type Server, type Socket } from "node:net";
+import type { Logger } from "@bamboolink/logger";
+import { Cancellation } from "./cancellation.ts";
+import { FrameSocket } from "./frame_socket.ts";
+import {
+  decodeWork,
+  encodeFrame,
+  encodeOutcome,
+  type Frame,
+  FRAME_KINDS,
+} from "./link_codec.ts";
+import type { LocalBackend } from "./local_backend.ts";
+import type { LoopLag } from "./loop_lag.ts";
+import { notRun, type Outcome, type Work } from "./work.ts";
+
+/**
+ * A request that is not answered by then is acknowledged, in milliseconds. Many are answered sooner, and
+ * the answer says the same without another packet.
+ */
+const ACKNOWLEDGE_AFTER_MS = 60;
+
+/** What the server needs. */
+export interface LinkServerContext {
+  readonly logger: Logger;
+  readonly backend: LocalBackend;
+  readonly lag: LoopLag;
+  readonly nowMs: () => number;
+}
+
+/** One request of another daemon. */
+interface Running {
+  readonly work: Work;
+  readonly cancellation: Cancellation;
+  readonly arrivedMs: number;
+  isAcknowledged: boolean;
+}
+
+/** One link. */
+interface Link {
+  readonly frames: FrameSocket;
+  readonly running: Map<number, Running>;
+  lastReadId: number;
+}
+
+/** Serves links. */
+export class LinkServer {
+  /** Takes the other daemons' connections. */
+  readonly server: Server;
+  private readonly links = new Set<Link>();
+  private isStopping = false;
+  private hasSaidFarewell = false;
+
+  private constructor(private readonly context: LinkServerContext) {
+    this.server = createServer((socket) => this.accept(socket));
+  }
+
+  /** Creates a server that does not listen yet. */
+  static create(context: LinkServerContext): LinkServer {
+    return new LinkServer(context);
+  }
+
+  /** How many requests are under way. */
+  get activeCount(): number {
+    return [...this.links].reduce((sum, { running }) => sum + running.size, 0);
+  }
+
+  /** From now on no request is taken any more. */
+  beginStop(): void {
+    this.isStopping = true;
+  }
+
+  /** Ends all links in good order. */
+  close(): void {
+    this.hasSaidFarewell = true;
+    this.server.close();
+    this.links.forEach(({ frames, lastReadId: id }) => {
+      frames.write(encodeFrame({ kind: FRAME_KINDS.farewell, id }));
+      frames.finish();
+    });
+    this.links.clear();
+  }
+
+  /** Acknowledges what takes long, and gives up what nobody waits for any more. */
+  tick(): void {
+    const nowMs = this.context.nowMs();
+    this.links.forEach((link) =>
+      link.running.forEach((running, id) =>
+        this.review(link, { running, id, nowMs })
+      )
+    );
+  }
+
+  private review(
+    link: Link,
+    entry: { running: Running; id: number; nowMs: number },
+  ): void {
+    const { running, id, nowMs } = entry;
+    if (nowMs >= running.work.deadlineAtMs) {
+      // The sender cancels at the deadline; one that is cut off can't, and a slot would stay taken.
+      running.cancellation.cancel("deadline");
+      return;
+    }
+    if (
+      !running.isAcknowledged &&
+      nowMs - running.arrivedMs >= ACKNOWLEDGE_AFTER_MS
+    ) {
+      running.isAcknowledged = true;
+      link.frames.write(encodeFrame({ kind: FRAME_KINDS.acknowledgement, id }));
+    }
+  }
+
+  private accept(socket: Socket): void {
+    const peer = `${socket.remoteAddress}:${socket.remotePort}`;
+    const running = new Map<number, Running>();
+    const frames = FrameSocket.create(socket, peer, {
+      onFrame: (frame) => this.take(link, frame),
+      onEnd: (cause) => {
+        this.links.delete(link);
+        running.forEach(({ cancellation }) => cancellation.cancel("cancelled"));
+        running.clear();
+        this.context.logger.log("link_ended", { peer, cause });
+      },
+    });
+    const link: Link = { frames, running, lastReadId: 0 };
+    this.links.add(link);
+  }
+
+  private take(link: Link, frame: Frame): void {
+    if (frame.kind === FRAME_KINDS.cancellation) {
+      link.running.get(frame.id)?.cancellation.cancel("cancelled");
+      return;
+    }
+    if (frame.kind !== FRAME_KINDS.request || this.hasSaidFarewell) {
+      return;
+    }
+    const { nowMs, lag } = this.context;
+    const arrivedMs = nowMs();
+    const work = decodeWork(frame, arrivedMs - lag.currentMs);
+    const cancellation = Cancellation.create();
+    const running = { work, cancellation, arrivedMs, isAcknowledged: false };
+    link.running.set(frame.id, running);
+    link.lastReadId = frame.id;
+    void this.serve(link, frame.id, running);
+  }
+
+  private async serve(
+    link: Link,
+    id: number,
+    { work, cancellation }: Running,
+  ): Promise<void> {
+    const { backend, lag, logger } = this.context;
+    await lag.catchUp({ isFirst: false });
+    const outcome = await this.run(work, cancellation).catch((cause) => {
+      logger.log("unexpected_error", { step: "link_server", cause });
+      return { kind: "unknown", reason: "connection_lost" } as const;
+    });
+    if (link.running.delete(id) && cancellation.reason !== "cancelled") {
+      link.frames.write(encodeOutcome(id, outcome, backend.report()));
+    }
+  }
+
+  private run(work: Work, cancellation: Cancellation): Promise<Outcome> {
+    const { backend, lag } = this.context;
+    if (this.isStopping) {
+      return Promise.resolve(notRun("stopping"));
+    }
+    if (lag.isOverloaded(work.rank)) {
+      return Promise.resolve(notRun("overloaded", { waitMs: lag.currentMs }));
+    }
+    return backend.attempt(work, cancellation);
+  }
+}
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -11,10 +11,12 @@
 import { type GrantBook, LoadProfile } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { MemberPhase } from "@bamboolink/membership";
+import type { Cancellation } from "./cancellation.ts";
 import { bootMs, steadyMs } from "./clock.ts";
 import { ConnectionPool } from "./connection_pool.ts";
 import type { Connection, ExchangeResult } from "./exchange.ts";
-import type { LoadReport } from "./forward_codec.ts";
+import { selectAnswerHeaders } from "./http_headers.ts";
+import type { LoadReport } from "./link_codec.ts";
 import { LoadMeter } from "./load_meter.ts";
 import type { BackendProtocol } from "./ports/backend_protocol.ts";
 import {
@@ -158,9 +160,12 @@
     return this.connections.destroy();
   }
 
-  override async attempt(work: Work, signal: AbortSignal): Promise<Outcome> {
+  override async attempt(
+    work: Work,
+    cancellation: Cancellation,
+  ): Promise<Outcome> {
     const refused = this.checkService(work) ??
-      await this.awaitKey(work, signal);
+      await this.awaitKey(work, cancellation);
     if (refused !== undefined) {
       return refused;
     }
@@ -175,9 +180,13 @@
     }
     this.lastId += 1;
     const id = this.lastId;
-    const admitted = await this.awaitSlot(work, { id, estimateMs, signal });
+    const admitted = await this.awaitSlot(work, {
+      id,
+      estimateMs,
+      cancellation,
+    });
     return admitted === "run"
-      ? await this.handOver(work, { id, signal })
+      ? await this.handOver(work, { id, cancellation })
       : admitted;
   }
 
@@ -195,7 +204,7 @@
   /** Requests for a key wait until the backend server holds it, if it is to hold it. */
   private async awaitKey(
     work: Work,
-    signal: AbortSignal,
+    cancellation: Cancellation,
   ): Promise<Outcome | undefined> {
     const { grants } = this.context;
     if (this.identity?.isKeyed !== true) {
@@ -211,21 +220,21 @@
     const leftMs = work.deadlineAtMs - steadyMs();
     await this.awaitGrant(key, {
       waitMs: Math.min(GRANT_WAIT_MS, leftMs / 2),
-      signal,
+      cancellation,
     });
     return grants.holds(key, bootMs()) ? undefined : notRun("not_owner");
   }
 
   private awaitGrant(
     key: number,
-    options: { waitMs: number; signal: AbortSignal },
+    options: { waitMs: number; cancellation: Cancellation },
   ): Promise<void> {
     const { grants } = this.context;
     return new Promise((resolve) => {
       const end = () => {
         clearTimeout(timer);
         this.grantWaits.delete(look);
-        options.signal.removeEventListener("abort", end);
+        options.cancellation.remove(end);
         resolve();
       };
       const look = () => {
@@ -235,16 +244,16 @@
       };
       const timer = setTimeout(end, options.waitMs);
       this.grantWaits.add(look);
-      options.signal.addEventListener("abort", end, { once: true });
+      options.cancellation.onCancel(end);
     });
   }
 
   private awaitSlot(
     work: Work,
-    entry: { id: number; estimateMs: number; signal: AbortSignal },
+    entry: { id: number; estimateMs: number; cancellation: Cancellation },
   ): Promise<"run" | Outcome> {
-    const { id, estimateMs, signal } = entry;
-    if (signal.aborted) {
+    const { id, estimateMs, cancellation } = entry;
+    if (cancellation.isCancelled) {
       return Promise.resolve(notRun("cancelled"));
     }
     const { rank, objectiveAtMs, deadlineAtMs } = work;
@@ -266,10 +275,10 @@
           this.settle(id, notRun("cancelled"));
         }
       };
-      signal.addEventListener("abort", leave, { once: true });
+      cancellation.onCancel(leave);
       this.waiting.set(id, {
         resolve: (outcome) => {
-          signal.removeEventListener("abort", leave);
+          cancellation.remove(leave);
           resolve(outcome);
         },
       });
@@ -279,7 +288,7 @@
   /** From here on bytes may reach the backend server. */
   private async handOver(
     work: Work,
-    slot: { id: number; signal: AbortSignal },
+    slot: { id: number; cancellation: Cancellation },
   ): Promise<Outcome> {
     const startedMs = steadyMs();
     const refused = this.checkAgain(work);
@@ -293,7 +302,7 @@
     });
     const result = await connection.exchange(
       this.describe(work, startedMs),
-      { signal: slot.signal, nowMs: steadyMs },
+      { cancellation: slot.cancellation, nowMs: steadyMs },
     );
     this.leaveSlot(slot.id);
     const outcome = this.judge(work, { result, connection });
@@ -368,7 +377,7 @@
     }
     this.connections.give(connection);
     if (verdict === "answer") {
-      return answer;
+      return { ...answer, headers: selectAnswerHeaders(answer.headers) };
     }
     if (verdict === "wrong_instance") {
       this.context.onSuspicion("wrong_instance");
--- a/packages/router/src/peer_questions.ts
+++ b/packages/router/src/peer_questions.ts
@@ -8,6 +8,7 @@
 import type { CasRequest, StoredRecord } from "@bamboolink/store";
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
 import { z } from "zod";
+import { Cancellation } from "./cancellation.ts";
 import { steadyMs } from "./clock.ts";
 import { Connection } from "./exchange.ts";
 
@@ -115,7 +116,7 @@
     target: question.target,
     headers: ["host", peer],
     body: question.body === undefined ? undefined : Buffer.from(question.body),
-  }, { signal: AbortSignal.timeout(TIMEOUT_MS), nowMs: steadyMs })
+  }, { cancellation: Cancellation.createAfter(TIMEOUT_MS), nowMs: steadyMs })
     .finally(() => void connection.destroy());
   return ResultAsync.fromSafePromise(exchange).andThen((result) => {
     if (result.kind !== "answer") {
--- a/packages/router/src/ports/router_settings.ts
+++ b/packages/router/src/ports/router_settings.ts
@@ -24,9 +24,9 @@
   heartbeatAddress: address,
   /** Where readiness is asked for. */
   readinessAddress: address,
-  /** Where other daemons send requests and questions. */
+  /** Where other daemons ask questions. */
   peerAddress: address,
-  /** Where other daemons send gossip, as datagrams. */
+  /** Where other daemons send gossip, as datagrams, and open links for requests, over TCP. */
   gossipAddress: address,
   /** Where metrics are read; none are served without it. */
   metricsAddress: address.optional(),
--- a/packages/router/src/request_runner.ts
+++ b/packages/router/src/request_runner.ts
@@ -12,6 +12,7 @@
   type PlacementCandidate,
 } from "@bamboolink/placement";
 import type { BackendBoard } from "./backend_board.ts";
+import type { Cancellation } from "./cancellation.ts";
 import { steadyMs } from "./clock.ts";
 import type { Forwarder } from "./forwarder.ts";
 import type { LocalBackend } from "./local_backend.ts";
@@ -66,13 +67,17 @@
   /** Runs a request; the outcome is final. */
   async run(
     work: Work,
-    options: { maximumAttempts: number; signal: AbortSignal },
+    options: { maximumAttempts: number; cancellation: Cancellation },
   ): Promise<Outcome> {
     const progress: Progress = { arrivals: 0, tried: new Set() };
     this.context.budget.noteRequest(work.service, steadyMs());
     let last = notRun("no_backend");
     for (let round = 0; round < MAXIMUM_ROUNDS; round += 1) {
-      const target = await this.findTarget(work, progress, options.signal);
+      const target = await this.findTarget(
+        work,
+        progress,
+        options.cancellation,
+      );
       if (target === undefined) {
         return last;
       }
@@ -91,14 +96,14 @@
         this.choose(work, withTried(progress, target)) !== undefined;
       last = await this.attempt(work, {
         target,
-        signal: options.signal,
+        cancellation: options.cancellation,
         mayGiveUp,
       });
       this.logAttempt(work, { target, round, outcome: last });
       if (this.isFinal(work, last) || this.isOwnerAway(work, last)) {
         return last;
       }
-      if (options.signal.aborted) {
+      if (options.cancellation.isCancelled) {
         return last;
       }
       progress.arrivals += hasArrived(last) ? 1 : 0;
@@ -111,20 +116,19 @@
     work: Work,
     to: {
       target: MemberReport;
-      signal: AbortSignal;
+      cancellation: Cancellation;
       mayGiveUp: () => boolean;
     },
   ): Promise<Outcome> {
     const { view, backend, board, forwarder } = this.context;
-    const { target, signal, mayGiveUp } = to;
+    const { target, cancellation, mayGiveUp } = to;
     if (target.address === view.ownReport.address) {
-      return backend.attempt(work, signal);
+      return backend.attempt(work, cancellation);
     }
     board.noteSent(target.address);
     return forwarder.forward(work, {
       daemon: target.address,
-      address: target.forwardAddress,
-      signal,
+      cancellation,
       mayGiveUp,
     });
   }
@@ -169,11 +173,11 @@
   private findTarget(
     work: Work,
     progress: Progress,
-    signal: AbortSignal,
+    cancellation: Cancellation,
   ): Promise<MemberReport | undefined> {
     const { directory } = this.context;
     return directory.isKeyed(work.service)
-      ? this.findOwner(work, progress, signal)
+      ? this.findOwner(work, progress, cancellation)
       : Promise.resolve(this.choose(work, progress));
   }
 
@@ -214,7 +218,7 @@
   private async findOwner(
     work: Work,
     progress: Progress,
-    signal: AbortSignal,
+    cancellation: Cancellation,
   ): Promise<MemberReport | undefined> {
     const { directory, view } = this.context;
     if (work.key === undefined) {
@@ -222,7 +226,7 @@
     }
     const leftMs = work.deadlineAtMs - steadyMs();
     const untilMs = steadyMs() + Math.min(OWNER_WAIT_MS, leftMs / 3);
-    while (!signal.aborted) {
+    while (!cancellation.isCancelled) {
       const daemon = directory.ownerOf(work.service, work.key);
       const owner = daemon === undefined ? undefined : view.find(daemon);
       if (owner !== undefined && this.isAway(owner)) {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { createServer, type Server } from "node:http";
+import type { Server as ConnectionServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { ResendBudget } from "@bamboolink/admission";
 import { BamboolinkError } from "@bamboolink/errors";
@@ -22,6 +23,7 @@
 import { createHeartbeatServer } from "./heartbeat_server.ts";
 import { HandoverDesk } from "./handover_desk.ts";
 import { Ingress } from "./ingress.ts";
+import { LinkServer } from "./link_server.ts";
 import { LocalBackend } from "./local_backend.ts";
 import { LoopLag } from "./loop_lag.ts";
 import { MemberDirectory } from "./member_directory.ts";
@@ -92,6 +94,7 @@
   private readonly forwarder: Forwarder;
   private readonly budget: ResendBudget;
   private readonly ingress: Ingress;
+  private readonly linkServer: LinkServer;
   private readonly peerServer: PeerServer;
   private readonly heartbeats: Server;
   private readonly readiness: Server;
@@ -215,12 +218,16 @@
       random,
       callerService: () => this.settings.service,
     });
-    this.peerServer = PeerServer.create({
+    this.linkServer = LinkServer.create({
       logger,
       backend: this.backend,
+      lag: this.lag,
+      nowMs: steadyMs,
+    });
+    this.peerServer = PeerServer.create({
+      logger,
       configuration: this.configuration,
       directory: this.directory,
-      lag: this.lag,
       store: this.directStore,
     });
     this.heartbeats = createHeartbeatServer({
@@ -250,6 +257,7 @@
     await Promise.all([
       this.gossip.start(),
       listen(this.heartbeats, settings.heartbeatAddress),
+      listen(this.linkServer.server, settings.gossipAddress),
       listen(this.peerServer.server, settings.peerAddress),
       listen(this.readiness, settings.readinessAddress),
       listen(this.ingress.server, settings.callerAddress),
@@ -295,19 +303,19 @@
     this.ingress.server.close();
     this.ingress.server.closeIdleConnections();
     await sleep(TICK_MS);
-    this.peerServer.beginStop();
+    this.linkServer.beginStop();
     while (steadyMs() < untilMs && this.isBusy()) {
       await sleep(TICK_MS / 2);
       this.ingress.server.closeIdleConnections();
     }
     await this.close();
     this.logger.log("process_stopped", {
-      unfinished: this.ingress.activeCount + this.peerServer.activeCount,
+      unfinished: this.ingress.activeCount + this.linkServer.activeCount,
     });
   }
 
   private isBusy(): boolean {
-    return this.ingress.activeCount + this.peerServer.activeCount > 0;
+    return this.ingress.activeCount + this.linkServer.activeCount > 0;
   }
 
   private async close(): Promise<void> {
@@ -315,20 +323,19 @@
     this.watcher.stop();
     this.members.stop();
     this.gossip.close();
+    this.linkServer.close();
+    this.forwarder.close();
     [this.peerServer.server, this.readiness, this.heartbeats].forEach(
       (server) => server.close(),
     );
-    await Promise.all([
-      this.forwarder.close(),
-      this.backend.close(),
-      this.store.close(),
-    ]);
+    await Promise.all([this.backend.close(), this.store.close()]);
   }
 
   private tick(): void {
     this.lag.noteTick();
     this.backend.tick();
     this.ownership.tick();
+    this.linkServer.tick();
     this.forwarder.tick();
   }
 
@@ -542,7 +549,7 @@
   };
 }
 
-function listen(server: Server, address: string): Promise<void> {
+function listen(server: ConnectionServer, address: string): Promise<void> {
   const { host, port } = splitAddress(address);
   return new Promise((resolve, reject) => {
     server.once(
--- a/packages/router/src/work.ts
+++ b/packages/router/src/work.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Cancellation } from "./cancellation.ts";
 import type { AnswerHeaders } from "./exchange.ts";
 
 /** A request on its way to a backend server. Times are on the steady clock of the holding daemon. */
@@ -63,6 +64,7 @@
   | {
     readonly kind: "answer";
     readonly status: number;
+    /** Those that pass on to the caller. */
     readonly headers: AnswerHeaders;
     readonly body: Buffer;
     /** Whether the backend server said where its answer ends. */
@@ -95,5 +97,5 @@
 /** Where a request can be sent: the own backend server, or another daemon. */
 export abstract class Destination {
   /** Makes one attempt. It never throws. */
-  abstract attempt(work: Work, signal: AbortSignal): Promise<Outcome>;
+  abstract attempt(work: Work, cancellation: Cancellation): Promise<Outcome>;
 }
