Bundle only the clients of undici

Cause: a start spends most of its time on loading code, and after a crash callers wait for it; on a small processor 0.3 s of it take a second.

Ruled out as the rest: reading the files; it is Node's own modules, which prom-client and undici ask for (tls, http2, https).

Tests of platform/ passed.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -7,6 +7,7 @@
  */
 import { execFileSync } from "node:child_process";
 import { writeFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
 import { build } from "esbuild";
 
 /** Must be those of `run` in `deploy/system.toml`: compiled code fits only the flags it was made with. */
@@ -48,6 +49,9 @@
   format: "cjs",
   minifySyntax: true,
   minifyWhitespace: true,
+  alias: {
+    undici: fileURLToPath(new URL("undici_client.cjs", import.meta.url)),
+  },
   // Holds a native library, which is loaded from where it is installed.
   external: ["koffi"],
   define: { "import.meta.url": "bundleUrl" },
