Move keys by load and not by chance, give before taking, and pause after failed writes

Change: a move must bring a third of a slot's work; takers are filled to 0.8 at most, and to that if the owner refuses; a daemon with moves of its own begins them before it waits for keys; 250 ms after a failed write. The load line tells the largest lag of the event loop.

--- a/packages/keyspace/src/plan_shedding.ts
+++ b/packages/keyspace/src/plan_shedding.ts
@@ -26,6 +26,18 @@
  * (replayed in the test).
  */
 const MOST_MOVES = 32;
+/**
+ * The least work that is worth a move, in milliseconds of a slot a second: a request or two. Below it the
+ * profile shows chance and not load, and moves by chance cut the key space into single keys.
+ */
+const LEAST_MOVED_MS = 350;
+/**
+ * Takers are filled up to this utilization at most. Work offered to a hot owner counts in full, also what
+ * it refuses, so the mean alone can be more than an owner can do.
+ */
+const FULL_UTILIZATION = 0.8;
+/** An owner above this refuses requests; others are better filled up beyond the mean than that. */
+const OVERLOADED_UTILIZATION = 1;
 
 /** The load of one owner of keys. */
 export interface OwnerLoad {
@@ -60,17 +72,19 @@
   if (others.length === 0) {
     return [];
   }
-  const mean = findMean([own, ...others]);
-  const excess = own.utilization - mean;
+  const target = own.utilization > OVERLOADED_UTILIZATION
+    ? FULL_UTILIZATION
+    : Math.min(FULL_UTILIZATION, findMean([own, ...others]));
+  const excess = own.utilization - target;
   const isHot = own.utilization > HOT_UTILIZATION && excess > WORTHWHILE_EXCESS;
   const takers = others
     .filter(({ daemon, utilization }) =>
-      isHot && utilization < mean ||
+      isHot && utilization < target ||
       own.utilization > SHARING_UTILIZATION && keys.keyless.has(daemon)
     )
     .sort((left, right) => left.utilization - right.utilization)
     .slice(0, MOST_MOVES);
-  return divide(own, takers, { ...keys, mean });
+  return divide(own, takers, { ...keys, target });
 }
 
 function divide(
@@ -79,12 +93,13 @@
   keys: {
     ranges: readonly KeyRange[];
     profile: LoadProfile;
-    mean: number;
+    keyless: ReadonlySet<string>;
+    target: number;
   },
 ): PlannedMove[] {
   const left = RangeMap.create<true>();
   keys.ranges.forEach((range) => left.set(range, true));
-  let excess = (own.utilization - keys.mean) * own.slots;
+  let excess = (own.utilization - keys.target) * own.slots;
   return takers.flatMap((taker) => {
     const window = findWindow({ own, taker }, { ...keys, left, excess });
     if (window === undefined) {
@@ -102,14 +117,16 @@
   keys: {
     profile: LoadProfile;
     left: RangeMap<true>;
-    mean: number;
+    keyless: ReadonlySet<string>;
+    target: number;
     excess: number;
   },
 ): KeyRange | undefined {
-  const { profile, left, mean, excess } = keys;
-  const room = (mean - taker.utilization) * taker.slots;
+  const { profile, left, keyless, target, excess } = keys;
+  const room = (target - taker.utilization) * taker.slots;
   const load = Math.min(room, excess) * MOVED_SHARE * 1_000;
-  if (load <= 0) {
+  const isShared = keyless.has(taker.daemon);
+  if (load <= 0 || load < LEAST_MOVED_MS && !isShared) {
     return undefined;
   }
   const window = profile.findWindow(left.segments, { load });
@@ -123,7 +140,7 @@
   // One key alone brings more than the taker lacks. It is better off there as long as the taker is then
   // less loaded than its owner was; without this the hottest keys never leave the hottest owner.
   const moved = profile.loadOf([heaviest]) / 1_000;
-  const remaining = mean * own.slots + excess - moved;
+  const remaining = target * own.slots + excess - moved;
   return taker.utilization * taker.slots + moved < remaining
     ? heaviest
     : undefined;
--- a/packages/router/src/loop_lag.ts
+++ b/packages/router/src/loop_lag.ts
@@ -25,6 +25,7 @@
 export class LoopLag {
   private lags: number[] = [];
   private tickedAtMs: number;
+  private largestMs = 0;
 
   private constructor(
     private readonly tickMs: number,
@@ -45,10 +46,19 @@
 
   /** The timer has fired. */
   noteTick(): void {
-    this.lags = [...this.lags, this.overdueMs()].slice(-REMEMBERED);
+    const lagMs = this.overdueMs();
+    this.largestMs = Math.max(this.largestMs, lagMs);
+    this.lags = [...this.lags, lagMs].slice(-REMEMBERED);
     this.tickedAtMs = this.now();
   }
 
+  /** The largest lag since the last call, in milliseconds, for the log. */
+  takeLargestMs(): number {
+    const { largestMs } = this;
+    this.largestMs = 0;
+    return largestMs;
+  }
+
   /**
    * For how long what is read now may have waited, in milliseconds. A turn in which much is read goes on
    * for long before the timer can fire, so the time since it fired last counts, too.
--- a/packages/router/src/ownership_keeper.ts
+++ b/packages/router/src/ownership_keeper.ts
@@ -46,6 +46,11 @@
 const MOVABLE_MS = 2 * CONFIRM_MS;
 /** Time between two looks for keys to shed, in milliseconds. */
 const SHED_MS = 500;
+/**
+ * Pause after a write that failed for another reason than another writer, in milliseconds: while the store
+ * is down, each tick of every daemon would ask all others to write for it.
+ */
+const WRITE_PAUSE_MS = 250;
 /** Tries of one change of a record, against other writers. */
 const WRITE_ATTEMPTS = 4;
 
@@ -73,6 +78,7 @@
 export class OwnershipKeeper {
   private readonly waits = new Map<string, TakeoverWaits>();
   private readonly busy = new Set<string>();
+  private readonly pausedUntilMs = new Map<string, number>();
   private readonly handovers: FreedRange[] = [];
   private planned: readonly PlannedMove[] = [];
   private destinations: PlannedMove[] = [];
@@ -406,6 +412,11 @@
     });
   }
 
+  /** Whether keys wait to be moved away with the next answer to a heartbeat. */
+  get hasPlannedMoves(): boolean {
+    return this.planned.length > 0;
+  }
+
   /** Whether a move that begins now can be written, as far as that is known. */
   private isMovable(): boolean {
     return this.context.tenure.confirmedForMs(bootMs()) < MOVABLE_MS;
@@ -417,9 +428,6 @@
    */
   async beginMoves(): Promise<void> {
     const { planned } = this;
-    if (planned.length === 0) {
-      return;
-    }
     const takers = [...new Set(planned.map(({ daemon }) => daemon))];
     await this.context.desk.awaitTakers(takers);
     this.planned = [];
@@ -548,7 +556,8 @@
     purpose: string,
     change: Change,
   ): Promise<void> {
-    if (this.busy.has(service)) {
+    const isPaused = steadyMs() < (this.pausedUntilMs.get(service) ?? 0);
+    if (this.busy.has(service) || isPaused) {
       return;
     }
     this.busy.add(service);
@@ -597,6 +606,7 @@
         cause: written.error,
       });
       if (written.error.code !== "conflict") {
+        this.pausedUntilMs.set(service, steadyMs() + WRITE_PAUSE_MS);
         return;
       }
       await this.reread(service);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -272,7 +272,7 @@
       setInterval(() => this.gossip.round(), ROUND_MS),
       setInterval(() => this.checkSettings(), SETTINGS_MS),
       setInterval(
-        () => this.logger.log("backend_load", this.backend.takeLoadSummary()),
+        () => this.logLoad(),
         LOAD_LINE_MS,
       ),
     );
@@ -335,6 +335,13 @@
     await Promise.all([this.backend.close(), this.store.close()]);
   }
 
+  private logLoad(): void {
+    this.logger.log("backend_load", {
+      ...this.backend.takeLoadSummary(),
+      lag_ms: Math.round(this.lag.takeLargestMs()),
+    });
+  }
+
   private tick(): void {
     this.lag.noteTick();
     this.backend.tick();
@@ -419,17 +426,20 @@
 
   /** Holds back the answer to a heartbeat while keys come or go, so that they have a holder sooner. */
   private async meetHandovers(): Promise<void> {
+    if (this.ownership.hasPlannedMoves) {
+      // Giving goes first: daemons that wait for each other's keys would give none.
+      await this.ownership.beginMoves();
+      return;
+    }
     const givers = this.desk.expectedFrom(steadyMs());
-    if (givers.length > 0) {
-      const sender = this.view.ownReport.address;
-      givers.forEach((giver) =>
-        this.gossip.sendDatagram({ kind: "awaiting", sender }, giver)
-      );
-      await this.desk.awaitKeys(steadyMs);
-      // Two holds in one answer would take longer than the backend server waits for it.
+    if (givers.length === 0) {
       return;
     }
-    await this.ownership.beginMoves();
+    const sender = this.view.ownReport.address;
+    givers.forEach((giver) =>
+      this.gossip.sendDatagram({ kind: "awaiting", sender }, giver)
+    );
+    await this.desk.awaitKeys(steadyMs);
   }
 
   /** A living daemon that reaches the store, any one. */
