--- a/packages/router/src/relayed_store.ts
+++ b/packages/router/src/relayed_store.ts
@@ -50,32 +50,40 @@
 
   /** Whether the daemon itself reaches the store. */
   get isReached(): boolean {
-    return this.hasSucceeded && bootMs() - this.failedAtMs > OUT_OF_REACH_MS;
+    return this.hasSucceeded && !this.hasJustFailed;
   }
 
   override get(
     key: string,
   ): ResultAsync<StoredRecord | undefined, BamboolinkError> {
-    return this.direct(this.context.direct.get(key)).orElse((error) => {
-      const helper = this.context.findHelper();
-      return helper === undefined
+    const { direct, questions } = this.context;
+    const ask = () => this.direct(direct.get(key));
+    const helper = this.helperFirst();
+    if (helper !== undefined) {
+      return questions.askRecord(helper, key).orElse(ask);
+    }
+    return ask().orElse((error) => {
+      const other = this.context.findHelper();
+      return other === undefined
         ? errAsync(error)
-        : this.context.questions.askRecord(helper, key);
+        : questions.askRecord(other, key);
     });
   }
 
   override compareAndSwap(
     request: CasRequest,
   ): ResultAsync<number, BamboolinkError> {
-    return this.direct(this.context.direct.compareAndSwap(request))
-      .orElse((error) => {
-        const helper = this.context.findHelper();
-        const isSurelyUndone = error.code === "refused" ||
-          error.code === "unreachable";
-        return helper === undefined || !isSurelyUndone
-          ? errAsync(error)
-          : this.context.questions.askWrite(helper, request);
-      });
+    const { direct, questions } = this.context;
+    const helper = this.helperFirst();
+    if (helper !== undefined) {
+      return questions.askWrite(helper, request);
+    }
+    return this.direct(direct.compareAndSwap(request)).orElse((error) => {
+      const other = this.context.findHelper();
+      return other === undefined || !isSurelyUndone(error)
+        ? errAsync(error)
+        : questions.askWrite(other, request);
+    });
   }
 
   override list(prefix: string): ResultAsync<Listing, BamboolinkError> {
@@ -107,6 +115,18 @@
     return this.context.direct.close();
   }
 
+  /**
+   * The daemon to ask without a try of one's own, after a recent failure. Without it each call waits for its
+   * own timeout before it is asked for elsewhere: a move of keys, which takes two of them, takes seconds.
+   */
+  private helperFirst(): string | undefined {
+    return this.hasJustFailed ? this.context.findHelper() : undefined;
+  }
+
+  private get hasJustFailed(): boolean {
+    return bootMs() - this.failedAtMs <= OUT_OF_REACH_MS;
+  }
+
   /** Notes whether the store was reached. */
   private direct<T>(
     call: ResultAsync<T, BamboolinkError>,
@@ -136,3 +156,8 @@
     }
   }
 }
+
+/** Whether an error says that a write has had no effect and will have none. */
+function isSurelyUndone({ code }: BamboolinkError): boolean {
+  return code === "refused" || code === "unreachable";
+}
