Know the work of keys from the first half second, and let nobody wait behind a late one

Cause 1: work was averaged over a time in which there had been no traffic yet: at the start of the traffic an owner with five times its work saw a third of it and needed three rounds of moves, 4 s.

Change: the profile counts the time it has seen. Requests of routes that are followed on their connection don't wait late.

--- a/packages/admission/src/late_lane_test.ts
+++ b/packages/admission/src/late_lane_test.ts
@@ -78,6 +78,7 @@
         ? Math.max(objectiveAtMs, nowMs + WORK_MS)
         : nowMs + Math.min(leftMs, deadlineMs),
       estimateMs: WORK_MS,
+      mayEndLate: true,
     }, nowMs);
     if (verdict.kind === "run") {
       start(last, nowMs);
--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -108,7 +108,8 @@
     }
     const lateWaitMs = this.waitMs(nowMs) +
       this.late.waitAheadMs(request, nowMs);
-    if (!this.late.offer(request, { nowMs, startMs: nowMs + lateWaitMs })) {
+    const startMs = nowMs + lateWaitMs;
+    if (!request.mayEndLate || !this.late.offer(request, { nowMs, startMs })) {
       return { kind: "refuse", reason: "overloaded", waitMs: lateWaitMs };
     }
     return { kind: "wait" };
@@ -233,7 +234,7 @@
 
   /**
    * Requests that were overtaken by more urgent ones and miss their objective now go behind those that can
-   * still meet theirs: a slot given to the first would make the second late, too.
+   * still meet theirs, or away: a slot given to the first would make the second late, too.
    */
   private moveOvertaken(nowMs: number): WorkChanges["refuse"] {
     const overtaken = this.inTime.filter((request) =>
@@ -242,7 +243,9 @@
     this.removeInTime(overtaken);
     const startMs = nowMs + this.waitBehind(this.inTime, nowMs);
     return overtaken
-      .filter((request) => !this.late.offer(request, { nowMs, startMs }))
+      .filter((request) =>
+        !request.mayEndLate || !this.late.offer(request, { nowMs, startMs })
+      )
       .map(({ id }) => ({ id, reason: "overloaded" as const }));
   }
 
--- a/packages/admission/src/work_queue_test.ts
+++ b/packages/admission/src/work_queue_test.ts
@@ -15,6 +15,7 @@
     objectiveAtMs: 300,
     deadlineAtMs: 800,
     estimateMs: 100,
+    mayEndLate: true,
     ...changes,
   };
 }
@@ -54,6 +55,21 @@
       expect(verdict).to.deep.include({ kind: "refuse", reason: "too_late" });
     });
 
+    // Symptom: short requests with room at their own server are answered late.
+    // Sequence: a caller sends one for a full server and a short one right behind it on the same connection; the
+    // first waits for a second for a slot that nobody in time wants.
+    // Cause: answers go out in the order of the requests, so the first one's lateness was the second's, too.
+    it("refuses at once what others wait behind and would be late", () => {
+      const queue = fullQueue(1);
+      const late = { objectiveAtMs: 150 };
+      expect(queue.offer(request(1, late), 0).kind).to.equal("wait");
+      const ahead = request(2, { ...late, mayEndLate: false });
+      expect(queue.offer(ahead, 0)).to.include({
+        kind: "refuse",
+        reason: "overloaded",
+      });
+    });
+
     it("expects the slot that is free first, not the mean of all", () => {
       const queue = WorkQueue.create();
       queue.setSlots(2);
--- a/packages/admission/src/work_request.ts
+++ b/packages/admission/src/work_request.ts
@@ -13,6 +13,11 @@
   readonly objectiveAtMs: number;
   /** After which it is worth nothing. */
   readonly deadlineAtMs: number;
+  /**
+   * Whether it may be served late. Not if others wait behind it on its caller's connection: answers go out in the
+   * order of the requests, so its lateness would be theirs, too.
+   */
+  readonly mayEndLate: boolean;
   /** How long it is expected to hold a slot, in milliseconds. */
   readonly estimateMs: number;
 }
--- a/packages/keyspace/src/load_profile.ts
+++ b/packages/keyspace/src/load_profile.ts
@@ -10,6 +10,8 @@
  * second and stay so for a few.
  */
 const HALF_LIFE_MS = 1_000;
+/** Work is not extrapolated from less than this, in milliseconds: a few requests say little. */
+const LEAST_SEEN_MS = 400;
 /** A window must bring this share of the wanted load. */
 const LEAST_SHARE = 0.7;
 /** From this weight on all sums are scaled back; a double holds far more. */
@@ -29,6 +31,7 @@
    */
   private weight = 1;
   private decayedAtMs = 0;
+  private firstNotedMs: number | undefined;
 
   private constructor() {}
 
@@ -39,6 +42,7 @@
 
   /** Notes work for a key, in milliseconds of a slot. */
   note(key: number, workMs: number): void {
+    this.firstNotedMs ??= this.decayedAtMs;
     this.sums[key] = this.sums[key]! + workMs * this.weight;
   }
 
@@ -168,10 +172,24 @@
 
   /** A sum that decays with a half-life is the rate times the half-life divided by ln 2. */
   private toRate(sum: number): number {
-    return sum / this.weight * Math.LN2 / (HALF_LIFE_MS / 1_000);
+    return sum / this.weight / this.memorySeconds;
   }
 
   private toSum(rate: number): number {
-    return rate * this.weight / Math.LN2 * (HALF_LIFE_MS / 1_000);
+    return rate * this.weight * this.memorySeconds;
+  }
+
+  /**
+   * The time whose work is in the sums, in seconds. It is shorter at first: without that, an owner that was
+   * given far too much at the start of the traffic would see a third of it after half a second, and shed in
+   * three rounds what can go in one.
+   */
+  private get memorySeconds(): number {
+    const { firstNotedMs, decayedAtMs } = this;
+    const seenMs = firstNotedMs === undefined
+      ? Infinity
+      : Math.max(LEAST_SEEN_MS, decayedAtMs - firstNotedMs);
+    const filled = 1 - 2 ** (-seenMs / HALF_LIFE_MS);
+    return HALF_LIFE_MS / 1_000 / Math.LN2 * filled;
   }
 }
--- a/packages/keyspace/src/plan_shedding_test.ts
+++ b/packages/keyspace/src/plan_shedding_test.ts
@@ -18,6 +18,12 @@
 const HOT_KEYS = 200;
 const FIRST_HOT_KEY = 20_000;
 
+/** Lets so much time pass that what is noted then counts as what a long-running owner would see. */
+function settle(profile: LoadProfile): void {
+  profile.note(0, 0);
+  profile.decay(60_000);
+}
+
 /** Work by key, in milliseconds of a slot a second: few keys of the hot ones bring most of it. */
 function createWork(): number[] {
   const ranks = Array.from(
@@ -49,7 +55,7 @@
         value,
       })),
     );
-    this.profile.decay(0);
+    settle(this.profile);
     work.forEach((workMs, key) => this.profile.note(key, workMs / Math.LN2));
   }
 
@@ -114,7 +120,7 @@
 
   function createProfile(loads: readonly number[]): LoadProfile {
     const profile = LoadProfile.create();
-    profile.decay(0);
+    settle(profile);
     loads.forEach((load, owner) =>
       Array.from({ length: 100 }, (_, index) =>
         profile.note(
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -13,7 +13,7 @@
 import { CallerPatience, createAnswerSpread } from "@bamboolink/admission";
 import type { Logger } from "@bamboolink/logger";
 import type { Metrics } from "@bamboolink/metrics";
-import { TrafficSplit } from "@bamboolink/traffic";
+import { ConnectionOrder, TrafficSplit } from "@bamboolink/traffic";
 import type { CallerLimits, TrafficRoute } from "@bamboolink/types";
 import type { Ending } from "./attempt_history.ts";
 import { Cancellation } from "./cancellation.ts";
@@ -84,6 +84,7 @@
   private readonly patience = CallerPatience.create();
   private readonly split: TrafficSplit;
   private readonly spread: ReturnType<typeof createAnswerSpread>;
+  private readonly order = ConnectionOrder.create<Socket>();
   /** Connections that have brought a request before. */
   private readonly served = new WeakSet<Socket>();
   private active = 0;
@@ -124,34 +125,39 @@
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const { socket } = incoming;
+    let route: string | undefined;
     this.active += 1;
+    this.order.begin(socket);
     try {
-      await this.serveOne(incoming, response);
+      route = await this.serveOne(incoming, response);
     } catch (cause) {
       this.context.logger.log("unexpected_error", { step: "ingress", cause });
       response.destroy();
     } finally {
       this.active -= 1;
+      this.order.end(socket, route);
     }
   }
 
+  /** Serves a request; returns the name of its route if it was sent on. */
   private async serveOne(
     incoming: IncomingMessage,
     response: ServerResponse,
-  ): Promise<void> {
+  ): Promise<string | undefined> {
     const { protocol, configuration, metrics, lag } = this.context;
     const arrivedMs = steadyMs() - lag.currentMs;
     response.sendDate = false;
     await lag.catchUp({ isFirst: this.isFirst(incoming.socket) });
     if (hasLeft(incoming)) {
       response.destroy();
-      return;
+      return undefined;
     }
     const request = protocol.read(incoming.headers);
     if (request === undefined) {
       const reason = "the request's own headers are malformed";
       this.refuse(response, { kind: "malformed", reason });
-      return;
+      return undefined;
     }
     const inForce = configuration.inForce;
     if (inForce === undefined) {
@@ -165,7 +171,7 @@
           isForRoom: false,
         }),
       }, request);
-      return;
+      return undefined;
     }
     const route = inForce.router.find(
       incoming.headers.host ?? "",
@@ -173,11 +179,11 @@
     );
     if (route === undefined) {
       this.refuse(response, { kind: "no_route" }, request);
-      return;
+      return undefined;
     }
     if (lag.isOverloaded(route.rank)) {
       this.refuseBehind(response, { request, route });
-      return;
+      return undefined;
     }
     const ended = await this.run(
       { incoming, response, request, arrivedMs },
@@ -189,6 +195,7 @@
       steadyMs() - arrivedMs,
       { route: route.name },
     );
+    return route.name;
   }
 
   /** The process itself is short of time: whatever it does for this request comes too late. */
@@ -287,6 +294,8 @@
       latestStartMs: arrivedMs +
         (route.objectiveMs - waitedMs) * (1 - USUAL_SERVICE_SHARE),
       deadlineAtMs: arrivedMs + patienceMs,
+      mayEndLate: waitedMs > 0 ||
+        !this.order.isFollowed(incoming.socket, route.name),
       callerLeavesAtMs: arrivedMs + (request.deadlineMs ?? route.timeoutMs),
       method: incoming.method ?? "GET",
       target: incoming.url ?? "/",
--- a/packages/router/src/link_codec.ts
+++ b/packages/router/src/link_codec.ts
@@ -59,6 +59,7 @@
   z.string().describe("service of the caller"),
   z.int().describe("time left to the objective, in milliseconds"),
   z.int().describe("time left to the deadline, in milliseconds"),
+  z.boolean().describe("whether it may be served late"),
   z.string().describe("method"),
   z.string().describe("target"),
   z.array(z.string()).describe("names and values of headers in turn"),
@@ -202,6 +203,7 @@
     work.callerService,
     Math.round(work.objectiveAtMs - nowMs),
     Math.round(work.deadlineAtMs - nowMs),
+    work.mayEndLate,
     work.method,
     work.target,
     work.headers,
@@ -232,10 +234,11 @@
     callerService: fields[6],
     objectiveAtMs: nowMs + fields[7],
     deadlineAtMs: nowMs + fields[8],
-    method: fields[9],
-    target: fields[10],
-    headers: fields[11],
-    body: fields[12] ? frame.body : undefined,
+    mayEndLate: fields[9],
+    method: fields[10],
+    target: fields[11],
+    headers: fields[12],
+    body: fields[13] ? frame.body : undefined,
   };
 }
 
--- a/packages/router/src/link_test.ts
+++ b/packages/router/src/link_test.ts
@@ -45,6 +45,7 @@
   callerService: "desk",
   objectiveAtMs: 300,
   deadlineAtMs: 800,
+  mayEndLate: true,
   method: "GET",
   target: "/rooms/7",
   headers: ["host", "rooms.example"],
@@ -61,6 +62,7 @@
   callerService: fc.string(),
   objectiveAtMs: fc.integer({ min: -5_000, max: 5_000 }),
   deadlineAtMs: fc.integer({ min: 0, max: 60_000 }),
+  mayEndLate: fc.boolean(),
   method: fc.constantFrom("GET", "POST"),
   target: fc.string({ unit: "binary" }),
   headers: fc.array(fc.tuple(fc.string(), fc.string({ unit: "binary" })))
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -277,9 +277,9 @@
     if (cancellation.isCancelled) {
       return Promise.resolve(notRun("cancelled"));
     }
-    const { rank, objectiveAtMs, deadlineAtMs } = work;
+    const { rank, objectiveAtMs, deadlineAtMs, mayEndLate } = work;
     const verdict = this.queue.offer(
-      { id, rank, objectiveAtMs, deadlineAtMs, estimateMs },
+      { id, rank, objectiveAtMs, deadlineAtMs, estimateMs, mayEndLate },
       steadyMs(),
     );
     if (verdict.kind === "run") {
--- a/packages/router/src/work.ts
+++ b/packages/router/src/work.ts
@@ -19,6 +19,8 @@
   readonly callerService: string;
   readonly objectiveAtMs: number;
   readonly deadlineAtMs: number;
+  /** Whether it may be served late; not if others wait behind it on its caller's connection. */
+  readonly mayEndLate: boolean;
   readonly method: string;
   readonly target: string;
   /** Headers to pass on, names and values in turn. */
--- a/packages/traffic/src/mod.ts
+++ b/packages/traffic/src/mod.ts
@@ -3,5 +3,6 @@
  *
  * @module
  */
+export { ConnectionOrder } from "./connection_order.ts";
 export { PrefixRouter } from "./prefix_router.ts";
 export { TrafficSplit } from "./traffic_split.ts";
