Let arbiters that the record names take lost owners over after 4 s

Cause: keys of a lost host stood still for 13.7 s, since its tenure of 10 s had to end.

Change: the record names two arbiters, daemons without keys in two zones. A read proves a tenure of 4 s; beyond that an owner goes on only as long as all arbiters of the record that it read promise not to take it over, up to 10 s. An arbiter makes no promise to an owner that it has seen sealed, and takes it over 4.1 s after it has seen the seal, if it has been an arbiter for the longest tenure. All others wait for the longest tenure as before.

Proved by `tenure_safety_test.ts` before it was built: random schedules with appointments, promises that come late, arbiters that are suspended, restarted, cut off, removed and named again; five new broken variants must be noticed, thirteen in all.

--- a/packages/keyspace/src/mod.ts
+++ b/packages/keyspace/src/mod.ts
@@ -12,14 +12,18 @@
   type Segment,
   sizeOf,
 } from "./range_map.ts";
+export { type ArbiterCandidate, chooseArbiters } from "./choose_arbiters.ts";
 export {
+  type Arbiter,
   type Assignment,
   type Owner,
   OwnershipRecord,
   type SealedOwner,
 } from "./ownership_record.ts";
 export {
+  ARBITER_WAIT_MS,
   CLOCK_DRIFT,
+  SHORT_TENURE_MS,
   TAKEOVER_WAIT_MS,
   TakeoverWaits,
   Tenure,
--- a/packages/keyspace/src/ownership_record.ts
+++ b/packages/keyspace/src/ownership_record.ts
@@ -35,6 +35,19 @@
   readonly seal: number;
 }
 
+/**
+ * A daemon that may take owners over after the short tenure, because they can't go on for longer without its
+ * promise.
+ */
+export interface Arbiter {
+  readonly daemon: string;
+  /**
+   * Names the appointment. Each has a name of its own: one that was no arbiter for a moment must not take
+   * itself for one all along, since an owner may have read the record in that moment.
+   */
+  readonly office: number;
+}
+
 const StoredKey = z.int().min(0).max(KEY_COUNT - 1);
 
 /** First key, last key, index of the daemon, proof of the handover, name of the seal. */
@@ -53,6 +66,8 @@
 const StoredRecord = z.object({
   daemons: z.array(z.string()),
   ranges: z.array(StoredRange),
+  /** Daemon and name of the appointment. */
+  arbiters: z.array(z.tuple([z.string(), z.int().min(0)])).default([]),
 });
 
 /** Bounds how many daemons are sealed in one write; far above the size of any fleet. */
@@ -70,11 +85,13 @@
     /** The store's revision of this record; 0 where there is none in the store yet. */
     readonly revision: number,
     private readonly owners: RangeMap<Owner>,
+    /** Those who may take owners over after the short tenure. */
+    readonly arbiters: readonly Arbiter[],
   ) {}
 
   /** A record in which no key has an owner. */
   static create(): OwnershipRecord {
-    return new OwnershipRecord(0, createOwners());
+    return new OwnershipRecord(0, createOwners(), []);
   }
 
   /** Decodes a record of the store. */
@@ -88,8 +105,10 @@
         ? ok(checked.data)
         : err(invalid(checked.error.message, checked.error));
     });
-    return parsed.andThen((stored) => toOwners(stored)).map((owners) =>
-      new OwnershipRecord(revision, owners)
+    return parsed.andThen((stored) =>
+      toOwners(stored).map((owners) =>
+        new OwnershipRecord(revision, owners, toArbiters(stored))
+      )
     );
   }
 
@@ -106,7 +125,10 @@
       value.handover,
       value.seal,
     ]);
-    return JSON.stringify({ daemons, ranges });
+    const arbiters = this.arbiters.map((
+      { daemon, office },
+    ) => [daemon, office]);
+    return JSON.stringify({ daemons, ranges, arbiters });
   }
 
   /** All ranges that have an owner. */
@@ -194,18 +216,36 @@
     );
   }
 
+  /** Names the arbiters; those who are it already stay in office. */
+  appoint(daemons: readonly string[]): OwnershipRecord {
+    const arbiters = daemons.map((daemon) =>
+      this.arbiters.find((arbiter) => arbiter.daemon === daemon) ??
+        { daemon, office: this.revision + 1 }
+    );
+    return new OwnershipRecord(this.revision, this.owners, arbiters);
+  }
+
+  /** The office of a daemon, if it is an arbiter. */
+  officeOf(daemon: string): Arbiter | undefined {
+    return this.arbiters.find((arbiter) => arbiter.daemon === daemon);
+  }
+
   /** The same content under the revision that the store gave it. */
   withRevision(revision: number): OwnershipRecord {
-    return new OwnershipRecord(revision, this.owners);
+    return new OwnershipRecord(revision, this.owners, this.arbiters);
   }
 
   private change(apply: (owners: RangeMap<Owner>) => void): OwnershipRecord {
     const owners = RangeMap.createFrom(this.owners.segments, isSameOwner);
     apply(owners);
-    return new OwnershipRecord(this.revision, owners);
+    return new OwnershipRecord(this.revision, owners, this.arbiters);
   }
 }
 
+function toArbiters(stored: z.infer<typeof StoredRecord>): Arbiter[] {
+  return stored.arbiters.map(([daemon, office]) => ({ daemon, office }));
+}
+
 function createOwners(): RangeMap<Owner> {
   return RangeMap.create<Owner>(isSameOwner);
 }
--- a/packages/keyspace/src/tenure.ts
+++ b/packages/keyspace/src/tenure.ts
@@ -4,16 +4,28 @@
  *
  * @module
  */
-import type { SealedOwner } from "./ownership_record.ts";
+import type { Arbiter, OwnershipRecord } from "./ownership_record.ts";
 
 /**
- * Length of a tenure, in milliseconds. A read of the store proves for so long, from before it was sent,
- * that no takeover of the owner can have finished. Daemons that disagreed on it could both be right, so
- * it is no setting. It equals the longest hold that backend servers accept: a shorter one would stop
- * keyed work in shorter outages of the store, a longer one would not be used.
+ * The longest tenure, in milliseconds. A read of the store proves for so long, from before it was sent,
+ * that no takeover of the owner can have finished, if the arbiters agree or there are none. Daemons that
+ * disagreed on it could both be right, so it is no setting. It equals the longest hold that backend servers
+ * accept: a shorter one would stop keyed work in shorter outages of the store, a longer one would not be used.
  */
 export const TENURE_MS = 10_000;
 
+/**
+ * For how long a read proves that without a word of the arbiters, in milliseconds: two reads may fail, each
+ * with its timeout. The keys of a lost host stand still for as long.
+ */
+export const SHORT_TENURE_MS = 4_000;
+
+/**
+ * For how long an arbiter's promise extends a tenure, in milliseconds. It must not be longer than the short
+ * tenure: an arbiter that has just promised waits for the latter only.
+ */
+export const PROMISE_MS = 2_500;
+
 /**
  * How much faster or slower any two clocks involved may run. The slowest are those of backend servers,
  * which may measure a hold 2 % too long; daemons' clocks differ by less than 1 %.
@@ -23,9 +35,14 @@
 /** After a seal, how long until the owner's tenure has certainly ended, in milliseconds. */
 export const TAKEOVER_WAIT_MS = Math.ceil(TENURE_MS * (1 + CLOCK_DRIFT));
 
-/** The right of one daemon to grant its keys, from what it read in the store. */
+/** The same for an arbiter without whose promise the owner could not go on, in milliseconds. */
+export const ARBITER_WAIT_MS = Math.ceil(SHORT_TENURE_MS * (1 + CLOCK_DRIFT));
+
+/** The right of one daemon to grant its keys, from what it read in the store and what arbiters promised. */
 export class Tenure {
   private confirmedAtMs = -Infinity;
+  private known: readonly Arbiter[] = [];
+  private readonly promises = new Map<string, number>();
 
   private constructor() {}
 
@@ -38,9 +55,29 @@
    * Notes a read of the record that showed no seal on this daemon.
    *
    * @param sentAtMs the daemon's clock before the read was sent: what it shows may be as old.
+   * @param arbiters those whom the record names.
+   */
+  confirm(sentAtMs: number, arbiters: readonly Arbiter[]): void {
+    if (sentAtMs >= this.confirmedAtMs) {
+      this.confirmedAtMs = sentAtMs;
+      this.known = arbiters;
+    }
+  }
+
+  /**
+   * Notes that an arbiter has promised not to take this daemon over for a while.
+   *
+   * @param askedAtMs the daemon's clock before it asked.
    */
-  confirm(sentAtMs: number): void {
-    this.confirmedAtMs = Math.max(this.confirmedAtMs, sentAtMs);
+  notePromise(arbiter: string, askedAtMs: number): void {
+    const untilMs = askedAtMs + PROMISE_MS;
+    const knownMs = this.promises.get(arbiter) ?? -Infinity;
+    this.promises.set(arbiter, Math.max(knownMs, untilMs));
+  }
+
+  /** Those without whose promise the tenure ends early. */
+  get arbiters(): readonly Arbiter[] {
+    return this.known;
   }
 
   /** How old the latest read that confirmed the tenure is, in milliseconds; infinite without one. */
@@ -50,7 +87,13 @@
 
   /** Until when the daemon may let its backend server hold keys, on the daemon's clock. */
   get untilMs(): number {
-    return this.confirmedAtMs + TENURE_MS;
+    const promisedMs = Math.min(
+      ...this.known.map(({ daemon }) => this.promises.get(daemon) ?? -Infinity),
+    );
+    return Math.max(
+      this.confirmedAtMs + SHORT_TENURE_MS,
+      Math.min(this.confirmedAtMs + TENURE_MS, promisedMs),
+    );
   }
 
   /**
@@ -68,7 +111,8 @@
  * in full from when it first saw the seal in the store, so daemons need no common time.
  */
 export class TakeoverWaits {
-  private readonly seen = new Map<number, number>();
+  private readonly seals = new Map<number, number>();
+  private readonly offices = new Map<string, number>();
 
   private constructor() {}
 
@@ -77,20 +121,53 @@
     return new TakeoverWaits();
   }
 
-  /** Notes which owners a record of the store shows as sealed. */
-  note(sealed: readonly SealedOwner[], nowMs: number): void {
-    const seals = new Set(sealed.map(({ seal }) => seal));
-    [...this.seen.keys()]
-      .filter((seal) => !seals.has(seal))
-      .forEach((seal) => this.seen.delete(seal));
-    [...seals]
-      .filter((seal) => !this.seen.has(seal))
-      .forEach((seal) => this.seen.set(seal, nowMs));
+  /** Notes which owners a record of the store shows as sealed, and whom as arbiters. */
+  note(
+    record: Pick<OwnershipRecord, "sealedOwners" | "arbiters">,
+    nowMs: number,
+  ): void {
+    noteSeen(this.seals, record.sealedOwners.map(({ seal }) => seal), nowMs);
+    noteSeen(this.offices, record.arbiters.map(nameOffice), nowMs);
   }
 
-  /** Whether the tenure of the owner under a seal has certainly ended. */
-  isOver(seal: number, nowMs: number): boolean {
-    const since = this.seen.get(seal);
-    return since !== undefined && nowMs - since > TAKEOVER_WAIT_MS;
+  /**
+   * Whether the tenure of the owner under a seal has certainly ended.
+   *
+   * An arbiter waits for the short tenure only: the owner can't have gone on without its promise, and it makes none
+   * to an owner that it has seen sealed. But an owner that read the record before the arbiter was named
+   * needs no such promise, so an arbiter must have been one for the longest tenure.
+   *
+   * @param office the office of the asking daemon, if the record names it as an arbiter.
+   */
+  isOver(seal: number, nowMs: number, office?: Arbiter): boolean {
+    const sealedForMs = nowMs - (this.seals.get(seal) ?? Infinity);
+    if (sealedForMs > TAKEOVER_WAIT_MS) {
+      return true;
+    }
+    const inOfficeSinceMs = office === undefined
+      ? undefined
+      : this.offices.get(nameOffice(office));
+    return inOfficeSinceMs !== undefined &&
+      nowMs - inOfficeSinceMs > TAKEOVER_WAIT_MS &&
+      sealedForMs > ARBITER_WAIT_MS;
   }
 }
+
+/** Keeps for what is there since when it has been, and forgets what is gone. */
+function noteSeen<Key>(
+  seen: Map<Key, number>,
+  present: readonly Key[],
+  nowMs: number,
+): void {
+  const there = new Set(present);
+  [...seen.keys()]
+    .filter((key) => !there.has(key))
+    .forEach((key) => seen.delete(key));
+  present
+    .filter((key) => !seen.has(key))
+    .forEach((key) => seen.set(key, nowMs));
+}
+
+function nameOffice({ daemon, office }: Arbiter): string {
+  return `${office} ${daemon}`;
+}
--- a/packages/keyspace/src/tenure_safety_test.ts
+++ b/packages/keyspace/src/tenure_safety_test.ts
@@ -163,6 +163,98 @@
   exactly("advance", 0, 20),
 ]);
 
+/** All confirm and are heard for so many seconds. */
+function live(seconds: number): Step[] {
+  const round = [0, 1, 2, 3].flatMap((host): Step[] => [
+    exactly("confirm", host),
+    exactly("heartbeat", host),
+  ]);
+  return Array.from(
+    { length: seconds },
+    () => [...round, exactly("advance", 0, 250)],
+  ).flat();
+}
+
+/** An arbiter seals an owner, and takes it over at the first moment that may be right. */
+function quickTakeover(
+  late: { heartbeatAfter: number; askedAfter: number; more: number },
+): Step[] {
+  const { heartbeatAfter, askedAfter, more } = late;
+  const left = 1_030 - heartbeatAfter - askedAfter;
+  return [
+    exactly("confirm", 1),
+    exactly("advance", 0, 1),
+    exactly("seal", 0),
+    exactly("advance", 0, 1),
+    exactly("advance", 0, askedAfter),
+    exactly("ask", 1, 1, 0),
+    exactly("advance", 0, heartbeatAfter),
+    exactly("heartbeat", 1),
+    exactly("advance", 0, Math.max(1, left + more)),
+    exactly("take_over", 0),
+    exactly("advance", 0, 3),
+    exactly("confirm", 0),
+    exactly("advance", 0, 3),
+    exactly("heartbeat", 0),
+    exactly("advance", 0, 20),
+  ];
+}
+
+const quickMoments = fc.record({
+  heartbeatAfter: fc.nat(20),
+  askedAfter: fc.integer({ min: 900, max: 1_000 }),
+  more: fc.nat(20),
+});
+
+/** With one arbiter, or two of which the second has not heard of the seal. */
+const arbiter = fc.tuple(fc.nat(1), quickMoments).map(([choice, late]) => [
+  exactly("appoint", 0, choice, 1),
+  exactly("advance", 0, 2),
+  ...live(11),
+  ...quickTakeover(late),
+]);
+
+/** An owner reads the record before the arbiter is named. */
+const newArbiter = quickMoments.map((late) => [
+  ...live(1),
+  exactly("appoint", 0, 0, 1),
+  exactly("advance", 0, 2),
+  exactly("seal", 0),
+  exactly("advance", 0, 1),
+  ...quickTakeover({ ...late, askedAfter: 700 }).slice(4),
+]);
+
+/** A promise is asked for before the seal, and comes late. */
+const latePromise = fc.tuple(
+  fc.integer({ min: 500, max: 700 }),
+  quickMoments,
+).map(([backMs, late]) => [
+  exactly("appoint", 0, 0, 1),
+  exactly("advance", 0, 2),
+  ...live(11),
+  exactly("confirm", 1),
+  exactly("advance", 0, 1),
+  exactly("ask", 1, 1, backMs),
+  exactly("advance", 0, 1),
+  ...quickTakeover(late).slice(2),
+]);
+
+/** An arbiter is none for a moment, in which an owner reads the record. */
+const formerArbiter = quickMoments.map((late) => [
+  exactly("appoint", 0, 0, 1),
+  exactly("advance", 0, 2),
+  ...live(11),
+  exactly("appoint", 2, 0, 0),
+  exactly("advance", 0, 2),
+  exactly("confirm", 1),
+  exactly("advance", 0, 2),
+  exactly("appoint", 2, 2, 0),
+  exactly("advance", 0, 2),
+  exactly("confirm", 0),
+  exactly("advance", 0, 2),
+  ...quickTakeover(late).slice(2),
+]);
+
 const schedule = fc.record({
   size: fc.integer({ min: 2, max: 4 }),
   steps: fc.array(
@@ -175,6 +267,10 @@
       { weight: 1, arbitrary: lastMoment },
       { weight: 1, arbitrary: sealedTwice },
       { weight: 1, arbitrary: hasty },
+      { weight: 1, arbitrary: arbiter },
+      { weight: 1, arbitrary: newArbiter },
+      { weight: 1, arbitrary: latePromise },
+      { weight: 1, arbitrary: formerArbiter },
     ),
     { maxLength: 25 },
   ).map((parts) => parts.flat()),
@@ -216,6 +312,51 @@
     });
   });
 
+  describe("when an owner is lost", () => {
+    it("lets an arbiter have its keys after the short tenure", () => {
+      const world = TenureWorld.create(3);
+      const owner = 1;
+      const others = live(11);
+      const withoutOwner = others.filter(({ kind, host }) =>
+        kind === "advance" || host !== owner
+      );
+      world.play([
+        exactly("appoint", 0, 0, 1),
+        exactly("advance", 0, 2),
+        ...others,
+        exactly("seal", 0),
+        ...withoutOwner.slice(0, withoutOwner.length * 5 / 11),
+        exactly("take_over", 0),
+        exactly("advance", 0, 3),
+        exactly("confirm", 0),
+        exactly("advance", 0, 3),
+        exactly("heartbeat", 0),
+        exactly("advance", 0, 3),
+      ]);
+      expect(world.heldKeys).to.equal(65_536);
+      expect(world.violations).to.deep.equal([]);
+    });
+  });
+
+  describe("while the store is down", () => {
+    it("lets owners go on as long as the arbiters promise, up to the longest tenure", () => {
+      const world = TenureWorld.create(3);
+      const rounds = (seconds: number) =>
+        live(seconds).map((one) =>
+          one.kind === "confirm" ? { ...one, kind: "ask" as const } : one
+        );
+      world.play([
+        exactly("appoint", 0, 0, 1),
+        exactly("advance", 0, 2),
+        ...live(3),
+        exactly("outage", 0, 2_000),
+        ...rounds(8),
+      ]);
+      expect(world.heldKeys).to.equal(65_536);
+      expect(world.violations).to.deep.equal([]);
+    });
+  });
+
   describe("with a broken rule", () => {
     const faults: Fault[] = [
       "tenure_from_answer",
@@ -226,6 +367,11 @@
       "release_unfreed",
       "forgetful_restart",
       "tokens_from_record",
+      "promise_from_answer",
+      "any_promise",
+      "promise_under_seal",
+      "arbiter_at_once",
+      "nameless_office",
     ];
     faults.forEach((fault) => {
       it(`notices ${fault}`, function () {
--- a/packages/keyspace/src/testing/tenure_world.ts
+++ b/packages/keyspace/src/testing/tenure_world.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import {
+  ARBITER_WAIT_MS,
   type FreedRange,
   type Grant,
   GrantBook,
@@ -17,6 +18,7 @@
   type KeyRange,
   OwnershipRecord,
   RangeMap,
+  TAKEOVER_WAIT_MS,
   TakeoverWaits,
   Tenure,
 } from "../mod.ts";
@@ -38,7 +40,17 @@
   /** A restarted daemon takes nothing for held by its backend server. */
   | "forgetful_restart"
   /** Tokens of a restarted daemon come from the record alone. */
-  | "tokens_from_record";
+  | "tokens_from_record"
+  /** A promise counts from when it came. */
+  | "promise_from_answer"
+  /** The promise of one arbiter is enough. */
+  | "any_promise"
+  /** Arbiters promise to owners that they know to be sealed. */
+  | "promise_under_seal"
+  /** An arbiter takes over quickly as soon as it is one. */
+  | "arbiter_at_once"
+  /** Appointments have no name: an arbiter takes itself for one all along. */
+  | "nameless_office";
 
 /** One step of a schedule. */
 export interface Step {
@@ -65,6 +77,8 @@
   "restart_daemon",
   "suspend",
   "outage",
+  "appoint",
+  "ask",
 ] as const;
 /** The kind of a step. */
 export type StepKind = typeof STEP_KINDS[number];
@@ -198,6 +212,11 @@
         return;
       case "outage":
         this.outageUntilMs = this.nowMs + a * 10;
+        return;
+      case "appoint":
+        return this.appoint(host, { other, choice: a });
+      case "ask":
+        return this.ask(host, { thereMs: a % 50, backMs: b * 5 });
     }
   }
 
@@ -427,6 +446,61 @@
     });
   }
 
+  /** Names one or both of two hosts as arbiters. */
+  private appoint(host: Host, names: { other: Host; choice: number }): void {
+    const { other, choice } = names;
+    const choices = [
+      [host.name],
+      [host.name, other.name],
+      [other.name],
+    ];
+    const chosen = choices[choice % choices.length]!;
+    this.write(host, (record) => record.appoint(chosen), 2);
+  }
+
+  /** Asks the arbiters that the host's tenure depends on for a promise. */
+  private ask(
+    host: Host,
+    delays: { thereMs: number; backMs: number },
+  ): void {
+    if (!this.isAwake(host)) {
+      return;
+    }
+    const askedAtMs = this.clockOf(host);
+    const { life } = host;
+    const arbiters = host.tenure.arbiters;
+    const isAsked = ({ name }: Host) =>
+      arbiters.some(({ daemon }) => daemon === name);
+    this.hosts.filter(isAsked).forEach((arbiter) =>
+      this.at(arbiter, delays.thereMs, () => {
+        const mayPromise = this.fault === "promise_under_seal" ||
+          arbiter.record.revision > 0 && !arbiter.record.isSealed(host.name);
+        if (!mayPromise) {
+          return;
+        }
+        this.later(delays.backMs, () => {
+          if (host.life === life) {
+            this.at(
+              host,
+              0,
+              () => this.notePromise(host, arbiter.name, askedAtMs),
+            );
+          }
+        });
+      })
+    );
+  }
+
+  private notePromise(host: Host, from: string, askedAtMs: number): void {
+    const countedMs = this.fault === "promise_from_answer"
+      ? this.clockOf(host)
+      : askedAtMs;
+    const promised = this.fault === "any_promise"
+      ? host.tenure.arbiters.map(({ daemon }) => daemon)
+      : [from];
+    promised.forEach((name) => host.tenure.notePromise(name, countedMs));
+  }
+
   private noteRead(
     host: Host,
     found: OwnershipRecord,
@@ -435,7 +509,10 @@
     this.noteRecord(host, found);
     if (!found.isSealed(host.name)) {
       const fromAnswer = this.fault === "tenure_from_answer";
-      host.tenure.confirm(fromAnswer ? this.clockOf(host) : sentAtMs);
+      host.tenure.confirm(
+        fromAnswer ? this.clockOf(host) : sentAtMs,
+        found.arbiters,
+      );
     }
   }
 
@@ -444,13 +521,16 @@
       return;
     }
     host.record = record;
-    const sealed = this.fault === "nameless_seal"
+    const sealedOwners = this.fault === "nameless_seal"
       ? record.sealedOwners.map(({ daemon }) => ({
         daemon,
         seal: this.hosts.findIndex(({ name }) => name === daemon) + 1,
       }))
       : record.sealedOwners;
-    host.waits.note(sealed, this.clockOf(host));
+    const arbiters = this.fault === "nameless_office"
+      ? record.arbiters.map(({ daemon }) => ({ daemon, office: 1 }))
+      : record.arbiters;
+    host.waits.note({ sealedOwners, arbiters }, this.clockOf(host));
     const revision = this.fault === "tokens_from_record"
       ? record.revision
       : Math.max(record.revision, host.registration);
@@ -516,15 +596,26 @@
     takeover: { seal: number; lost: Host; nowMs: number },
   ): boolean {
     const { seal, lost, nowMs } = takeover;
+    const office = host.record.officeOf(host.name);
     switch (this.fault) {
       case "takeover_at_once":
         return true;
       case "takeover_without_drift":
         return host.waits.isOver(seal, nowMs + 300);
       case "nameless_seal":
-        return host.waits.isOver(this.hosts.indexOf(lost) + 1, nowMs);
+        return host.waits.isOver(this.hosts.indexOf(lost) + 1, nowMs, office);
+      case "arbiter_at_once":
+        return host.waits.isOver(seal, nowMs, office) ||
+          office !== undefined &&
+            host.waits.isOver(seal, nowMs + TAKEOVER_WAIT_MS - ARBITER_WAIT_MS);
+      case "nameless_office":
+        return host.waits.isOver(
+          seal,
+          nowMs,
+          office === undefined ? undefined : { ...office, office: 1 },
+        );
       default:
-        return host.waits.isOver(seal, nowMs);
+        return host.waits.isOver(seal, nowMs, office);
     }
   }
 
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -242,6 +242,13 @@
       "The backend server became ready, drains, or is gone; `cause` says what showed it.",
     action: NOTHING,
   },
+  tenure_promise_asked: {
+    number: 1832,
+    severity: "info",
+    meaning:
+      "An owner that can't read the store asks this arbiter not to take it over for a while.",
+    action: NOTHING,
+  },
   leaving_not_acknowledged: {
     number: 1831,
     severity: "info",
--- a/packages/router/src/backend_keeper_test.ts
+++ b/packages/router/src/backend_keeper_test.ts
@@ -55,7 +55,7 @@
 function createOwner(): { grants: GrantBook; tenure: Tenure } {
   const grants = GrantBook.create(bootMs() - 60_000);
   const tenure = Tenure.create();
-  tenure.confirm(bootMs());
+  tenure.confirm(bootMs(), []);
   const record = OwnershipRecord.create()
     .assign([{ ...KEYS, daemon: "own", handover: "" }])
     .withRevision(7);
--- a/packages/router/src/datagram_codec.ts
+++ b/packages/router/src/datagram_codec.ts
@@ -37,10 +37,29 @@
   sender: z.string(),
 });
 
+/** An owner asks an arbiter not to take it over for a while. */
+const PromiseQuestion = z.object({
+  kind: z.literal("ask_promise"),
+  sender: z.string(),
+  service: z.string(),
+  /** The owner's clock, in milliseconds; comes back with the promise. */
+  askedAtMs: z.number(),
+});
+
+/** The arbiter promises. */
+const TenurePromise = z.object({
+  kind: z.literal("promise"),
+  sender: z.string(),
+  service: z.string(),
+  askedAtMs: z.number(),
+});
+
 const Datagram = z.discriminatedUnion("kind", [
   OwnershipNews,
   HandoverExpected,
   HandoverAwaited,
+  PromiseQuestion,
+  TenurePromise,
 ]);
 /** A datagram beside gossip. */
 export type Datagram = z.infer<typeof Datagram>;
--- a/packages/router/src/ownership_keeper.ts
+++ b/packages/router/src/ownership_keeper.ts
@@ -8,6 +8,7 @@
 import {
   assignUnowned,
   type Candidate,
+  chooseArbiters,
   type FreedRange,
   type GrantBook,
   intersect,
@@ -35,7 +36,7 @@
 /** Time between two reads that extend the tenure, in milliseconds. Each is a paid call to the store. */
 const CONFIRM_MS = 1_500;
 /** An owner that has been silent for so much longer than it takes to be silent is sealed, in ms. */
-const SEAL_AFTER_SILENCE_MS = 1_000;
+const SEAL_AFTER_SILENCE_MS = 500;
 /** Heartbeats of the own backend server that stay away for so long won't come soon, in milliseconds. */
 const HEARTBEATS_MISSED_MS = 3_000;
 /** A leading daemon acts only once it has heard the others for so long, in milliseconds. */
@@ -45,6 +46,13 @@
  * the store can't be written has no owner until it can.
  */
 const MOVABLE_MS = 2 * CONFIRM_MS;
+/**
+ * A tenure that was not confirmed for so long depends on the promises of the arbiters soon, in milliseconds: a
+ * read that is due every 1.5 s has failed.
+ */
+const ASK_AFTER_MS = 2_000;
+/** Time between two questions for a promise, in milliseconds; one holds for 2.5 s. */
+const ASK_MS = 500;
 /** How long the store may take to answer before keys are given up, in milliseconds; usually it takes 4. */
 const PROBE_MS = 400;
 /** Time between two looks for keys to shed, in milliseconds. */
@@ -72,6 +80,11 @@
   readonly onWritten: (service: string, record: OwnershipRecord) => void;
   /** Tells a daemon that keys are about to come to it. */
   readonly onPlanned: (daemon: string, moves: readonly PlannedMove[]) => void;
+  /** Asks an arbiter for its promise; the daemon's clock comes back with it. */
+  readonly onPromiseNeeded: (
+    arbiter: string,
+    question: { service: string; askedAtMs: number },
+  ) => void;
 }
 
 /** Changes a record; `undefined` if there is nothing to change any more. */
@@ -89,6 +102,7 @@
   private confirmSentMs = -Infinity;
   private isConfirming = false;
   private shedAtMs = -Infinity;
+  private askedAtMs = -Infinity;
   private readonly startedAtMs = steadyMs();
 
   private constructor(private readonly context: OwnershipKeeperContext) {}
@@ -157,6 +171,7 @@
   /** Does what is due. */
   tick(): void {
     this.confirmTenure();
+    this.askPromises();
     this.planReleases();
     this.publishReleases();
     this.releaseForeign();
@@ -178,7 +193,7 @@
   private noteRecord(service: string, record: OwnershipRecord): void {
     const waits = this.waits.get(service) ?? TakeoverWaits.create();
     this.waits.set(service, waits);
-    waits.note(record.sealedOwners, bootMs());
+    waits.note(record, bootMs());
     if (service === this.ownService && this.registration > 0) {
       const { grants, desk, backend } = this.context;
       const before = grants.ownCount;
@@ -232,7 +247,7 @@
     directory.note(service, record);
     this.ensureTokens(service);
     if (!record.isSealed(this.own)) {
-      this.context.tenure.confirm(sentAtMs);
+      this.context.tenure.confirm(sentAtMs, record.arbiters);
       return;
     }
     logger.log("ownership_sealed_here", {
@@ -243,6 +258,28 @@
     this.answerSeal(service);
   }
 
+  /** While the store can't be read, the tenure goes on as long as all arbiters promise. */
+  private askPromises(): void {
+    const { tenure, onPromiseNeeded } = this.context;
+    const service = this.ownService;
+    const nowMs = bootMs();
+    const isNeeded = tenure.confirmedForMs(nowMs) > ASK_AFTER_MS;
+    if (service === undefined || !isNeeded || nowMs - this.askedAtMs < ASK_MS) {
+      return;
+    }
+    this.askedAtMs = nowMs;
+    tenure.arbiters.forEach(({ daemon }) =>
+      onPromiseNeeded(daemon, { service, askedAtMs: nowMs })
+    );
+  }
+
+  /** Whether an owner is promised not to be taken over: not one that is known to be sealed. */
+  mayPromise(service: string, owner: string): boolean {
+    const record = this.context.directory.record(service);
+    return record !== undefined && record.revision > 0 &&
+      !record.isSealed(owner);
+  }
+
   /** The own service may have become known after its record was. */
   private ensureTokens(service: string): void {
     const record = this.context.directory.record(service);
@@ -498,13 +535,21 @@
     }
   }
 
-  /** The leading daemon gives keys without an owner to one, and takes them from lost ones. */
+  /**
+   * The leading daemon gives keys without an owner to one, and takes them from lost ones; so does an arbiter as
+   * soon as it may.
+   */
   private lead(): void {
     const { directory } = this.context;
-    if (!this.isLeading()) {
-      return;
-    }
-    directory.keyedServices.forEach((service) => this.leadService(service));
+    const isLeading = this.isLeading();
+    directory.keyedServices.forEach((service) => {
+      const known = directory.record(service);
+      if (isLeading) {
+        this.leadService(service);
+      } else if (known !== undefined && this.findEnded(service, known).length) {
+        this.assignNeedy(service);
+      }
+    });
   }
 
   /** Any daemon may write, since writes are conditional; one of them does, to save calls. */
@@ -525,27 +570,78 @@
       this.assignFirst(service);
       return;
     }
-    const nowMs = bootMs();
-    const waits = this.waits.get(service);
-    const ended = known.sealedOwners.filter(({ seal }) =>
-      waits?.isOver(seal, nowMs) === true
-    );
+    if (!this.assignNeedy(service) && !this.sealLost(service, known)) {
+      this.appointArbiters(service, known);
+    }
+  }
+
+  /** Assigns keys without an owner, and those of owners whose tenure has ended; returns whether there are any. */
+  private assignNeedy(service: string): boolean {
+    const known = this.context.directory.record(service);
+    const takers = this.allTakers(service);
+    if (known === undefined || takers.length === 0) {
+      return false;
+    }
     const needy = [
       ...known.findUnowned(),
-      ...ended.flatMap(({ seal }) => known.rangesUnder(seal)),
+      ...this.findEnded(service, known).flatMap((seal) =>
+        known.rangesUnder(seal)
+      ),
     ];
-    const takers = this.allTakers(service);
-    if (needy.length > 0 && takers.length > 0) {
-      void this.write(service, "assign", (record) => {
-        if (record.revision !== known.revision) {
-          return undefined;
-        }
-        const free = record.release(needy);
-        return free.assign(assignUnowned(free, needy, takers));
-      });
+    if (needy.length === 0) {
+      return false;
+    }
+    void this.write(service, "assign", (record) => {
+      if (record.revision !== known.revision) {
+        return undefined;
+      }
+      const free = record.release(needy);
+      return free.assign(assignUnowned(free, needy, takers));
+    });
+    return true;
+  }
+
+  /** The seals under which the owner's tenure has certainly ended, as far as the own daemon may say so. */
+  private findEnded(service: string, known: OwnershipRecord): number[] {
+    const nowMs = bootMs();
+    const waits = this.waits.get(service);
+    const office = known.officeOf(this.own);
+    if (office === undefined && !this.isLeading()) {
+      return [];
+    }
+    return known.sealedOwners
+      .map(({ seal }) => seal)
+      .filter((seal) => waits?.isOver(seal, nowMs, office) === true);
+  }
+
+  /** Names living daemons as arbiters, so that the keys of a lost host are free soon. */
+  private appointArbiters(service: string, known: OwnershipRecord): void {
+    const present = known.arbiters.map(({ daemon }) => daemon);
+    const chosen = this.chooseArbiters(known);
+    if (present.toSorted().join() === chosen.toSorted().join()) {
       return;
     }
-    this.sealLost(service, known);
+    void this.write(
+      service,
+      "appoint",
+      (record) =>
+        record.revision === known.revision ? record.appoint(chosen) : undefined,
+    );
+  }
+
+  private chooseArbiters(record: OwnershipRecord): string[] {
+    const { view } = this.context;
+    const owners = new Set(record.daemons);
+    const candidates = [...view.alive(steadyMs()), view.ownReport].map(
+      ({ address, availabilityZone, reachesStore }) => ({
+        daemon: address,
+        availabilityZone,
+        isOwner: owners.has(address),
+        reachesStore,
+      }),
+    );
+    const present = record.arbiters.map(({ daemon }) => daemon);
+    return chooseArbiters(present, candidates);
   }
 
   private assignFirst(service: string): void {
@@ -570,11 +666,12 @@
       (record) =>
         record.revision > 0 ? undefined : record.assign(
           assignUnowned(record, [{ from: 0, to: KEY_COUNT - 1 }], takers),
-        ),
+        ).appoint(this.chooseArbiters(record)),
     );
   }
 
-  private sealLost(service: string, known: OwnershipRecord): void {
+  /** Seals owners that are silent; returns whether there are any. */
+  private sealLost(service: string, known: OwnershipRecord): boolean {
     const { view } = this.context;
     const nowMs = steadyMs();
     const heardForMs = nowMs - this.startedAtMs;
@@ -584,7 +681,7 @@
         view.silentAfterMs + SEAL_AFTER_SILENCE_MS
     );
     if (lost.length === 0) {
-      return;
+      return false;
     }
     void this.write(
       service,
@@ -592,6 +689,7 @@
       (record) =>
         record.revision === known.revision ? record.seal(lost) : undefined,
     );
+    return true;
   }
 
   private allTakers(service: string): Candidate[] {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -166,6 +166,12 @@
       desk: this.desk,
       onWritten: (service, record) => this.tellOwnership(service, record),
       onPlanned: (daemon, moves) => this.tellExpected(daemon, moves),
+      onPromiseNeeded: (arbiter, question) =>
+        this.gossip.sendDatagram({
+          kind: "ask_promise",
+          sender: this.view.ownReport.address,
+          ...question,
+        }, arbiter),
     });
     this.configuration = ConfigurationKeeper.create({
       document: ports.document,
@@ -408,6 +414,12 @@
         return;
       case "awaiting":
         this.desk.noteAwaiting(datagram.sender);
+        return;
+      case "ask_promise":
+        this.answerPromiseQuestion(datagram);
+        return;
+      case "promise":
+        this.tenure.notePromise(datagram.sender, datagram.askedAtMs);
     }
   }
 
@@ -436,6 +448,25 @@
     });
   }
 
+  private answerPromiseQuestion(
+    question: Extract<Datagram, { kind: "ask_promise" }>,
+  ): void {
+    const { service, sender: owner, askedAtMs } = question;
+    const mayPromise = this.ownership.mayPromise(service, owner);
+    this.logger.log("tenure_promise_asked", {
+      service,
+      peer: owner,
+      mayPromise,
+    });
+    if (mayPromise) {
+      const sender = this.view.ownReport.address;
+      this.gossip.sendDatagram(
+        { kind: "promise", sender, service, askedAtMs },
+        owner,
+      );
+    }
+  }
+
   private tellExpected(daemon: string, moves: readonly PlannedMove[]): void {
     const sender = this.view.ownReport.address;
     const ranges = moves.map(({ from, to, load }): [number, number, number] => [
