--- a/packages/admission/src/answer_spread.ts
+++ b/packages/admission/src/answer_spread.ts
@@ -17,10 +17,10 @@
 const SPREAD = 0.4;
 
 /**
- * Share of the time that a caller has left after which it comes back to a service that is full. Its objective
- * is lost by then and its place is behind those in time; load comes in waves, so the later it
- * comes, the more likely a slot is free that nobody in time wants. Callers heed up to a third of
- * their time (replayed in the test: of the callers that a wave leaves over, half as many are refused again).
+ * Share of the time that a caller has left after which it comes back to a service that is full, or to a server
+ * that is gone. Its objective is lost by then and its place is behind those in time; but load comes in waves
+ * and a lost host's work takes seconds to go elsewhere, so the later it comes, the more likely there is room.
+ * Callers heed up to a third of their time.
  */
 const LATE_RETURN_SHARE = 0.27;
 /** Late returns are spread by this share either way. */
@@ -34,18 +34,18 @@
   readonly usefulMs: number;
   /** How long the caller waits at most, in milliseconds. */
   readonly leftMs: number;
-  /** Whether it was refused for want of room, and not because nobody was there for the moment. */
-  readonly isForRoom: boolean;
+  /** Whether what it was refused for passes within a moment, as while its key is handed over. */
+  readonly isPassing: boolean;
 }
 
 /** Creates a function that draws the time of return, in milliseconds. */
 export function createAnswerSpread(
   random: () => number,
 ): (refusal: Refusal) => number {
-  return ({ waitMs, usefulMs, leftMs, isForRoom }) => {
+  return ({ waitMs, usefulMs, leftMs, isPassing }) => {
     const bounded = Math.min(LATEST_MS, Math.max(EARLIEST_MS, waitMs));
     const lateMs = Math.min(LATEST_MS, leftMs * LATE_RETURN_SHARE);
-    if (isForRoom && lateMs > EARLIEST_MS) {
+    if (!isPassing && lateMs > EARLIEST_MS) {
       return spreadAround(lateMs, { spread: LATE_SPREAD, random });
     }
     const isUseful = usefulMs * USEFUL_SHARE > EARLIEST_MS;
--- a/packages/admission/src/answer_spread_test.ts
+++ b/packages/admission/src/answer_spread_test.ts
@@ -7,7 +7,7 @@
 import { createAnswerSpread } from "./answer_spread.ts";
 
 /** Nobody was there for the moment. */
-const PASSING = { leftMs: 2_000, isForRoom: false };
+const PASSING = { leftMs: 2_000, isPassing: true };
 
 describe("answer spread", () => {
   describe("for callers that are refused together", () => {
@@ -36,7 +36,7 @@
     // Sequence: a wave of two seconds is more than a server can do; each caller comes back within it.
     // Cause: the time of return was for meeting the objective, which can't be met in a wave.
     it("brings it back late, within what callers heed", () => {
-      const full = { waitMs: 280, usefulMs: 380, isForRoom: true };
+      const full = { waitMs: 280, usefulMs: 380, isPassing: false };
       const draw = (random: number) =>
         createAnswerSpread(() => random)({ ...full, leftMs: 2_400 });
       expect(draw(0)).to.be.above(500);
--- a/packages/admission/src/service_times.ts
+++ b/packages/admission/src/service_times.ts
@@ -6,8 +6,14 @@
 
 /** Weight of the latest request in the average of its kind. */
 const LEARNING_RATE = 0.1;
-/** What a kind of request that was never seen is taken for, as a share of the time that it has. */
-const UNSEEN_SHARE = 0.1;
+/**
+ * What a kind of request that was never seen is taken for, as a share of the time to its objective: operators set
+ * objectives at about three times the usual time. Taken for less, a server that has just started is given many
+ * more than it can do in time before the first of them ends.
+ */
+const UNSEEN_OBJECTIVE_SHARE = 0.35;
+/** The same as a share of the time to its deadline, where the objective has passed. */
+const UNSEEN_DEADLINE_SHARE = 0.1;
 
 /**
  * Requests after which an average is compared with those of other servers. After the first few, a slow server
@@ -37,8 +43,16 @@
   }
 
   /** How long a request of a kind is expected to hold a slot, in milliseconds. */
-  estimate(kind: string, leftMs: number): number {
-    return this.averages.get(kind) ?? Math.max(0, leftMs) * UNSEEN_SHARE;
+  estimate(
+    kind: string,
+    left: { objectiveMs: number; deadlineMs: number },
+  ): number {
+    return this.averages.get(kind) ??
+      Math.max(
+        0,
+        left.objectiveMs * UNSEEN_OBJECTIVE_SHARE,
+        left.deadlineMs * UNSEEN_DEADLINE_SHARE,
+      );
   }
 
   /** The average of a kind of request, in milliseconds; 0 before the first. */
--- a/packages/keyspace/src/grant_book.ts
+++ b/packages/keyspace/src/grant_book.ts
@@ -227,6 +227,12 @@
     return (this.holdsUntil.get(key) ?? -Infinity) > nowMs;
   }
 
+  /** For how long the backend server surely holds something, in milliseconds; 0 where it may hold nothing. */
+  heldForMs(nowMs: number): number {
+    const ends = this.holdsUntil.segments.map(({ value }) => value - nowMs);
+    return Math.max(0, ...ends);
+  }
+
   /** Whether anything is being given up. */
   get isReleasing(): boolean {
     return this.releasing.segments.length > 0;
--- a/packages/keyspace/src/plan_shedding.ts
+++ b/packages/keyspace/src/plan_shedding.ts
@@ -28,7 +28,12 @@
  * profile shows chance and not load, and moves by chance cut the key space into single keys.
  */
 const LEAST_MOVED_MS = LEAST_ROOM * 1_000;
-/** A key that overloads every owner moves only to one with at most this share of its owner's utilization. */
+/**
+ * A key is heavy from this share of what its owner can do. Below 1, since the profile lags: a key that has just
+ * become hot would be noticed only after a round of other moves, a second later.
+ */
+const HEAVY_SHARE = 0.5;
+/** A heavy key moves only to an owner that then has at most this share of its owner's utilization. */
 const WORTHWHILE_RELIEF = 0.75;
 
 /** A move of keys to another owner. */
@@ -64,7 +69,7 @@
 ): PlannedMove[] {
   const owners = balanceLoads([own, ...others]);
   const giver = owners.find(({ daemon }) => daemon === own.daemon)!;
-  const heavy = findOverloadingKey(giver, keys);
+  const heavy = findHeavyKey(giver, keys);
   const place = heavy === undefined
     ? undefined
     : findPlaceFor(heavy, { giver, owners, profile: keys.profile });
@@ -77,10 +82,10 @@
 }
 
 /**
- * The one key, if there is one, that alone is more than its owner can do. A key can't be shared, so it belongs on
- * the server that can do most of it, with as little beside it as possible.
+ * The one key, if there is one, that fills an overloaded owner almost alone. A key can't be shared, so it belongs
+ * on the server that can do most of it, with as little beside it as possible.
  */
-function findOverloadingKey(
+function findHeavyKey(
   giver: BalancedLoad,
   { ranges, profile }: OwnKeys,
 ): KeyRange | undefined {
@@ -89,7 +94,7 @@
   }
   const heaviest = profile.findHeaviest(ranges);
   return heaviest !== undefined &&
-      loadAt(heaviest, { giver, profile }) > giver.capacity
+      loadAt(heaviest, { giver, profile }) > giver.capacity * HEAVY_SHARE
     ? heaviest
     : undefined;
 }
@@ -116,7 +121,7 @@
     : undefined;
 }
 
-/** Divides the giver's keys among the takers; a key that overloads every owner stays. */
+/** Divides the giver's keys among the takers; a heavy key that is best where it is stays. */
 function divide(
   plan: {
     giver: BalancedLoad;
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -242,11 +242,19 @@
       "The backend server became ready, drains, or is gone; `cause` says what showed it.",
     action: NOTHING,
   },
-  tenure_promise_asked: {
+  tenure_on_promises: {
     number: 1832,
+    severity: "warn",
+    meaning:
+      "The daemon can't read the store; its backend server goes on holding its keys as long as the arbiters promise not to take them over.",
+    action:
+      "Look whether the store is down, and why other daemons don't read it for this one.",
+  },
+  tenure_promise_refused: {
+    number: 1833,
     severity: "info",
     meaning:
-      "An owner that can't read the store asks this arbiter not to take it over for a while.",
+      "This arbiter does not promise an owner its tenure: the owner is sealed, or the record is not known here.",
     action: NOTHING,
   },
   leaving_not_acknowledged: {
--- a/packages/placement/src/choose_backend.ts
+++ b/packages/placement/src/choose_backend.ts
@@ -18,6 +18,8 @@
   readonly utilization: number;
   /** Usual time of a request of this route there, in milliseconds; 0 where nothing is known. */
   readonly serviceMs: number;
+  /** Usual time of a request there over all routes, in milliseconds; 0 where nothing is known. */
+  readonly meanServiceMs: number;
   /** Bytes that a request of this route and its answer take on the way, as a rule. */
   readonly transferBytes: number;
   /** Share of its recent requests that it failed. */
@@ -128,7 +130,9 @@
   const slots = Math.max(1, candidate.slots);
   const busy = Math.min(LARGEST_UTILIZATION, candidate.utilization);
   const exponent = Math.sqrt(2 * (slots + 1)) - 1;
-  return candidate.serviceMs * busy ** exponent / (slots * (1 - busy));
+  // A short call waits for the slots of long requests.
+  const meanMs = candidate.meanServiceMs || candidate.serviceMs;
+  return meanMs * busy ** exponent / (slots * (1 - busy));
 }
 
 /** The expected time with what else speaks against a candidate, in milliseconds. */
--- a/packages/placement/src/choose_backend_test.ts
+++ b/packages/placement/src/choose_backend_test.ts
@@ -15,6 +15,7 @@
     waitMs: 0,
     utilization: 0.5,
     serviceMs: 90,
+    meanServiceMs: 90,
     transferBytes: 500,
     failureShare: 0,
     reportAgeMs: 0,
@@ -108,6 +109,22 @@
     });
   });
 
+  describe("when long requests fill the slots of the faster one", () => {
+    it("sends short calls to the slower one with room", () => {
+      const short = { serviceMs: 40, meanServiceMs: 200, reportAgeMs: 400 };
+      const counts = countChoices([
+        candidate({ ...short, daemon: "fast", utilization: 0.95 }),
+        candidate({
+          ...short,
+          daemon: "slow",
+          serviceMs: 90,
+          utilization: 0.2,
+        }),
+      ]);
+      expect(counts.get("slow") ?? 0).to.be.above(900);
+    });
+  });
+
   describe("when one fails its requests fast", () => {
     it("sends it a trickle at most", () => {
       const counts = countChoices([
--- a/packages/placement/src/route_times_test.ts
+++ b/packages/placement/src/route_times_test.ts
@@ -83,6 +83,7 @@
             waitMs: isFull ? Math.min(...running) - nowMs : 0,
             utilization: running.length / SLOTS,
             serviceMs: times.expectMs(daemon, route, nowMs),
+            meanServiceMs: 100,
             transferBytes: 0,
             failureShare: 0,
             reportAgeMs: 0,
--- a/packages/router/src/backend_board.ts
+++ b/packages/router/src/backend_board.ts
@@ -105,6 +105,7 @@
       slots: report.slots,
       ...load,
       serviceMs: this.times.expectMs(report.address, own.route, own.nowMs),
+      meanServiceMs: report.serviceMs,
       transferBytes: this.sizes.get(own.route) ?? 0,
       reportAgeMs: Math.max(0, own.nowMs - reportedAtMs),
       sentSinceReport,
--- a/packages/router/src/backend_keeper.ts
+++ b/packages/router/src/backend_keeper.ts
@@ -26,6 +26,8 @@
 const PROBE_TIMEOUT_MS = 400;
 /** An incarnation that was silent for so long is no longer believed against another, in milliseconds. */
 const SILENT_MS = 2_500;
+/** What a backend server must hold for at least until its next heartbeat is answered, in milliseconds. */
+const LEAST_HOLD_MS = 1_200;
 /** A backend server that refuses connections for so long is gone, in milliseconds. */
 const REFUSED_MS = 150;
 
@@ -113,7 +115,10 @@
 
   /** Takes a heartbeat; returns how it is to be answered. */
   async takeHeartbeat(heartbeat: BackendHeartbeat): Promise<HeartbeatAnswer> {
-    if (this.isHeldBack(heartbeat) && !await this.context.beforeLeaving()) {
+    const isHeldBack = this.isHeldBack(heartbeat) &&
+      !await this.context.beforeLeaving() &&
+      this.context.grants.heldForMs(bootMs()) > LEAST_HOLD_MS;
+    if (isHeldBack) {
       this.context.logger.log("leaving_not_acknowledged", {
         instance: heartbeat.instance,
         service: heartbeat.service,
@@ -126,7 +131,8 @@
   /**
    * Whether a backend server must not be told yet that its leaving is known. From then on it gets no requests,
    * and while the store can't be written nobody else can be given its keys: for as long as it waits for the
-   * acknowledgement, it goes on serving them.
+   * acknowledgement, it goes on serving them. Only an acknowledgement renews its hold, so it gets one before
+   * that runs out, and serves on within the bound of its drain.
    */
   private isHeldBack({ isDraining, instance }: BackendHeartbeat): boolean {
     return isDraining && this.current === "ready" &&
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -49,11 +49,10 @@
 /** When callers may come back to a daemon that has no configuration yet, in milliseconds. */
 const NO_CONFIGURATION_MS = 200;
 
-/** Refusals for want of room: there will be some when the present wave of requests is over. */
-const REFUSED_FOR_ROOM: ReadonlySet<RefusalReason> = new Set([
-  "overloaded",
-  "queue_full",
-  "too_late",
+/** Refusals whose cause passes within a moment: keys that are handed over have a holder again soon. */
+const PASSING_REASONS: ReadonlySet<RefusalReason> = new Set([
+  "not_owner",
+  "not_executed",
 ]);
 
 /** What the ingress needs. */
@@ -168,7 +167,7 @@
           waitMs: NO_CONFIGURATION_MS,
           usefulMs: 0,
           leftMs: request.deadlineMs ?? Infinity,
-          isForRoom: false,
+          isPassing: true,
         }),
       }, request);
       return undefined;
@@ -211,7 +210,7 @@
       waitMs: lagMs,
       usefulMs: 0,
       leftMs: request.deadlineMs ?? route.timeoutMs,
-      isForRoom: true,
+      isPassing: false,
     });
     logger.log("request_not_run", {
       request_id: request.id,
@@ -294,8 +293,7 @@
       latestStartMs: arrivedMs +
         (route.objectiveMs - waitedMs) * (1 - USUAL_SERVICE_SHARE),
       deadlineAtMs: arrivedMs + patienceMs,
-      mayEndLate: waitedMs > 0 ||
-        !this.order.isFollowed(incoming.socket, route.name),
+      mayEndLate: !this.order.isFollowed(incoming.socket, route.name),
       callerLeavesAtMs: arrivedMs + (request.deadlineMs ?? route.timeoutMs),
       method: incoming.method ?? "GET",
       target: incoming.url ?? "/",
@@ -351,7 +349,7 @@
         waitMs: outcome.waitMs,
         usefulMs: work.latestStartMs - steadyMs(),
         leftMs: work.callerLeavesAtMs - steadyMs(),
-        isForRoom: REFUSED_FOR_ROOM.has(outcome.reason),
+        isPassing: PASSING_REASONS.has(outcome.reason),
       });
       logger.log("request_not_run", {
         request_id: work.id,
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -185,10 +185,11 @@
     if (refused !== undefined) {
       return refused;
     }
-    const estimateMs = this.times.estimate(
-      work.route,
-      work.deadlineAtMs - steadyMs(),
-    );
+    const nowMs = steadyMs();
+    const estimateMs = this.times.estimate(work.route, {
+      objectiveMs: work.objectiveAtMs - nowMs,
+      deadlineMs: work.deadlineAtMs - nowMs,
+    });
     this.meter.noteOffered(estimateMs);
     this.totals.offered += 1;
     if (work.key !== undefined) {
--- a/packages/router/src/ownership_keeper.ts
+++ b/packages/router/src/ownership_keeper.ts
@@ -35,6 +35,8 @@
 
 /** Time between two reads that extend the tenure, in milliseconds. Each is a paid call to the store. */
 const CONFIRM_MS = 1_500;
+/** The same while keys wait to be given to others until the store is back, in milliseconds. */
+const CONFIRM_LEAVING_MS = 400;
 /** An owner that has been silent for so much longer than it takes to be silent is sealed, in ms. */
 const SEAL_AFTER_SILENCE_MS = 500;
 /** Heartbeats of the own backend server that stay away for so long won't come soon, in milliseconds. */
@@ -103,6 +105,7 @@
   private isConfirming = false;
   private shedAtMs = -Infinity;
   private askedAtMs = -Infinity;
+  private isOnPromises = false;
   private readonly startedAtMs = steadyMs();
 
   private constructor(private readonly context: OwnershipKeeperContext) {}
@@ -213,7 +216,9 @@
   private confirmTenure(): void {
     const service = this.ownService;
     const nowMs = bootMs();
-    const isDue = nowMs - this.confirmSentMs >= CONFIRM_MS;
+    const hasToGiveUp = this.isGivingUp && !this.isMovable();
+    const pauseMs = hasToGiveUp ? CONFIRM_LEAVING_MS : CONFIRM_MS;
+    const isDue = nowMs - this.confirmSentMs >= pauseMs;
     if (service === undefined || !isDue || this.isConfirming) {
       return;
     }
@@ -260,14 +265,26 @@
 
   /** While the store can't be read, the tenure goes on as long as all arbiters promise. */
   private askPromises(): void {
-    const { tenure, onPromiseNeeded } = this.context;
+    const { tenure, logger, onPromiseNeeded } = this.context;
     const service = this.ownService;
     const nowMs = bootMs();
-    const isNeeded = tenure.confirmedForMs(nowMs) > ASK_AFTER_MS;
-    if (service === undefined || !isNeeded || nowMs - this.askedAtMs < ASK_MS) {
+    const confirmedForMs = tenure.confirmedForMs(nowMs);
+    if (service === undefined || confirmedForMs <= ASK_AFTER_MS) {
+      this.isOnPromises = false;
+      return;
+    }
+    if (nowMs - this.askedAtMs < ASK_MS) {
       return;
     }
     this.askedAtMs = nowMs;
+    if (!this.isOnPromises) {
+      this.isOnPromises = true;
+      logger.log("tenure_on_promises", {
+        service,
+        confirmed_for_ms: Math.round(confirmedForMs),
+        arbiters: tenure.arbiters.map(({ daemon }) => daemon),
+      });
+    }
     tenure.arbiters.forEach(({ daemon }) =>
       onPromiseNeeded(daemon, { service, askedAtMs: nowMs })
     );
@@ -318,7 +335,8 @@
     }
     // One that has left without a heartbeat holds its keys until its grant runs out, and serves them while
     // it may be handed requests.
-    const hasLeft = phase === "draining" && steadyMs() > handOverUntilMs;
+    const hasLeft = phase === "draining" &&
+      (steadyMs() > handOverUntilMs || grants.heldForMs(bootMs()) === 0);
     if (hasLeft || phase === "absent") {
       grants.beginRelease(grants.ownRanges);
       return;
@@ -509,6 +527,8 @@
    */
   private async reachesStore(service: string): Promise<boolean> {
     const sentAtMs = bootMs();
+    // It confirms the tenure, too, so the next read for that need not come sooner than after this one.
+    this.confirmSentMs = sentAtMs;
     const read = this.readTenure(service, sentAtMs);
     await Promise.race([read, sleep(PROBE_MS, undefined, { ref: false })]);
     return this.context.tenure.confirmedForMs(sentAtMs) <= 0;
@@ -617,7 +637,7 @@
   /** Names living daemons as arbiters, so that the keys of a lost host are free soon. */
   private appointArbiters(service: string, known: OwnershipRecord): void {
     const present = known.arbiters.map(({ daemon }) => daemon);
-    const chosen = this.chooseArbiters(known);
+    const chosen = this.chooseArbiters(service, known);
     if (present.toSorted().join() === chosen.toSorted().join()) {
       return;
     }
@@ -629,15 +649,17 @@
     );
   }
 
-  private chooseArbiters(record: OwnershipRecord): string[] {
+  private chooseArbiters(
+    service: string,
+    record: OwnershipRecord,
+  ): string[] {
     const { view } = this.context;
-    const owners = new Set(record.daemons);
     const candidates = [...view.alive(steadyMs()), view.ownReport].map(
-      ({ address, availabilityZone, reachesStore }) => ({
-        daemon: address,
-        availabilityZone,
-        isOwner: owners.has(address),
-        reachesStore,
+      (report) => ({
+        daemon: report.address,
+        availabilityZone: report.availabilityZone,
+        isOwner: report.service === service,
+        reachesStore: report.reachesStore,
       }),
     );
     const present = record.arbiters.map(({ daemon }) => daemon);
@@ -666,7 +688,7 @@
       (record) =>
         record.revision > 0 ? undefined : record.assign(
           assignUnowned(record, [{ from: 0, to: KEY_COUNT - 1 }], takers),
-        ).appoint(this.chooseArbiters(record)),
+        ).appoint(this.chooseArbiters(service, record)),
     );
   }
 
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -452,19 +452,15 @@
     question: Extract<Datagram, { kind: "ask_promise" }>,
   ): void {
     const { service, sender: owner, askedAtMs } = question;
-    const mayPromise = this.ownership.mayPromise(service, owner);
-    this.logger.log("tenure_promise_asked", {
-      service,
-      peer: owner,
-      mayPromise,
-    });
-    if (mayPromise) {
-      const sender = this.view.ownReport.address;
-      this.gossip.sendDatagram(
-        { kind: "promise", sender, service, askedAtMs },
-        owner,
-      );
+    if (!this.ownership.mayPromise(service, owner)) {
+      this.logger.log("tenure_promise_refused", { service, peer: owner });
+      return;
     }
+    const sender = this.view.ownReport.address;
+    this.gossip.sendDatagram(
+      { kind: "promise", sender, service, askedAtMs },
+      owner,
+    );
   }
 
   private tellExpected(daemon: string, moves: readonly PlannedMove[]): void {
