Go by what runs already, and work out waits once in 5 ms

Cause 2: each request and each answer played the slots forward to tell the wait, and looked at all servers' times for each candidate.

Change: requests that run for far longer than usual slow the estimates of those that arrive, and are expected to go on as long. Waits are worked out once in 5 ms, typical times from a running sum.

--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -48,7 +48,9 @@
 const ESTIMATE_MARGIN = 0.25;
 /** A request is short up to this share of the mean estimate. */
 const SHORT_SHARE = 0.4;
-/** An overdue running request is expected to take at least this share of its estimate still. */
+/** Times of requests of one kind vary by this factor as a rule; few take longer. */
+const USUAL_SPREAD = 1.3;
+/** A running request is expected to take at least this share of its estimate still. */
 const OVERDUE_SHARE = 0.2;
 
 interface Running {
@@ -90,9 +92,10 @@
   }
 
   /** Decides about a request that has just arrived. */
-  offer(request: WorkRequest, nowMs: number): WorkVerdict {
+  offer(arrived: WorkRequest, nowMs: number): WorkVerdict {
+    const request = this.paced(arrived, nowMs);
     if (this.running.size < this.slots && this.waitingCount === 0) {
-      this.start(request, nowMs);
+      this.start(arrived, nowMs);
       return { kind: "run" };
     }
     const waitMs = this.waitAhead(request, nowMs);
@@ -103,7 +106,7 @@
       return { kind: "refuse", reason: "queue_full", waitMs };
     }
     if (!endsLate(request, nowMs + waitMs) || this.makesRoom(request)) {
-      this.insert(request);
+      this.insert(arrived);
       return { kind: "wait" };
     }
     const lateWaitMs = this.waitMs(nowMs) +
@@ -162,11 +165,8 @@
     if (this.slots === 0) {
       return Infinity;
     }
-    const left = [...this.running.values()].map(({ startedAtMs, estimateMs }) =>
-      Math.max(
-        startedAtMs + estimateMs - nowMs,
-        estimateMs * OVERDUE_SHARE,
-      )
+    const left = [...this.running.values()].map((running) =>
+      leftOf(running, nowMs)
     );
     const free = Array.from(
       { length: Math.max(0, this.slots - left.length) },
@@ -180,6 +180,22 @@
     return ends[indexOfLeast(ends)]!;
   }
 
+  /**
+   * The request with the time it takes at the pace of what runs. Estimates come from requests that have ended: of a
+   * server that has just turned slow, as after a restart, none has, and it would be given many more
+   * requests than it can do before their deadlines.
+   */
+  private paced(request: WorkRequest, nowMs: number): WorkRequest {
+    const paces = [...this.running.values()].map((running) =>
+      Math.max(1, (nowMs - running.startedAtMs) / longestUsual(running))
+    );
+    const sum = paces.reduce((total, pace) => total + pace, 0);
+    const pace = paces.length === 0 ? 1 : sum / paces.length;
+    return pace === 1
+      ? request
+      : { ...request, estimateMs: request.estimateMs * pace };
+  }
+
   /** Whether a request is worth a slot also when it misses its objective, because others make room. */
   private makesRoom(request: WorkRequest): boolean {
     return this.hasLessUrgent(request) || this.isShort(request);
@@ -224,8 +240,9 @@
       nowMs + request.estimateMs > request.deadlineAtMs
     );
     this.removeInTime(hopeless);
-    const startMs = nowMs + this.waitBehind(this.inTime, nowMs);
-    const lateHopeless = this.late.dropHopeless({ nowMs, startMs });
+    const lateHopeless = this.late.size === 0
+      ? []
+      : this.late.dropHopeless(this.lateOutlook(nowMs));
     return [
       ...hopeless.map(({ id }) => ({ id, reason: "too_late" as const })),
       ...lateHopeless.map(({ id }) => ({ id, reason: "overloaded" as const })),
@@ -240,15 +257,23 @@
     const overtaken = this.inTime.filter((request) =>
       endsLate(request, nowMs) && !this.makesRoom(request)
     );
+    if (overtaken.length === 0) {
+      return [];
+    }
     this.removeInTime(overtaken);
-    const startMs = nowMs + this.waitBehind(this.inTime, nowMs);
+    const outlook = this.lateOutlook(nowMs);
     return overtaken
       .filter((request) =>
-        !request.mayEndLate || !this.late.offer(request, { nowMs, startMs })
+        !request.mayEndLate || !this.late.offer(request, outlook)
       )
       .map(({ id }) => ({ id, reason: "overloaded" as const }));
   }
 
+  /** When the first late request would start if nothing more came in time. */
+  private lateOutlook(nowMs: number): { nowMs: number; startMs: number } {
+    return { nowMs, startMs: nowMs + this.waitMs(nowMs) };
+  }
+
   private removeInTime(requests: readonly WorkRequest[]): void {
     if (requests.length > 0) {
       this.inTime = this.inTime.filter((request) =>
@@ -258,6 +283,22 @@
   }
 }
 
+/**
+ * How long a running request is expected to take still, in milliseconds: one that is far overdue, as much longer
+ * as it is so already.
+ */
+function leftOf(running: Running, nowMs: number): number {
+  const { startedAtMs, estimateMs } = running;
+  const ranMs = nowMs - startedAtMs;
+  const overdueMs = Math.max(0, ranMs - longestUsual(running));
+  return Math.max(estimateMs - ranMs, estimateMs * OVERDUE_SHARE + overdueMs);
+}
+
+/** How long a request may run before that says something of its server, in milliseconds. */
+function longestUsual({ estimateMs }: Running): number {
+  return estimateMs * USUAL_SPREAD;
+}
+
 /** Whether a request that starts then must be expected to miss its objective. */
 function endsLate(request: WorkRequest, startMs: number): boolean {
   return startMs + request.estimateMs * (1 + ESTIMATE_MARGIN) >
--- a/packages/admission/src/work_queue_test.ts
+++ b/packages/admission/src/work_queue_test.ts
@@ -200,4 +200,42 @@
       expect(served(180)).to.be.at.least(0.95 * served(60));
     });
   });
+
+  describe("replaying a server that has turned five times slower", () => {
+    // Symptom: after all hosts have restarted, requests wait for a second and run until their deadlines, and
+    // nobody gets an answer in the first two seconds.
+    // Sequence: all keys are cold, so each request takes several times as long; estimates are those from
+    // before, and no request has ended since.
+    // Cause: what runs already for much longer than it should was not taken for a sign.
+    it("takes few requests that then miss their deadlines", () => {
+      const slots = 12;
+      const usualMs = 210;
+      const slowMs = usualMs * 5;
+      const lengthMs = 1_000;
+      const deadlineMs = 1_200;
+      const queue = WorkQueue.create();
+      queue.setSlots(slots);
+      let taken = 0;
+      let refusedEarly = 0;
+      Array.from({ length: lengthMs }, (_, nowMs) => {
+        queue.advance(nowMs);
+        if (nowMs % 20 !== 0) {
+          return;
+        }
+        const verdict = queue.offer(
+          request(nowMs, {
+            estimateMs: usualMs,
+            objectiveAtMs: nowMs + 600,
+            deadlineAtMs: nowMs + deadlineMs,
+          }),
+          nowMs,
+        );
+        taken += verdict.kind === "refuse" ? 0 : 1;
+        refusedEarly += verdict.kind === "refuse" ? 1 : 0;
+      });
+      expect(slowMs).to.be.below(deadlineMs);
+      expect(taken).to.be.below(3 * slots);
+      expect(refusedEarly).to.be.above(15);
+    });
+  });
 });
--- a/packages/placement/src/route_times.ts
+++ b/packages/placement/src/route_times.ts
@@ -21,9 +21,15 @@
   readonly atMs: number;
 }
 
+/** What is known of one route; the sum spares each request a look at all servers. */
+interface RouteEntry {
+  readonly told: Map<string, Told>;
+  sumMs: number;
+}
+
 /** Service times by route and backend server, as their daemons tell them. */
 export class RouteTimes {
-  private readonly routes = new Map<string, Map<string, Told>>();
+  private readonly routes = new Map<string, RouteEntry>();
 
   private constructor() {}
 
@@ -34,15 +40,17 @@
 
   /** Notes what a daemon says of the requests of a route at its backend server, in milliseconds. */
   note(backend: string, route: string, told: Told): void {
-    const times = this.routes.get(route) ?? new Map<string, Told>();
-    this.routes.set(route, times.set(backend, told));
+    const entry = this.routes.get(route) ??
+      { told: new Map<string, Told>(), sumMs: 0 };
+    entry.sumMs += told.serviceMs - (entry.told.get(backend)?.serviceMs ?? 0);
+    entry.told.set(backend, told);
+    this.routes.set(route, entry);
   }
 
   /** How long a request of a route takes on average over the backend servers; 0 where none is known. */
   typicalMs(route: string): number {
-    const times = [...this.routes.get(route)?.values() ?? []];
-    const sum = times.reduce((total, { serviceMs }) => total + serviceMs, 0);
-    return times.length === 0 ? 0 : sum / times.length;
+    const entry = this.routes.get(route);
+    return entry === undefined ? 0 : entry.sumMs / entry.told.size;
   }
 
   /**
@@ -51,7 +59,7 @@
    */
   expectMs(backend: string, route: string, nowMs: number): number {
     const typicalMs = this.typicalMs(route);
-    const told = this.routes.get(route)?.get(backend);
+    const told = this.routes.get(route)?.told.get(backend);
     if (told === undefined) {
       return typicalMs * this.slownessOf(backend);
     }
@@ -63,8 +71,8 @@
 
   /** Times of a backend server beside the typical ones; 0 where it has run nothing. */
   private slownessOf(backend: string): number {
-    const ratios = [...this.routes].flatMap(([route, times]) => {
-      const told = times.get(backend);
+    const ratios = [...this.routes].flatMap(([route, entry]) => {
+      const told = entry.told.get(backend);
       return told === undefined ? [] : [told.serviceMs / this.typicalMs(route)];
     });
     const sum = ratios.reduce((total, ratio) => total + ratio, 0);
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -40,6 +40,12 @@
 /** A request for a key that the backend server is about to be granted waits so long, in milliseconds. */
 const GRANT_WAIT_MS = 1_200;
 
+/**
+ * For how long a wait that was worked out is told again, in milliseconds. It goes with every answer, and the
+ * slots are played forward for it.
+ */
+const WAIT_FRESH_MS = 5;
+
 /** What the local backend needs. */
 export interface LocalBackendContext {
   readonly address: string;
@@ -78,6 +84,7 @@
   private identity: BackendIdentity | undefined;
   private lastId = 0;
   private totals = { offered: 0, finished: 0 };
+  private wait = { waitMs: 0, atMs: -Infinity };
 
   private constructor(private context: LocalBackendContext) {
     super();
@@ -112,9 +119,16 @@
 
   /** Until a request that arrives now would start, in milliseconds. */
   get waitMs(): number {
-    // Without slots nobody sends anything; the phase says so, and the figure must be one that travels.
-    const hasSlots = (this.identity?.slots ?? 0) > 0;
-    return hasSlots ? this.queue.waitMs(steadyMs()) : 0;
+    const nowMs = steadyMs();
+    if (nowMs - this.wait.atMs > WAIT_FRESH_MS) {
+      // Without slots nobody sends anything; the phase says so, and the figure must be one that travels.
+      const hasSlots = (this.identity?.slots ?? 0) > 0;
+      this.wait = {
+        waitMs: hasSlots ? this.queue.waitMs(nowMs) : 0,
+        atMs: nowMs,
+      };
+    }
+    return this.wait.waitMs;
   }
 
   /** Usual time of a request over all routes, in milliseconds; 0 until enough were served. */
