--- /dev/null
+++ b/packages/router/src/ownership_leader.ts
@@ -0,0 +1,247 @@
+/**
+ * Assigns keys without an owner, takes them from lost owners, and names arbiters: what one daemon does for all
+ * owners of a service.
+ *
+ * @module
+ */
+import {
+  assignUnowned,
+  type Candidate,
+  chooseArbiters,
+  isFirstAssignmentDue,
+  KEY_COUNT,
+  type OwnershipRecord,
+  TakeoverWaits,
+} from "@bamboolink/keyspace";
+import type { MemberView } from "@bamboolink/membership";
+import type { BackendKeeper } from "./backend_keeper.ts";
+import { bootMs, steadyMs } from "./clock.ts";
+import type { OwnershipDirectory } from "./ownership_directory.ts";
+import type { RecordWriter } from "./record_writer.ts";
+
+/** An owner that has been silent for so much longer than it takes to be silent is sealed, in ms. */
+const SEAL_AFTER_SILENCE_MS = 500;
+/** A leading daemon acts only once it has heard the others for so long, in milliseconds. */
+const SETTLE_MS = 1_500;
+
+/** What the leader needs. */
+export interface OwnershipLeaderContext {
+  readonly view: MemberView;
+  readonly directory: OwnershipDirectory;
+  readonly writer: RecordWriter;
+  readonly keeper: () => BackendKeeper;
+}
+
+/** The part of one daemon in deciding who owns what. */
+export class OwnershipLeader {
+  private readonly waits = new Map<string, TakeoverWaits>();
+  private readonly startedAtMs = steadyMs();
+
+  private constructor(private readonly context: OwnershipLeaderContext) {}
+
+  /** Creates a leader that has seen no record. */
+  static create(context: OwnershipLeaderContext): OwnershipLeader {
+    return new OwnershipLeader(context);
+  }
+
+  /** Notes seals and appointments, from which waits are counted. */
+  noteRecord(service: string, record: OwnershipRecord): void {
+    const waits = this.waits.get(service) ?? TakeoverWaits.create();
+    this.waits.set(service, waits);
+    waits.note(record, bootMs());
+  }
+
+  /** Whether an owner is promised not to be taken over: not one that is known to be sealed. */
+  mayPromise(service: string, owner: string): boolean {
+    const record = this.context.directory.record(service);
+    return record !== undefined && record.revision > 0 &&
+      !record.isSealed(owner);
+  }
+
+  /**
+   * The leading daemon gives keys without an owner to one, and takes them from lost ones; so does an arbiter as
+   * soon as it may.
+   */
+  tick(): void {
+    const { directory } = this.context;
+    const isLeading = this.isLeading();
+    directory.keyedServices.forEach((service) => {
+      const known = directory.record(service);
+      if (isLeading) {
+        this.leadService(service);
+      } else if (known !== undefined && this.findEnded(service, known).length) {
+        this.assignNeedy(service);
+      }
+    });
+  }
+
+  /** Any daemon may write, since writes are conditional; one of them does, to save calls. */
+  private isLeading(): boolean {
+    const { view } = this.context;
+    const nowMs = steadyMs();
+    if (nowMs - this.startedAtMs < SETTLE_MS || !view.ownReport.reachesStore) {
+      return false;
+    }
+    return view.alive(nowMs)
+      .filter(({ reachesStore, phase }) => reachesStore && phase !== "stopping")
+      .every(({ address }) => address > this.own);
+  }
+
+  private leadService(service: string): void {
+    const known = this.context.directory.record(service);
+    if (known === undefined || known.revision === 0) {
+      this.assignFirst(service);
+      return;
+    }
+    if (!this.assignNeedy(service) && !this.sealLost(service, known)) {
+      this.appointArbiters(service, known);
+    }
+  }
+
+  /** Assigns keys without an owner, and those of owners whose tenure has ended; returns whether there are any. */
+  private assignNeedy(service: string): boolean {
+    const known = this.context.directory.record(service);
+    const takers = this.allTakers(service);
+    if (known === undefined || takers.length === 0) {
+      return false;
+    }
+    const needy = [
+      ...known.findUnowned(),
+      ...this.findEnded(service, known).flatMap((seal) =>
+        known.rangesUnder(seal)
+      ),
+    ];
+    if (needy.length === 0) {
+      return false;
+    }
+    void this.context.writer.write(service, "assign", (record) => {
+      if (record.revision !== known.revision) {
+        return undefined;
+      }
+      const free = record.release(needy);
+      return free.assign(assignUnowned(free, needy, takers));
+    });
+    return true;
+  }
+
+  /** The seals under which the owner's tenure has certainly ended, as far as the own daemon may say so. */
+  private findEnded(service: string, known: OwnershipRecord): number[] {
+    const nowMs = bootMs();
+    const waits = this.waits.get(service);
+    const office = known.officeOf(this.own);
+    if (office === undefined && !this.isLeading()) {
+      return [];
+    }
+    return known.sealedOwners
+      .map(({ seal }) => seal)
+      .filter((seal) => waits?.isOver(seal, nowMs, office) === true);
+  }
+
+  /** Names living daemons as arbiters, so that the keys of a lost host are free soon. */
+  private appointArbiters(service: string, known: OwnershipRecord): void {
+    const present = known.arbiters.map(({ daemon }) => daemon);
+    const chosen = this.chooseArbiters(service, known);
+    if (present.toSorted().join() === chosen.toSorted().join()) {
+      return;
+    }
+    void this.context.writer.write(
+      service,
+      "appoint",
+      (record) =>
+        record.revision === known.revision ? record.appoint(chosen) : undefined,
+    );
+  }
+
+  private chooseArbiters(
+    service: string,
+    record: OwnershipRecord,
+  ): string[] {
+    const { view } = this.context;
+    const candidates = [...view.alive(steadyMs()), view.ownReport].map(
+      (report) => ({
+        daemon: report.address,
+        availabilityZone: report.availabilityZone,
+        isOwner: report.service === service,
+        reachesStore: report.reachesStore,
+      }),
+    );
+    const present = record.arbiters.map(({ daemon }) => daemon);
+    return chooseArbiters(present, candidates);
+  }
+
+  private assignFirst(service: string): void {
+    const { view } = this.context;
+    const nowMs = steadyMs();
+    const alive = view.alive(nowMs);
+    const members = [...alive, view.ownReport]
+      .filter((report) => report.service === service);
+    const takers = this.allTakers(service);
+    const isDue = isFirstAssignmentDue({
+      unheard: view.known.length - alive.length,
+      unannounced: members.filter(({ phase }) => phase === "absent").length,
+      takers: takers.length,
+      waitedMs: nowMs - this.startedAtMs,
+    });
+    if (!isDue) {
+      return;
+    }
+    void this.context.writer.write(
+      service,
+      "first",
+      (record) =>
+        record.revision > 0 ? undefined : record.assign(
+          assignUnowned(record, [{ from: 0, to: KEY_COUNT - 1 }], takers),
+        ).appoint(this.chooseArbiters(service, record)),
+    );
+  }
+
+  /** Seals owners that are silent; returns whether there are any. */
+  private sealLost(service: string, known: OwnershipRecord): boolean {
+    const { view } = this.context;
+    const nowMs = steadyMs();
+    const heardForMs = nowMs - this.startedAtMs;
+    const lost = known.daemons.filter((daemon) =>
+      !known.isSealed(daemon) &&
+      Math.min(view.silentMs(daemon, nowMs), heardForMs) >
+        view.silentAfterMs + SEAL_AFTER_SILENCE_MS
+    );
+    if (lost.length === 0) {
+      return false;
+    }
+    void this.context.writer.write(
+      service,
+      "seal",
+      (record) =>
+        record.revision === known.revision ? record.seal(lost) : undefined,
+    );
+    return true;
+  }
+
+  private allTakers(service: string): Candidate[] {
+    const { view, keeper } = this.context;
+    const own = keeper();
+    const isTaker = own.service === service && own.phase === "ready";
+    return [
+      ...this.takers(service),
+      ...(isTaker
+        ? [{ daemon: view.ownReport.address, weight: own.slots }]
+        : []),
+    ];
+  }
+
+  /** Other backend servers of a service that take keys. */
+  private takers(service: string): Candidate[] {
+    return findTakers(this.context.view, service);
+  }
+
+  private get own(): string {
+    return this.context.view.ownReport.address;
+  }
+}
+
+/** The backend servers of a service that take keys, without the own one. */
+export function findTakers(view: MemberView, service: string): Candidate[] {
+  return view.alive(steadyMs())
+    .filter((report) => report.service === service && report.phase === "ready")
+    .map(({ address, slots }) => ({ daemon: address, weight: slots }));
+}
--- /dev/null
+++ b/packages/router/src/tenure_keeper.ts
@@ -0,0 +1,177 @@
+/**
+ * Extends the right of this daemon to grant its keys: by reads of the record, and by the promises of the arbiters
+ * while it can't be read.
+ *
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { OwnershipRecord, type Tenure } from "@bamboolink/keyspace";
+import type { Logger } from "@bamboolink/logger";
+import type { Store } from "@bamboolink/store";
+import { bootMs } from "./clock.ts";
+import {
+  OWNERSHIP_PREFIX,
+  type OwnershipDirectory,
+} from "./ownership_directory.ts";
+
+/** Time between two reads that extend the tenure, in milliseconds. Each is a paid call to the store. */
+const CONFIRM_MS = 1_500;
+/** The same while keys wait to be given to others until the store is back, in milliseconds. */
+const CONFIRM_LEAVING_MS = 400;
+/**
+ * Keys are moved only while the record was read within this time, in milliseconds. What is given up while
+ * the store can't be written has no owner until it can.
+ */
+const MOVABLE_MS = 2 * CONFIRM_MS;
+/**
+ * A tenure that was not confirmed for so long depends on the promises of the arbiters soon, in milliseconds: a
+ * read that is due every 1.5 s has failed.
+ */
+const ASK_AFTER_MS = 2_000;
+/** Time between two questions for a promise, in milliseconds; one holds for 2.5 s. */
+const ASK_MS = 500;
+/** How long the store may take to answer before keys are given up, in milliseconds; usually it takes 4. */
+const PROBE_MS = 400;
+
+/** What the keeper needs. */
+export interface TenureKeeperContext {
+  readonly store: Store;
+  readonly logger: Logger;
+  readonly directory: OwnershipDirectory;
+  readonly tenure: Tenure;
+  /** The own daemon's address. */
+  readonly own: () => string;
+  /** The service of which the backend server here owns keys, if it is of such a service. */
+  readonly ownService: () => string | undefined;
+  /** Whether keys wait to be given to others. */
+  readonly isGivingUp: () => boolean;
+  /** Called with each read of the own service's record. */
+  readonly onRead: (service: string) => void;
+  /** Called when the own daemon is found to be sealed. */
+  readonly onSealed: (service: string) => void;
+  /** Asks an arbiter for its promise; the daemon's clock comes back with it. */
+  readonly onPromiseNeeded: (
+    arbiter: string,
+    question: { service: string; askedAtMs: number },
+  ) => void;
+}
+
+/** Keeps the tenure of the backend server on this host. */
+export class TenureKeeper {
+  private confirmSentMs = -Infinity;
+  private askedAtMs = -Infinity;
+  private isConfirming = false;
+  private isOnPromises = false;
+
+  private constructor(private readonly context: TenureKeeperContext) {}
+
+  /** Creates a keeper. */
+  static create(context: TenureKeeperContext): TenureKeeper {
+    return new TenureKeeper(context);
+  }
+
+  /** Does what is due. */
+  tick(): void {
+    const service = this.context.ownService();
+    if (service === undefined) {
+      this.isOnPromises = false;
+      return;
+    }
+    this.confirm(service);
+    this.askPromises(service);
+  }
+
+  /** Whether a move that begins now can be written, as far as that is known. */
+  isMovable(): boolean {
+    return this.context.tenure.confirmedForMs(bootMs()) < MOVABLE_MS;
+  }
+
+  /**
+   * Asks the store just before keys are given up. Keys that were given up in the seconds before an outage was
+   * noticed had no owner until its end.
+   */
+  async reachesStore(service: string): Promise<boolean> {
+    const sentAtMs = bootMs();
+    // It confirms the tenure, too, so the next read for that need not come sooner than after this one.
+    this.confirmSentMs = sentAtMs;
+    const read = this.read(service, sentAtMs);
+    await Promise.race([read, sleep(PROBE_MS, undefined, { ref: false })]);
+    return this.context.tenure.confirmedForMs(sentAtMs) <= 0;
+  }
+
+  /** Reads the record to prove that no takeover of this daemon can have finished. */
+  private confirm(service: string): void {
+    const nowMs = bootMs();
+    const hasToGiveUp = this.context.isGivingUp() && !this.isMovable();
+    const pauseMs = hasToGiveUp ? CONFIRM_LEAVING_MS : CONFIRM_MS;
+    if (nowMs - this.confirmSentMs < pauseMs || this.isConfirming) {
+      return;
+    }
+    this.confirmSentMs = nowMs;
+    this.isConfirming = true;
+    void this.read(service, nowMs).finally(() => {
+      this.isConfirming = false;
+    });
+  }
+
+  private async read(service: string, sentAtMs: number): Promise<void> {
+    const { store, directory, logger, tenure, own, onRead, onSealed } =
+      this.context;
+    const found = await store.get(OWNERSHIP_PREFIX + service);
+    if (found.isErr()) {
+      logger.log("store_call_failed", { step: "tenure", cause: found.error });
+      return;
+    }
+    const stored = found.value;
+    const known = directory.record(service);
+    const record = stored === undefined
+      ? OwnershipRecord.create()
+      : known?.revision === stored.revision
+      ? known
+      : OwnershipRecord.decode(stored.value, stored.revision).unwrapOr(
+        undefined,
+      );
+    if (record === undefined) {
+      logger.log("ownership_unreadable", { service });
+      return;
+    }
+    directory.note(service, record);
+    onRead(service);
+    if (!record.isSealed(own())) {
+      tenure.confirm(sentAtMs, record.arbiters);
+      return;
+    }
+    logger.log("ownership_sealed_here", {
+      service,
+      revision: record.revision,
+      tenure_left_ms: Math.round(tenure.untilMs - bootMs()),
+    });
+    onSealed(service);
+  }
+
+  /** While the store can't be read, the tenure goes on as long as all arbiters promise. */
+  private askPromises(service: string): void {
+    const { tenure, logger, onPromiseNeeded } = this.context;
+    const nowMs = bootMs();
+    const confirmedForMs = tenure.confirmedForMs(nowMs);
+    if (confirmedForMs <= ASK_AFTER_MS) {
+      this.isOnPromises = false;
+      return;
+    }
+    if (nowMs - this.askedAtMs < ASK_MS) {
+      return;
+    }
+    this.askedAtMs = nowMs;
+    if (!this.isOnPromises) {
+      this.isOnPromises = true;
+      logger.log("tenure_on_promises", {
+        service,
+        confirmed_for_ms: Math.round(confirmedForMs),
+        arbiters: tenure.arbiters.map(({ daemon }) => daemon),
+      });
+    }
+    tenure.arbiters.forEach(({ daemon }) =>
+      onPromiseNeeded(daemon, { service, askedAtMs: nowMs })
+    );
+  }
+}
