Let a tenure rest on the own service only

Cause, found by reading the diff: what was read, and what arbiters promised, for one service counted as a right in another, once the backend server at the address was replaced by one of that other service.

Change: the tenure is forgotten with the keys; a read or a promise that comes for a former service counts for nothing. And a request that is expected to take no time does not make the pace of its server infinite.

--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -48,6 +48,8 @@
 const ESTIMATE_MARGIN = 0.25;
 /** A request is short up to this share of the mean estimate. */
 const SHORT_SHARE = 0.4;
+/** No request takes less than this, in milliseconds, whatever is expected of it. */
+const LEAST_MS = 1;
 /** Times of requests of one kind vary by this factor as a rule; few take longer. */
 const USUAL_SPREAD = 1.3;
 /** A running request is expected to take at least this share of its estimate still. */
@@ -296,7 +298,7 @@
 
 /** How long a request may run before that says something of its server, in milliseconds. */
 function longestUsual({ estimateMs }: Running): number {
-  return estimateMs * USUAL_SPREAD;
+  return Math.max(LEAST_MS, estimateMs * USUAL_SPREAD);
 }
 
 /** Whether a request that starts then must be expected to miss its objective. */
--- a/packages/keyspace/src/tenure.ts
+++ b/packages/keyspace/src/tenure.ts
@@ -75,6 +75,16 @@
     this.promises.set(arbiter, Math.max(knownMs, untilMs));
   }
 
+  /**
+   * Forgets everything: the backend server at this address is of another service now, and what was read and promised
+   * for the former says nothing of the new one's keys.
+   */
+  forget(): void {
+    this.confirmedAtMs = -Infinity;
+    this.known = [];
+    this.promises.clear();
+  }
+
   /** Those without whose promise the tenure ends early. */
   get arbiters(): readonly Arbiter[] {
     return this.known;
--- a/packages/router/src/backend_keeper.ts
+++ b/packages/router/src/backend_keeper.ts
@@ -192,6 +192,7 @@
     this.instances.accept(heartbeat, nowMs);
     if (this.last !== undefined && this.last.service !== heartbeat.service) {
       grants.forgetKeys();
+      tenure.forget();
     }
     this.last = heartbeat;
     const keyed = isKeyed(heartbeat.service);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -419,7 +419,9 @@
         this.answerPromiseQuestion(datagram);
         return;
       case "promise":
-        this.tenure.notePromise(datagram.sender, datagram.askedAtMs);
+        if (datagram.service === this.keeper.service) {
+          this.tenure.notePromise(datagram.sender, datagram.askedAtMs);
+        }
     }
   }
 
--- a/packages/router/src/tenure_keeper.ts
+++ b/packages/router/src/tenure_keeper.ts
@@ -137,6 +137,10 @@
     }
     directory.note(service, record);
     onRead(service);
+    if (this.context.ownService() !== service) {
+      // The backend server was replaced by one of another service while the read was under way.
+      return;
+    }
     if (!record.isSealed(own())) {
       tenure.confirm(sentAtMs, record.arbiters);
       return;
