End a connection with the last answer on it only

Cause: while a daemon stops, each of its answers said that the connection ends, and ended it. Of callers that send ahead, the requests behind that answer had been read and passed on to backend servers, and were never answered.

Change: only the answer that has no request behind it ends its connection. A request that comes behind it later was not read, and is sent again.

Ruled out: closing at once and refusing what is behind; those requests may have run.

--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -84,6 +84,8 @@
   private readonly split: TrafficSplit;
   private readonly spread: ReturnType<typeof createAnswerSpread>;
   private readonly order = ConnectionOrder.create<Socket>();
+  /** The place of each request on its connection. */
+  private readonly places = new WeakMap<ServerResponse, number>();
   /** Connections that have brought a request before. */
   private readonly served = new WeakSet<Socket>();
   private active = 0;
@@ -127,7 +129,7 @@
     const { socket } = incoming;
     let route: string | undefined;
     this.active += 1;
-    this.order.begin(socket);
+    this.places.set(response, this.order.begin(socket));
     try {
       route = await this.serveOne(incoming, response);
     } catch (cause) {
@@ -403,7 +405,7 @@
     response.writeHead(answer.status, {
       ...headers,
       ...(length === undefined ? {} : { "content-length": length }),
-      ...this.connectionHeader(),
+      ...this.connectionHeader(response),
     });
     response.end(answer.body);
   }
@@ -420,12 +422,18 @@
     response.writeHead(own.status, {
       ...own.headers,
       "content-length": Buffer.byteLength(own.body),
-      ...this.connectionHeader(),
+      ...this.connectionHeader(response),
     });
     response.end(own.body);
   }
 
-  private connectionHeader(): Record<string, string> {
-    return this.isStopping ? { connection: "close" } : {};
+  /**
+   * While the daemon stops, an answer ends its connection, unless others wait behind it: they may have been passed
+   * on already, and would be cut.
+   */
+  private connectionHeader(response: ServerResponse): Record<string, string> {
+    const place = this.places.get(response) ?? 0;
+    const isLast = this.order.isLast(response.req.socket, place);
+    return this.isStopping && isLast ? { connection: "close" } : {};
   }
 }
--- a/packages/traffic/src/connection_order.ts
+++ b/packages/traffic/src/connection_order.ts
@@ -1,5 +1,6 @@
 /**
- * Learns on which routes callers send further requests before the first is answered.
+ * Keeps the order of requests on callers' connections, and learns on which routes callers send further requests
+ * before the first is answered.
  *
  * @module
  */
@@ -9,9 +10,16 @@
 /** A route is followed from this share of its requests on. */
 const FOLLOWED_SHARE = 0.1;
 
-/** Counts requests under way on each connection. */
+/** What is known of one connection. */
+interface ConnectionEntry {
+  underWay: number;
+  /** How many requests have come on it. */
+  begun: number;
+}
+
+/** The requests on each connection. */
 export class ConnectionOrder<Connection extends object> {
-  private readonly underWay = new WeakMap<Connection, number>();
+  private readonly connections = new WeakMap<Connection, ConnectionEntry>();
   private readonly followed = new Map<string, number>();
 
   private constructor() {}
@@ -21,18 +29,26 @@
     return new ConnectionOrder();
   }
 
-  /** A request has come on a connection. */
-  begin(connection: Connection): void {
-    this.underWay.set(connection, this.countOn(connection) + 1);
+  /** A request has come on a connection; returns its place there. */
+  begin(connection: Connection): number {
+    const entry = this.entryOf(connection);
+    entry.underWay += 1;
+    entry.begun += 1;
+    return entry.begun;
+  }
+
+  /** Whether no request has come behind the one at a place. */
+  isLast(connection: Connection, place: number): boolean {
+    return this.entryOf(connection).begun === place;
   }
 
   /** A request of a route has ended; without a route it is not learned from. */
   end(connection: Connection, route: string | undefined): void {
-    const left = Math.max(0, this.countOn(connection) - 1);
-    this.underWay.set(connection, left);
+    const entry = this.entryOf(connection);
+    entry.underWay -= 1;
     if (route !== undefined) {
       const share = this.followed.get(route) ?? 0;
-      const isFollowed = left > 0 ? 1 : 0;
+      const isFollowed = entry.underWay > 0 ? 1 : 0;
       this.followed.set(route, share + LEARNING_RATE * (isFollowed - share));
     }
   }
@@ -42,11 +58,17 @@
    * so what makes this one late makes them late, too.
    */
   isFollowed(connection: Connection, route: string): boolean {
-    return this.countOn(connection) > 1 ||
+    return this.entryOf(connection).underWay > 1 ||
       (this.followed.get(route) ?? 0) >= FOLLOWED_SHARE;
   }
 
-  private countOn(connection: Connection): number {
-    return this.underWay.get(connection) ?? 0;
+  private entryOf(connection: Connection): ConnectionEntry {
+    const known = this.connections.get(connection);
+    if (known !== undefined) {
+      return known;
+    }
+    const entry = { underWay: 0, begun: 0 };
+    this.connections.set(connection, entry);
+    return entry;
   }
 }
--- a/packages/traffic/src/connection_order_test.ts
+++ b/packages/traffic/src/connection_order_test.ts
@@ -36,4 +36,17 @@
       expect(order.isFollowed(other, "view")).to.equal(false);
     });
   });
+
+  describe("of requests that were sent ahead", () => {
+    it("tells which one nobody has come behind", () => {
+      const order = ConnectionOrder.create();
+      const connection = {};
+      const first = order.begin(connection);
+      const second = order.begin(connection);
+      expect(order.isLast(connection, first)).to.equal(false);
+      order.end(connection, "look-up");
+      expect(order.isLast(connection, first)).to.equal(false);
+      expect(order.isLast(connection, second)).to.equal(true);
+    });
+  });
 });
