--- a/packages/membership/src/gossip_codec.ts
+++ b/packages/membership/src/gossip_codec.ts
@@ -44,7 +44,7 @@
  * Decodes a datagram; anybody can send one, so nothing in it is taken on trust.
  *
  * @param isNews tells reports that are still worth checking. Most of a datagram tells what others have told
- *   before, and checking it all took a fifth of the processor time of a daemon at rest.
+ *   before, and checking it all took an eighth of the processor time of a daemon at rest.
  */
 export function decodeGossip(
   bytes: Uint8Array,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -328,7 +328,7 @@
 
   /**
    * Whether the process must not end yet. Keys that were given up and are still its own in the record would be
-   * free only after a takeover, 13 s later; while the store is away, it may come back before the process has to
+   * free only after a takeover, 7 s later or more; while the store is away, it may come back before the process has to
    * end.
    */
   private hasDuties(): boolean {
