Tell restarted backend servers apart, drop foreign heartbeats, promise only what no takeover contradicts

Cause, restarts: an incarnation was an id and a count. A server that started again under its id was late until its count had passed the old one, or passed for the former process and was believed to hold its keys. Now an incarnation is (id, born). Where a heartbeat disagrees, the address is asked; an answer that names the start proves a succession, one that names the id only lets the new process in once the known one is overdue (1.5 pauses) and proves nothing: the former grant counts until it has run out, tokens rise. A proved end is remembered, so held-back heartbeats of it are late. The departure of a former process is ignored.

Cause, foreign heartbeats: any state but 'ready' was taken for leaving, missing fields were filled in, a service that nobody configured displaced the server's own.

Arbiters now keep at which revision they last saw an owner sealed, the question names the revision that the owner has confirmed, and a restarted arbiter promises only to owners who read a record newer than its start, or after the longest tenure. (2) An owner that missed both the takeover and the return of its keys granted them with its former token, below the other owner's. Tokens are issued anew at the first confirmation after a lapse or a seal.

Ruled out: raising tokens at each confirmation (each restart of a daemon would make its server take all keys anew, cold).

--- a/packages/keyspace/src/grant_book.ts
+++ b/packages/keyspace/src/grant_book.ts
@@ -68,6 +68,8 @@
   /** Whether a grant went out to the present incarnation. */
   private hasGranted = false;
   private incarnations = 0;
+  /** Whether a record has shown a seal on the daemon since its right was last confirmed. */
+  private wasSealed = false;
 
   private constructor() {}
 
@@ -96,6 +98,7 @@
     record: OwnershipRecord,
     own: { daemon: string; revision: number },
   ): void {
+    this.wasSealed ||= record.isSealed(own.daemon);
     const mine = RangeMap.create<string>();
     record.rangesOf(own.daemon).forEach((segment) =>
       mine.set(segment, segment.value.handover)
@@ -115,11 +118,38 @@
     );
   }
 
-  /** A new incarnation of the backend server has proved that the earlier one is gone. */
-  noteNewIncarnation(): void {
+  /**
+   * A read of the record has confirmed the daemon's right. If it had lapsed before, or the daemon was sealed, its keys
+   * may have been another owner's for a while, in records that it has missed. They get tokens above those: with
+   * its former ones, the backend server would take keys with tokens below the other owner's.
+   *
+   * @param read the revision that was read, and whether the right had lapsed by then.
+   */
+  noteConfirmed(read: { revision: number; hasLapsed: boolean }): void {
+    const { revision, hasLapsed } = read;
+    const mayBeStale = hasLapsed || this.wasSealed;
+    this.wasSealed = false;
+    if (!mayBeStale) {
+      return;
+    }
+    const token = revision * INCARNATIONS_PER_REVISION + this.incarnations;
+    this.tokens.replace((known) =>
+      known.token < token ? { token, handover: "" } : known
+    );
+  }
+
+  /**
+   * A new incarnation of the backend server is there.
+   *
+   * @param isProved whether the earlier one has certainly ended, and with it all that it held. Without proof its
+   *   grants count until they have run out: if it lived on, another owner would hold the same keys.
+   */
+  noteNewIncarnation(isProved: boolean): void {
     this.incarnations += 1;
     this.hasGranted = false;
-    this.mayHoldUntil.clear();
+    if (isProved) {
+      this.mayHoldUntil.clear();
+    }
     this.holdsUntil.clear();
     this.tokens.replace(({ token }) => ({ token: token + 1, handover: "" }));
   }
@@ -153,6 +183,21 @@
     });
   }
 
+  /**
+   * Takes over higher tokens than the own ones that the believed incarnation reports. It was granted them by an
+   * earlier process of this daemon of which a held-back heartbeat told an older state, and would refuse each
+   * grant with a lower one for good.
+   */
+  raiseTokens(held: readonly HeldRange[]): void {
+    held.forEach((range) =>
+      this.tokens.within(range)
+        .filter(({ value }) => value.token < range.token)
+        .forEach((mine) =>
+          this.tokens.set(mine, { token: range.token, handover: "" })
+        )
+    );
+  }
+
   /**
    * Decides what a heartbeat is answered with.
    *
--- a/packages/keyspace/src/mod.ts
+++ b/packages/keyspace/src/mod.ts
@@ -43,11 +43,17 @@
   type FirstSight,
   isFirstAssignmentDue,
 } from "./plan_assignment.ts";
+export { PromiseBook, type PromiseQuestion } from "./promise_book.ts";
 export { LoadProfile } from "./load_profile.ts";
 export type { OwnerLoad } from "./balance_loads.ts";
 export { type PlannedMove, planShedding } from "./plan_shedding.ts";
 export {
   type Heartbeat,
   type HeartbeatVerdict,
+  type Incarnation,
   InstanceBook,
+  isSame,
+  type Patience,
+  type Presence,
+  type Succession,
 } from "./instance_book.ts";
--- a/packages/keyspace/src/tenure.ts
+++ b/packages/keyspace/src/tenure.ts
@@ -41,26 +41,35 @@
 /** The right of one daemon to grant its keys, from what it read in the store and what arbiters promised. */
 export class Tenure {
   private confirmedAtMs = -Infinity;
+  private revision = 0;
   private known: readonly Arbiter[] = [];
   private readonly promises = new Map<string, number>();
 
-  private constructor() {}
+  private constructor(private readonly createdAtMs: number) {}
 
-  /** Creates the tenure of a daemon that has read nothing yet. */
-  static create(): Tenure {
-    return new Tenure();
+  /**
+   * Creates the tenure of a daemon that has read nothing yet.
+   *
+   * @param createdAtMs when its process began, on its clock.
+   */
+  static create(createdAtMs = -Infinity): Tenure {
+    return new Tenure(createdAtMs);
   }
 
   /**
    * Notes a read of the record that showed no seal on this daemon.
    *
    * @param sentAtMs the daemon's clock before the read was sent: what it shows may be as old.
-   * @param arbiters those whom the record names.
+   * @param record what was read: whom it names as arbiters, and its revision.
    */
-  confirm(sentAtMs: number, arbiters: readonly Arbiter[]): void {
+  confirm(
+    sentAtMs: number,
+    record: Pick<OwnershipRecord, "arbiters" | "revision">,
+  ): void {
     if (sentAtMs >= this.confirmedAtMs) {
       this.confirmedAtMs = sentAtMs;
-      this.known = arbiters;
+      this.known = record.arbiters;
+      this.revision = record.revision;
     }
   }
 
@@ -81,6 +90,7 @@
    */
   forget(): void {
     this.confirmedAtMs = -Infinity;
+    this.revision = 0;
     this.known = [];
     this.promises.clear();
   }
@@ -90,6 +100,20 @@
     return this.known;
   }
 
+  /**
+   * Whether a takeover of the daemon may have finished since it knows of its keys: after its right has ended, or so
+   * long after its start without one.
+   */
+  hasLapsed(nowMs: number): boolean {
+    const graceUntilMs = this.createdAtMs + SHORT_TENURE_MS;
+    return Math.max(this.untilMs, graceUntilMs) < nowMs;
+  }
+
+  /** Revision of the record by the latest read that confirmed the tenure. */
+  get confirmedRevision(): number {
+    return this.revision;
+  }
+
   /** How old the latest read that confirmed the tenure is, in milliseconds; infinite without one. */
   confirmedForMs(nowMs: number): number {
     return nowMs - this.confirmedAtMs;
--- a/packages/keyspace/src/tenure_safety_test.ts
+++ b/packages/keyspace/src/tenure_safety_test.ts
@@ -87,6 +87,24 @@
   )
 );
 
+/** The backend server starts again under its id, perhaps while keys are given up. */
+const sameId = fc.tuple(fc.nat(3), fc.boolean(), fc.nat(600)).map((
+  [host, releases, wait],
+) => [
+  exactly("heartbeat", host),
+  exactly("advance", 0, 2),
+  ...(releases ? [exactly("release", host)] : []),
+  exactly("restart_server", host),
+  ...[0, 1, 2, 3].flatMap(() => [
+    exactly("confirm", host),
+    exactly("heartbeat", host),
+    exactly("advance", 0, 220),
+  ]),
+  exactly("advance", 0, wait),
+  exactly("publish", host, 1, 1),
+  exactly("advance", 0, 3),
+]);
+
 /** One exact step. */
 function exactly(kind: StepKind, host: number, a = 1, b = 0): Step {
   return { kind, host, a, b };
@@ -110,6 +128,24 @@
     exactly("advance", 0, 20),
   ]);
 
+/** The answer to an owner's read comes late; it is sealed meanwhile, and taken over at the first moment. */
+const slowRead = fc.tuple(fc.integer({ min: 400, max: 700 }), fc.nat(40))
+  .map(([backMs, late]) => [
+    exactly("confirm", 1, 1, backMs),
+    exactly("advance", 0, 1),
+    exactly("seal", 0),
+    exactly("advance", 0, 1),
+    exactly("advance", 0, 2_530),
+    exactly("heartbeat", 1),
+    exactly("advance", 0, 5 + late),
+    exactly("take_over", 0),
+    exactly("advance", 0, 3),
+    exactly("confirm", 0),
+    exactly("advance", 0, 3),
+    exactly("heartbeat", 0),
+    exactly("advance", 0, 20),
+  ]);
+
 /** An owner removes a seal, and is sealed again before the first who sealed it has looked. */
 const sealedTwice = fc.tuple(fc.nat(200), fc.nat(40))
   .map(([wait, more]) => [
@@ -206,6 +242,44 @@
   more: fc.nat(20),
 });
 
+/** An owner that can't read the store asks for promises after it was taken over, perhaps by a restarted arbiter. */
+const missedTakeover = fc.tuple(fc.boolean(), quickMoments).map((
+  [restarts, late],
+) => [
+  exactly("appoint", 0, 0, 1),
+  exactly("advance", 0, 2),
+  ...live(11),
+  ...quickTakeover(late),
+  ...(restarts
+    ? [
+      exactly("restart_daemon", 0),
+      exactly("advance", 0, 3),
+      exactly("heartbeat", 0),
+    ]
+    : []),
+  exactly("advance", 0, 3),
+  exactly("ask", 1, 1, 0),
+  exactly("advance", 0, 2),
+  exactly("heartbeat", 1),
+  exactly("advance", 0, 20),
+]);
+
+/** Keys are taken over and given back, and their first owner has missed both. */
+const missedReturn = quickMoments.map((late) => [
+  exactly("appoint", 0, 0, 1),
+  exactly("advance", 0, 2),
+  ...live(11),
+  ...quickTakeover(late),
+  exactly("release", 0),
+  exactly("advance", 0, 2_540),
+  exactly("publish", 0, 1, 1),
+  exactly("advance", 0, 3),
+  exactly("confirm", 1),
+  exactly("advance", 0, 3),
+  exactly("heartbeat", 1),
+  exactly("advance", 0, 20),
+]);
+
 /** With one arbiter, or two of which the second has not heard of the seal. */
 const arbiter = fc.tuple(fc.nat(1), quickMoments).map(([choice, late]) => [
   exactly("appoint", 0, choice, 1),
@@ -264,10 +338,14 @@
       { weight: 2, arbitrary: takeover },
       { weight: 2, arbitrary: handover },
       { weight: 1, arbitrary: replacement },
+      { weight: 1, arbitrary: sameId },
       { weight: 1, arbitrary: lastMoment },
+      { weight: 1, arbitrary: slowRead },
       { weight: 1, arbitrary: sealedTwice },
       { weight: 1, arbitrary: hasty },
+      { weight: 1, arbitrary: missedReturn },
       { weight: 1, arbitrary: arbiter },
+      { weight: 1, arbitrary: missedTakeover },
       { weight: 1, arbitrary: newArbiter },
       { weight: 1, arbitrary: latePromise },
       { weight: 1, arbitrary: formerArbiter },
@@ -372,6 +450,10 @@
       "promise_under_seal",
       "arbiter_at_once",
       "nameless_office",
+      "tokens_outlive_tenure",
+      "promise_after_takeover",
+      "promise_after_restart",
+      "id_names_process",
     ];
     faults.forEach((fault) => {
       it(`notices ${fault}`, function () {
--- a/packages/keyspace/src/tenure_test.ts
+++ b/packages/keyspace/src/tenure_test.ts
@@ -15,7 +15,7 @@
   describe("of an owner whose record names no arbiters", () => {
     it("lasts for the longest time after a read", () => {
       const tenure = Tenure.create();
-      tenure.confirm(1_000, []);
+      tenure.confirm(1_000, { arbiters: [], revision: 1 });
       expect(tenure.untilMs).to.equal(1_000 + TENURE_MS);
     });
   });
@@ -23,14 +23,14 @@
   describe("of an owner whose record names arbiters", () => {
     it("lasts for the short time without their promises", () => {
       const tenure = Tenure.create();
-      tenure.confirm(1_000, ARBITERS);
+      tenure.confirm(1_000, { arbiters: ARBITERS, revision: 1 });
       tenure.notePromise("one", 4_500);
       expect(tenure.untilMs).to.equal(1_000 + SHORT_TENURE_MS);
     });
 
     it("lasts as long as all of them promise, up to the longest time", () => {
       const tenure = Tenure.create();
-      tenure.confirm(1_000, ARBITERS);
+      tenure.confirm(1_000, { arbiters: ARBITERS, revision: 1 });
       tenure.notePromise("one", 4_500);
       tenure.notePromise("two", 4_000);
       expect(tenure.untilMs).to.equal(4_000 + PROMISE_MS);
@@ -46,7 +46,7 @@
     // Cause: what was read for the former service was taken for a right in the new one.
     it("rests on nothing that was read or promised before", () => {
       const tenure = Tenure.create();
-      tenure.confirm(1_000, []);
+      tenure.confirm(1_000, { arbiters: [], revision: 1 });
       tenure.notePromise("one", 1_000);
       tenure.forget();
       expect(tenure.longestHoldMs(1_001)).to.equal(0);
--- a/packages/keyspace/src/testing/tenure_world.ts
+++ b/packages/keyspace/src/testing/tenure_world.ts
@@ -12,11 +12,14 @@
   type FreedRange,
   type Grant,
   GrantBook,
+  type Heartbeat,
   type HeldRange,
   InstanceBook,
   KEY_COUNT,
   type KeyRange,
   OwnershipRecord,
+  PromiseBook,
+  type PromiseQuestion,
   RangeMap,
   TAKEOVER_WAIT_MS,
   TakeoverWaits,
@@ -50,7 +53,15 @@
   /** An arbiter takes over quickly as soon as it is one. */
   | "arbiter_at_once"
   /** Appointments have no name: an arbiter takes itself for one all along. */
-  | "nameless_office";
+  | "nameless_office"
+  /** Tokens stay as they are while keys may have been another owner's. */
+  | "tokens_outlive_tenure"
+  /** An arbiter remembers no seal: what it has taken over looks like any other owner. */
+  | "promise_after_takeover"
+  /** An arbiter that has started again promises at once. */
+  | "promise_after_restart"
+  /** A backend server that starts again under its id is taken for the former process. */
+  | "id_names_process";
 
 /** One step of a schedule. */
 export interface Step {
@@ -74,6 +85,7 @@
   "take_over",
   "unseal",
   "crash_server",
+  "restart_server",
   "restart_daemon",
   "suspend",
   "outage",
@@ -87,6 +99,10 @@
 const SERVER_DRIFT = 0.02;
 /** A daemon waits so long for the answer to a heartbeat, in milliseconds. */
 const ANSWER_MS = 1_000;
+/** A heartbeat is overdue after so long, in milliseconds. */
+const OVERDUE_MS = 1_300;
+/** And a server that nobody finds is gone after so long, in milliseconds. */
+const SILENT_MS = 2_500;
 /** Clock rates of the daemons. */
 const DAEMON_RATES = [1.009, 0.991, 1, 1.005];
 /** The steps after which somebody may have begun to hold keys are looked at this often, in ms. */
@@ -94,6 +110,8 @@
 
 interface Server {
   instance: string;
+  /** Names the process, also where it keeps the id of an earlier one. */
+  born: number;
   sequence: number;
   readonly holds: RangeMap<{ token: number; untilMs: number }>;
   freed: FreedRange[];
@@ -106,10 +124,11 @@
   readonly rate: number;
   server: Server;
   /** The incarnation before, whose heartbeats may still arrive. */
-  ghost: { instance: string; sequence: number } | undefined;
+  ghost: Heartbeat | undefined;
   grants: GrantBook;
   tenure: Tenure;
   waits: TakeoverWaits;
+  promises: PromiseBook;
   instances: InstanceBook;
   record: OwnershipRecord;
   registration: number;
@@ -203,7 +222,12 @@
           2,
         );
       case "crash_server":
-        return this.crashServer(host);
+        return this.replaceServer(host, this.createServer());
+      case "restart_server":
+        return this.replaceServer(
+          host,
+          this.createServer(host.server.instance),
+        );
       case "restart_daemon":
         return this.restartDaemon(host);
       case "suspend":
@@ -230,6 +254,7 @@
       grants: GrantBook.create(-Infinity),
       tenure: Tenure.create(),
       waits: TakeoverWaits.create(),
+      promises: PromiseBook.create(-Infinity),
       instances: InstanceBook.create(),
       record: OwnershipRecord.create(),
       registration: 1,
@@ -240,10 +265,12 @@
     };
   }
 
-  private createServer(): Server {
+  /** @param instance the id of an earlier process that it keeps. */
+  private createServer(instance?: string): Server {
     this.instances += 1;
     return {
-      instance: `instance-${this.instances}`,
+      instance: instance ?? `instance-${this.instances}`,
+      born: this.instances,
       sequence: 0,
       holds: RangeMap.create(),
       freed: [],
@@ -325,6 +352,7 @@
     server.sequence += 1;
     const heartbeat = {
       instance: server.instance,
+      born: server.born,
       sequence: server.sequence,
       holds: this.holdsOf(host).map(({ from, to, value }) => ({
         from,
@@ -353,26 +381,37 @@
 
   private takeHeartbeat(
     host: Host,
-    heartbeat: {
-      instance: string;
-      sequence: number;
+    sent: Heartbeat & {
       holds: readonly HeldRange[];
       freed: readonly FreedRange[];
     },
   ): Grant | undefined {
     const nowMs = this.clockOf(host);
+    const heartbeat = this.fault === "id_names_process"
+      ? { ...sent, born: undefined }
+      : sent;
     const verdict = host.instances.judge(heartbeat);
-    const isThere = heartbeat.instance === host.server.instance;
-    if (verdict.kind === "late" || verdict.kind === "unverified" && !isThere) {
+    if (verdict.kind === "late") {
       return undefined;
     }
-    const isNew = verdict.kind === "unverified";
-    host.instances.accept(heartbeat, nowMs);
-    if (isNew) {
-      host.grants.noteNewIncarnation();
-    } else {
+    if (verdict.kind === "current") {
+      host.instances.accept(heartbeat, nowMs);
       host.grants.adoptHeld(heartbeat.holds, nowMs);
+    } else {
+      // Whoever answers there tells its id, and not when it started.
+      const { instance } = host.server;
+      const succession = host.instances.judgeSuccession(
+        heartbeat,
+        { kind: "answered", instance, born: undefined },
+        { arrivedMs: nowMs, overdueMs: OVERDUE_MS, silentMs: SILENT_MS },
+      );
+      if (succession === "rejected") {
+        return undefined;
+      }
+      host.instances.succeed(heartbeat, { succession, nowMs });
+      host.grants.noteNewIncarnation(succession === "proved");
     }
+    host.grants.raiseTokens(heartbeat.holds);
     host.handovers.push(...host.grants.noteFreed(heartbeat.freed));
     return host.grants.answer({
       longestHoldMs: host.tenure.longestHoldMs(nowMs),
@@ -412,16 +451,17 @@
   /** A key must come with a higher token than any other incarnation has had it. */
   private checkToken(server: Server, range: HeldRange): void {
     const earlier = this.highest.within(range);
+    const holder = `${server.instance} of ${server.born}`;
     earlier
       .filter(({ value }) =>
-        value.holder !== server.instance && value.token >= range.token
+        value.holder !== holder && value.token >= range.token
       )
       .forEach(({ from, value }) =>
         this.violations.push(
-          `${server.instance} takes key ${from} with token ${range.token} after ${value.holder} had ${value.token}`,
+          `${holder} takes key ${from} with token ${range.token} after ${value.holder} had ${value.token}`,
         )
       );
-    this.highest.set(range, { token: range.token, holder: server.instance });
+    this.highest.set(range, { token: range.token, holder });
   }
 
   private confirm(
@@ -468,14 +508,13 @@
     }
     const askedAtMs = this.clockOf(host);
     const { life } = host;
-    const arbiters = host.tenure.arbiters;
+    const { arbiters, confirmedRevision } = host.tenure;
+    const question = { owner: host.name, confirmedRevision };
     const isAsked = ({ name }: Host) =>
       arbiters.some(({ daemon }) => daemon === name);
     this.hosts.filter(isAsked).forEach((arbiter) =>
       this.at(arbiter, delays.thereMs, () => {
-        const mayPromise = this.fault === "promise_under_seal" ||
-          arbiter.record.revision > 0 && !arbiter.record.isSealed(host.name);
-        if (!mayPromise) {
+        if (!this.mayPromise(arbiter, question)) {
           return;
         }
         this.later(delays.backMs, () => {
@@ -491,6 +530,18 @@
     );
   }
 
+  private mayPromise(arbiter: Host, question: PromiseQuestion): boolean {
+    switch (this.fault) {
+      case "promise_under_seal":
+        return true;
+      case "promise_after_takeover":
+        return arbiter.record.revision > 0 &&
+          !arbiter.record.isSealed(question.owner);
+      default:
+        return arbiter.promises.mayPromise(question, this.clockOf(arbiter));
+    }
+  }
+
   private notePromise(host: Host, from: string, askedAtMs: number): void {
     const countedMs = this.fault === "promise_from_answer"
       ? this.clockOf(host)
@@ -508,10 +559,14 @@
   ): void {
     this.noteRecord(host, found);
     if (!found.isSealed(host.name)) {
+      if (this.fault !== "tokens_outlive_tenure") {
+        const hasLapsed = host.tenure.hasLapsed(this.clockOf(host));
+        host.grants.noteConfirmed({ revision: found.revision, hasLapsed });
+      }
       const fromAnswer = this.fault === "tenure_from_answer";
       host.tenure.confirm(
         fromAnswer ? this.clockOf(host) : sentAtMs,
-        found.arbiters,
+        found,
       );
     }
   }
@@ -531,6 +586,7 @@
       ? record.arbiters.map(({ daemon }) => ({ daemon, office: 1 }))
       : record.arbiters;
     host.waits.note({ sealedOwners, arbiters }, this.clockOf(host));
+    host.promises.note(record);
     const revision = this.fault === "tokens_from_record"
       ? record.revision
       : Math.max(record.revision, host.registration);
@@ -648,10 +704,10 @@
     this.stored = record.withRevision(this.revision);
   }
 
-  private crashServer(host: Host): void {
-    const { instance, sequence } = host.server;
-    host.ghost = { instance, sequence: sequence + 1 };
-    host.server = this.createServer();
+  private replaceServer(host: Host, server: Server): void {
+    const { instance, born, sequence } = host.server;
+    host.ghost = { instance, born, sequence: sequence + 1 };
+    host.server = server;
     const ghost = host.ghost;
     // A heartbeat of the earlier incarnation that was held up arrives after the new one's.
     this.at(host, 900, () => {
@@ -665,13 +721,17 @@
     host.grants = GrantBook.create(
       this.fault === "forgetful_restart" ? -Infinity : nowMs,
     );
-    host.tenure = Tenure.create();
+    host.tenure = Tenure.create(nowMs);
     host.waits = TakeoverWaits.create();
+    host.promises = PromiseBook.create(
+      this.fault === "promise_after_restart" ? -Infinity : nowMs,
+    );
     host.instances = InstanceBook.create();
     host.record = OwnershipRecord.create();
     host.handovers = [];
     this.revision += 1;
     host.registration = this.revision;
+    host.promises.noteStart(this.revision);
     this.confirm(host, { thereMs: 2, backMs: 2 });
   }
 
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -285,6 +285,14 @@
     action:
       "Compare the version of the backend server with that of the router.",
   },
+  heartbeat_of_unknown_service: {
+    number: 1834,
+    severity: "warn",
+    meaning:
+      "A heartbeat named a service that the configuration in force does not name; nothing was changed.",
+    action:
+      "If it goes on, look for a configuration that is late here, or a server with wrong settings.",
+  },
   foreign_answer: {
     number: 1805,
     severity: "warn",
--- a/packages/router/src/backend_keeper.ts
+++ b/packages/router/src/backend_keeper.ts
@@ -7,25 +7,28 @@
 import {
   type Grant,
   type GrantBook,
+  type Incarnation,
   InstanceBook,
+  type Presence,
+  type Succession,
   type Tenure,
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { MemberPhase } from "@bamboolink/membership";
-import { Cancellation } from "./cancellation.ts";
 import { bootMs, steadyMs } from "./clock.ts";
-import { Connection } from "./exchange.ts";
 import type { LocalBackend } from "./local_backend.ts";
 import type {
   BackendDeparture,
   BackendHeartbeat,
-  BackendProtocol,
 } from "./ports/backend_protocol.ts";
 
-/** How long the backend server may take to say which incarnation it is, in milliseconds. */
-const PROBE_TIMEOUT_MS = 400;
 /** An incarnation that was silent for so long is no longer believed against another, in milliseconds. */
 const SILENT_MS = 2_500;
+/**
+ * Share of the usual pause between two heartbeats after which the next one is overdue; it arrives a little late at
+ * times.
+ */
+const OVERDUE_SHARE = 1.5;
 /** What a backend server must hold for at least until its next heartbeat is answered, in milliseconds. */
 const LEAST_HOLD_MS = 1_200;
 /** A backend server that refuses connections for so long is gone, in milliseconds. */
@@ -39,17 +42,19 @@
 
 /** What the keeper needs. */
 export interface BackendKeeperContext {
-  readonly address: string;
-  readonly protocol: BackendProtocol;
   readonly logger: Logger;
   readonly backend: LocalBackend;
   readonly grants: GrantBook;
   readonly tenure: Tenure;
   /** From the word that the backend server leaves until it may get nothing more, in milliseconds. */
   readonly drainMs: () => number;
-  /** Path of the health check of a service. */
-  readonly healthPath: (service: string) => string;
+  /** Asks at the address of a backend server of a service who is there. */
+  readonly probe: (service: string) => Promise<Presence>;
   readonly isKeyed: (service: string) => boolean;
+  /** Whether the configuration in force names a service; `undefined` while none is in force. */
+  readonly isNamed: (service: string) => boolean | undefined;
+  /** Usual pause between two heartbeats, in milliseconds. */
+  readonly heartbeatMs: () => number;
   /** Whether keys may be granted: the daemon has seen who owns what. */
   readonly mayGrant: (service: string) => boolean;
   /** Called when the phase or the incarnation has changed. */
@@ -115,6 +120,15 @@
 
   /** Takes a heartbeat; returns how it is to be answered. */
   async takeHeartbeat(heartbeat: BackendHeartbeat): Promise<HeartbeatAnswer> {
+    const { instance, service } = heartbeat;
+    if (this.context.isNamed(service) === false) {
+      this.context.logger.log("heartbeat_of_unknown_service", {
+        instance,
+        service,
+        believed: this.instances.current?.instance,
+      });
+      return { kind: "unacknowledged" };
+    }
     const isHeldBack = this.isHeldBack(heartbeat) &&
       !await this.context.beforeLeaving() &&
       this.context.grants.heldForMs(bootMs()) > LEAST_HOLD_MS;
@@ -134,9 +148,9 @@
    * acknowledgement, it goes on serving them. Only an acknowledgement renews its hold, so it gets one before
    * that runs out, and serves on within the bound of its drain.
    */
-  private isHeldBack({ isDraining, instance }: BackendHeartbeat): boolean {
-    return isDraining && this.current === "ready" &&
-      instance === this.instances.current &&
+  private isHeldBack(heartbeat: BackendHeartbeat): boolean {
+    return heartbeat.isDraining && this.current === "ready" &&
+      this.instances.isCurrent(heartbeat) &&
       this.context.grants.ownCount > 0;
   }
 
@@ -147,19 +161,26 @@
     if (verdict.kind === "late") {
       return undefined;
     }
-    if (verdict.kind === "unverified" && !await this.verify(heartbeat)) {
+    if (verdict.kind === "current") {
+      return this.accept(heartbeat, undefined);
+    }
+    const succession = await this.verify(heartbeat);
+    if (succession === "rejected") {
       this.context.logger.log("heartbeat_not_believed", {
         instance: heartbeat.instance,
-        believed: this.instances.current,
+        born: heartbeat.born,
+        believed: this.instances.current?.instance,
+        believed_born: this.instances.current?.born,
+        silent_ms: Math.round(this.silentMs()),
       });
       return undefined;
     }
-    return this.accept(heartbeat, verdict.kind === "unverified");
+    return this.accept(heartbeat, succession);
   }
 
   /** Takes the word of a backend server that it leaves. */
   takeDeparture(departure: BackendDeparture): void {
-    if (departure.instance === this.instances.current) {
+    if (this.isOfCurrent(departure)) {
       this.setPhase("draining", "departure");
     }
   }
@@ -175,36 +196,51 @@
       return;
     }
     await new Promise((resolve) => setTimeout(resolve, REFUSED_MS));
-    const found = await this.probe();
-    if (found === "refused") {
+    const found = await this.context.probe(this.last?.service ?? "");
+    if (found.kind === "refused") {
       // Nobody listens at the address: the process has ended, and whatever it held with it.
       this.context.grants.noteEnded();
       this.setPhase("absent", suspicion);
     }
   }
 
+  /** A departure may leave out when its sender started. */
+  private isOfCurrent({ instance, born }: Incarnation): boolean {
+    const { current } = this.instances;
+    return instance === current?.instance &&
+      (born === undefined || born === current.born);
+  }
+
+  /** @param succession how a new incarnation took the place of the known one; `undefined` for the known one. */
   private async accept(
     heartbeat: BackendHeartbeat,
-    isNewIncarnation: boolean,
+    succession: Succession | undefined,
   ): Promise<Grant | undefined> {
     const { grants, tenure, backend, isKeyed } = this.context;
     const nowMs = bootMs();
-    this.instances.accept(heartbeat, nowMs);
+    if (succession === undefined) {
+      this.instances.accept(heartbeat, nowMs);
+    } else {
+      this.instances.succeed(heartbeat, { succession, nowMs });
+    }
     if (this.last !== undefined && this.last.service !== heartbeat.service) {
       grants.forgetKeys();
       tenure.forget();
     }
     this.last = heartbeat;
     const keyed = isKeyed(heartbeat.service);
-    if (isNewIncarnation) {
-      grants.noteNewIncarnation();
+    if (succession === undefined) {
+      grants.adoptHeld(heartbeat.holds, nowMs);
+    } else {
+      grants.noteNewIncarnation(succession === "proved");
       this.context.logger.log("backend_replaced", {
         instance: heartbeat.instance,
+        born: heartbeat.born,
         service: heartbeat.service,
+        succession,
       });
-    } else {
-      grants.adoptHeld(heartbeat.holds, nowMs);
     }
+    grants.raiseTokens(heartbeat.holds);
     const freed = grants.noteFreed(heartbeat.freed);
     if (freed.length > 0) {
       this.context.onFreed(freed);
@@ -216,7 +252,7 @@
     if (!heartbeat.isDraining) {
       await this.context.beforeGrant();
     }
-    if (this.instances.current !== heartbeat.instance) {
+    if (!this.instances.isCurrent(heartbeat)) {
       // Another incarnation was found meanwhile; this answer reaches nobody.
       return undefined;
     }
@@ -239,6 +275,7 @@
     backend.identify(
       last === undefined || phase === "absent" ? undefined : {
         instance: last.instance,
+        born: last.born,
         service: last.service,
         slots: last.slots,
         phase,
@@ -259,33 +296,19 @@
     }
   }
 
-  /** Whether the sender of a heartbeat is the one that answers at the address. */
-  private async verify(heartbeat: BackendHeartbeat): Promise<boolean> {
-    const found = await this.probe();
-    if (found === heartbeat.instance) {
-      return true;
+  /** Whether the sender of a heartbeat has taken the place of the known incarnation, by who is at the address. */
+  private async verify(heartbeat: BackendHeartbeat): Promise<Succession> {
+    const arrivedMs = bootMs();
+    const believed = this.instances.current;
+    const found = await this.context.probe(this.last?.service ?? "");
+    if (believed !== this.instances.current) {
+      // The known incarnation was heard meanwhile, or another one was found: the sender says the same again.
+      return "rejected";
     }
-    const isUnanswered = found === "refused" || found === undefined;
-    return isUnanswered && this.silentMs() > SILENT_MS;
-  }
-
-  /** Asks at the address who is there: an incarnation, nobody (`refused`), or no word (`undefined`). */
-  private async probe(): Promise<string | undefined> {
-    const { address, protocol, healthPath } = this.context;
-    const connection = Connection.create(address);
-    const result = await connection.exchange({
-      method: "GET",
-      target: healthPath(this.last?.service ?? ""),
-      headers: ["host", address],
-      body: undefined,
-    }, {
-      cancellation: Cancellation.createAfter(PROBE_TIMEOUT_MS),
-      nowMs: steadyMs,
+    return this.instances.judgeSuccession(heartbeat, found, {
+      arrivedMs,
+      overdueMs: this.context.heartbeatMs() * OVERDUE_SHARE,
+      silentMs: SILENT_MS,
     });
-    void connection.destroy();
-    if (result.kind === "answer") {
-      return protocol.readInstance(result.headers);
-    }
-    return result.kind === "unsent" && result.isRefused ? "refused" : undefined;
   }
 }
--- a/packages/router/src/backend_keeper_test.ts
+++ b/packages/router/src/backend_keeper_test.ts
@@ -4,7 +4,12 @@
  * @module
  */
 import { expect } from "chai";
-import { GrantBook, OwnershipRecord, Tenure } from "@bamboolink/keyspace";
+import {
+  GrantBook,
+  OwnershipRecord,
+  type Presence,
+  Tenure,
+} from "@bamboolink/keyspace";
 import { Logger } from "@bamboolink/logger";
 import { BackendKeeper, type HeartbeatAnswer } from "./backend_keeper.ts";
 import { bootMs } from "./clock.ts";
@@ -20,16 +25,19 @@
 function createKeeper(
   grants: GrantBook,
   tenure: Tenure,
-  beforeLeaving = () => {
+  options: {
+    beforeLeaving?: () => boolean;
+    probe?: () => Promise<Presence>;
+    heartbeatMs?: number;
+  } = {},
+): BackendKeeper {
+  const giveUpAll = () => {
     grants.beginRelease(grants.ownRanges);
     return true;
-  },
-): BackendKeeper {
+  };
   const logger = Logger.createBounded("test", { level: "error" });
   const protocol = {} as BackendProtocol;
   return BackendKeeper.create({
-    address: ADDRESS,
-    protocol,
     logger,
     backend: LocalBackend.create({
       address: ADDRESS,
@@ -41,12 +49,15 @@
     grants,
     tenure,
     drainMs: () => 2_000,
-    healthPath: () => "/",
     isKeyed: () => true,
+    isNamed: (service) => service === "rooms",
+    heartbeatMs: () => options.heartbeatMs ?? 1_000,
+    probe: options.probe ?? (() => Promise.resolve({ kind: "silent" })),
     mayGrant: () => true,
     onChange: () => undefined,
     onFreed: () => undefined,
-    beforeLeaving: () => Promise.resolve(beforeLeaving()),
+    beforeLeaving: () =>
+      Promise.resolve((options.beforeLeaving ?? giveUpAll)()),
     beforeGrant: () => Promise.resolve(),
   });
 }
@@ -55,7 +66,7 @@
 function createOwner(): { grants: GrantBook; tenure: Tenure } {
   const grants = GrantBook.create(bootMs() - 60_000);
   const tenure = Tenure.create();
-  tenure.confirm(bootMs(), []);
+  tenure.confirm(bootMs(), { arbiters: [], revision: 1 });
   const record = OwnershipRecord.create()
     .assign([{ ...KEYS, daemon: "own", handover: "" }])
     .withRevision(7);
@@ -71,6 +82,7 @@
   const heartbeat: BackendHeartbeat = {
     kind: "heartbeat",
     instance: "i-1",
+    born: undefined,
     sequence: 1,
     service: "rooms",
     slots: 6,
@@ -100,7 +112,9 @@
     // Cause: a leaving was acknowledged although it could not be followed.
     it("is not told so while its keys can't be given to others, and serves on", async () => {
       const { grants, tenure } = createOwner();
-      const keeper = createKeeper(grants, tenure, () => false);
+      const keeper = createKeeper(grants, tenure, {
+        beforeLeaving: () => false,
+      });
       await keeper.takeHeartbeat(heartbeat);
       const leaving = { ...heartbeat, sequence: 2, isDraining: true };
       const answered = await keeper.takeHeartbeat(leaving);
@@ -109,4 +123,92 @@
       expect(grants.isOwn(KEYS.from)).to.equal(true);
     });
   });
+
+  describe("when a backend server starts again under its id", () => {
+    const former = { ...heartbeat, born: 1_000, sequence: 40 };
+    const next = { ...heartbeat, born: 2_000, sequence: 1 };
+
+    function createServed(presence: { born: number | undefined }) {
+      const { grants, tenure } = createOwner();
+      const found = { kind: "answered" as const, instance: "i-1", ...presence };
+      const keeper = createKeeper(grants, tenure, {
+        probe: () => Promise.resolve(found),
+      });
+      return { grants, keeper };
+    }
+
+    // Symptom: keys of a restarted backend server are not served until its count has passed the former one.
+    // Sequence: it crashes and starts again between two heartbeats, under the id that it had.
+    // Cause: its heartbeats were taken for late ones of the former process.
+    it("grants its keys to the new process with a higher token", async () => {
+      const { keeper } = createServed({ born: 2_000 });
+      const [before] = rangesIn(await keeper.takeHeartbeat(former))!;
+      const [after] = rangesIn(await keeper.takeHeartbeat(next))!;
+      expect(after!.token).to.be.above(before!.token);
+    });
+
+    // Symptom: a restarted backend server gets no keys, since a dead process is believed.
+    // Sequence: after its first heartbeat comes one that was held back, from the process before.
+    // Cause: an incarnation that has ended was not remembered.
+    it("drops what the former process had sent", async () => {
+      const { keeper } = createServed({ born: 2_000 });
+      await keeper.takeHeartbeat(former);
+      await keeper.takeHeartbeat(next);
+      const held = await keeper.takeHeartbeat({ ...former, sequence: 41 });
+      expect(rangesIn(held)).to.equal(undefined);
+      const following = await keeper.takeHeartbeat({ ...next, sequence: 2 });
+      expect(rangesIn(following)).to.have.length(1);
+    });
+
+    // Symptom: two servers hold the same keys.
+    // Sequence: a held-back heartbeat passes for a new process; the living one's grant is forgotten, and its keys
+    // are written to another owner before it has run out.
+    // Cause: an answer that can't tell two processes apart was taken for the end of one.
+    it("counts the former process's grant until it has run out where the answer proves nothing", async () => {
+      const { grants, tenure } = createOwner();
+      const keeper = createKeeper(grants, tenure, {
+        heartbeatMs: 0,
+        probe: () =>
+          Promise.resolve({
+            kind: "answered",
+            instance: "i-1",
+            born: undefined,
+          }),
+      });
+      await keeper.takeHeartbeat(former);
+      await new Promise((resolve) => setTimeout(resolve, 2));
+      await keeper.takeHeartbeat(next);
+      grants.beginRelease([KEYS]);
+      expect(grants.findReleased(bootMs())).to.deep.equal([]);
+      expect(grants.findReleased(bootMs() + 6_000)).to.deep.equal([KEYS]);
+    });
+
+    it("takes the departure of the former process for nothing", async () => {
+      const { keeper } = createServed({ born: 2_000 });
+      await keeper.takeHeartbeat(former);
+      await keeper.takeHeartbeat(next);
+      keeper.takeDeparture({ kind: "departure", instance: "i-1", born: 1_000 });
+      expect(keeper.phase).to.equal("ready");
+    });
+  });
+
+  describe("when a heartbeat names a service that nobody configured", () => {
+    // Symptom: the keys of a living backend server are given up, or it gets no requests.
+    // Sequence: another writer sends a well-formed heartbeat of a service that does not exist.
+    // Cause: the service of the last heartbeat was taken for the server's, whatever it was.
+    it("changes nothing and is not acknowledged", async () => {
+      const { grants, tenure } = createOwner();
+      const keeper = createKeeper(grants, tenure);
+      await keeper.takeHeartbeat(heartbeat);
+      const answer = await keeper.takeHeartbeat({
+        ...heartbeat,
+        service: "elsewhere",
+        sequence: 2,
+      });
+      expect(answer.kind).to.equal("unacknowledged");
+      expect(keeper.service).to.equal("rooms");
+      expect(keeper.phase).to.equal("ready");
+      expect(grants.isOwn(KEYS.from)).to.equal(true);
+    });
+  });
 });
--- a/packages/router/src/datagram_codec.ts
+++ b/packages/router/src/datagram_codec.ts
@@ -44,6 +44,8 @@
   service: z.string(),
   /** The owner's clock, in milliseconds; comes back with the promise. */
   askedAtMs: z.number(),
+  /** Revision of the record by which the owner last confirmed its tenure. */
+  confirmedRevision: z.int(),
 });
 
 /** The arbiter promises. */
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -8,7 +8,12 @@
   type WorkChanges,
   WorkQueue,
 } from "@bamboolink/admission";
-import { type GrantBook, LoadProfile } from "@bamboolink/keyspace";
+import {
+  type GrantBook,
+  type Incarnation,
+  isSame,
+  LoadProfile,
+} from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { MemberPhase } from "@bamboolink/membership";
 import type { Cancellation } from "./cancellation.ts";
@@ -57,8 +62,7 @@
 }
 
 /** What is known of the backend server that requests need. */
-export interface BackendIdentity {
-  readonly instance: string;
+export interface BackendIdentity extends Incarnation {
   readonly service: string;
   readonly slots: number;
   readonly phase: MemberPhase;
@@ -98,7 +102,9 @@
 
   /** Takes over what the backend server says of itself; `undefined` when it is gone. */
   identify(identity: BackendIdentity | undefined): void {
-    if (identity?.instance !== this.identity?.instance) {
+    const isSameProcess = identity !== undefined &&
+      this.identity !== undefined && isSame(identity, this.identity);
+    if (!isSameProcess) {
       this.connections.closeIdle();
       this.times.clear();
     }
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -21,3 +21,4 @@
   type HandoverDetails,
 } from "./ports/backend_protocol.ts";
 export { ConfigurationDocument } from "./ports/configuration_document.ts";
+export type { Incarnation } from "@bamboolink/keyspace";
--- a/packages/router/src/ownership_keeper.ts
+++ b/packages/router/src/ownership_keeper.ts
@@ -13,6 +13,7 @@
   type KeyRange,
   type OwnershipRecord,
   type PlannedMove,
+  type PromiseQuestion,
   type Tenure,
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
@@ -26,7 +27,7 @@
 import type { OwnershipDirectory } from "./ownership_directory.ts";
 import { findTakers, OwnershipLeader } from "./ownership_leader.ts";
 import { RecordWriter } from "./record_writer.ts";
-import { TenureKeeper } from "./tenure_keeper.ts";
+import { TenureKeeper, type TenureQuestion } from "./tenure_keeper.ts";
 
 /** Heartbeats of the own backend server that stay away for so long won't come soon, in milliseconds. */
 const HEARTBEATS_MISSED_MS = 3_000;
@@ -49,7 +50,7 @@
   /** Asks an arbiter for its promise; the daemon's clock comes back with it. */
   readonly onPromiseNeeded: (
     arbiter: string,
-    question: { service: string; askedAtMs: number },
+    question: TenureQuestion,
   ) => void;
 }
 
@@ -96,6 +97,7 @@
    */
   noteRegistration(revision: number): void {
     this.registration = revision;
+    this.leader.noteRegistration(revision);
     this.context.directory.keyedServices.forEach((service) => {
       const record = this.context.directory.record(service);
       if (record !== undefined) {
@@ -153,8 +155,8 @@
   }
 
   /** Whether an owner is promised not to be taken over by this daemon for a while. */
-  mayPromise(service: string, owner: string): boolean {
-    return this.leader.mayPromise(service, owner);
+  mayPromise(service: string, question: PromiseQuestion): boolean {
+    return this.leader.mayPromise(service, question);
   }
 
   /** Work that the own keys bring for each slot. */
--- a/packages/router/src/ownership_leader.ts
+++ b/packages/router/src/ownership_leader.ts
@@ -11,6 +11,8 @@
   isFirstAssignmentDue,
   KEY_COUNT,
   type OwnershipRecord,
+  PromiseBook,
+  type PromiseQuestion,
   TakeoverWaits,
 } from "@bamboolink/keyspace";
 import type { MemberView } from "@bamboolink/membership";
@@ -35,7 +37,10 @@
 /** The part of one daemon in deciding who owns what. */
 export class OwnershipLeader {
   private readonly waits = new Map<string, TakeoverWaits>();
+  private readonly promises = new Map<string, PromiseBook>();
   private readonly startedAtMs = steadyMs();
+  private readonly bootedAtMs = bootMs();
+  private registration = Infinity;
 
   private constructor(private readonly context: OwnershipLeaderContext) {}
 
@@ -44,18 +49,27 @@
     return new OwnershipLeader(context);
   }
 
+  /** Notes a revision of the store that was written by this process. */
+  noteRegistration(revision: number): void {
+    this.registration = revision;
+    this.promises.forEach((book) => book.noteStart(revision));
+  }
+
   /** Notes seals and appointments, from which waits are counted. */
   noteRecord(service: string, record: OwnershipRecord): void {
     const waits = this.waits.get(service) ?? TakeoverWaits.create();
     this.waits.set(service, waits);
     waits.note(record, bootMs());
+    const promises = this.promises.get(service) ??
+      PromiseBook.create(this.bootedAtMs);
+    this.promises.set(service, promises);
+    promises.noteStart(this.registration);
+    promises.note(record);
   }
 
-  /** Whether an owner is promised not to be taken over: not one that is known to be sealed. */
-  mayPromise(service: string, owner: string): boolean {
-    const record = this.context.directory.record(service);
-    return record !== undefined && record.revision > 0 &&
-      !record.isSealed(owner);
+  /** Whether an owner is promised not to be taken over. */
+  mayPromise(service: string, question: PromiseQuestion): boolean {
+    return this.promises.get(service)?.mayPromise(question, bootMs()) === true;
   }
 
   /**
--- a/packages/router/src/ports/backend_protocol.ts
+++ b/packages/router/src/ports/backend_protocol.ts
@@ -4,13 +4,18 @@
  * @module
  */
 import type { BamboolinkError } from "@bamboolink/errors";
-import type { FreedRange, Grant, HeldRange } from "@bamboolink/keyspace";
+import type {
+  FreedRange,
+  Grant,
+  HeldRange,
+  Incarnation,
+} from "@bamboolink/keyspace";
 import type { Result } from "neverthrow";
 
 /** What a request to a backend server carries beside the caller's own headers. */
 export interface HandoverDetails {
   readonly deadlineLeftMs: number;
-  /** The only incarnation that may run the request. */
+  /** The id of the only server that may run the request. */
   readonly instance: string;
   /** The service on the host where the request began. */
   readonly callerService: string;
@@ -28,9 +33,8 @@
   | "foreign";
 
 /** A heartbeat of the backend server on this host. */
-export interface BackendHeartbeat {
+export interface BackendHeartbeat extends Incarnation {
   readonly kind: "heartbeat";
-  readonly instance: string;
   readonly sequence: number;
   readonly service: string;
   readonly slots: number;
@@ -42,9 +46,8 @@
 }
 
 /** The backend server leaves. */
-export interface BackendDeparture {
+export interface BackendDeparture extends Incarnation {
   readonly kind: "departure";
-  readonly instance: string;
 }
 
 /** What a backend server says of itself. */
@@ -64,10 +67,13 @@
     requestId: string,
   ): AnswerVerdict;
 
-  /** The incarnation that sent an answer, if it says so. */
-  abstract readInstance(
-    headers: Readonly<Record<string, string | string[] | undefined>>,
-  ): string | undefined;
+  /** The incarnation that answered a health check, if it says so. */
+  abstract readIncarnation(
+    answer: {
+      headers: Readonly<Record<string, string | string[] | undefined>>;
+      body: Buffer;
+    },
+  ): Incarnation | undefined;
 
   /** Reads what a backend server says of itself. */
   abstract readNotice(
--- a/packages/router/src/ports/router_settings.ts
+++ b/packages/router/src/ports/router_settings.ts
@@ -31,6 +31,8 @@
   /** Where metrics are read; none are served without it. */
   metricsAddress: address.optional(),
   storeAddress: address,
+  /** Usual pause between two heartbeats of the backend server, in milliseconds. */
+  heartbeatMs: z.number().positive(),
   bounds: z.object({
     /** From the acknowledgement that a backend server leaves until it may get no more requests. */
     drainMs: z.number().positive(),
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -43,6 +43,7 @@
   RouterSettings,
   SettingsSource,
 } from "./ports/router_settings.ts";
+import { probeBackend } from "./probe_backend.ts";
 import { RelayedStore } from "./relayed_store.ts";
 import { RequestRunner } from "./request_runner.ts";
 import { StoreWatcher } from "./store_watcher.ts";
@@ -83,7 +84,7 @@
 export class Router {
   private readonly metrics = Metrics.create();
   private readonly grants = GrantBook.create(bootMs());
-  private readonly tenure = Tenure.create();
+  private readonly tenure = Tenure.create(bootMs());
   private readonly board = BackendBoard.create();
   private readonly questions = PeerQuestions.create();
   private readonly desk = HandoverDesk.create();
@@ -137,17 +138,21 @@
       onSuspicion: (suspicion) => void this.keeper.suspect(suspicion),
     });
     this.keeper = BackendKeeper.create({
-      address: settings.backendAddress,
-      protocol: ports.backends,
       logger,
       backend: this.backend,
       grants: this.grants,
       tenure: this.tenure,
       drainMs: () => this.settings.bounds.drainMs,
-      healthPath: (service) =>
-        this.configuration.inForce?.services.get(service)?.healthPath ??
-          USUAL_HEALTH_PATH,
+      probe: (service) =>
+        probeBackend(settings.backendAddress, {
+          protocol: ports.backends,
+          healthPath:
+            this.configuration.inForce?.services.get(service)?.healthPath ??
+              USUAL_HEALTH_PATH,
+        }),
       isKeyed: (service) => this.directory.isKeyed(service),
+      isNamed: (service) => this.configuration.inForce?.services.has(service),
+      heartbeatMs: () => this.settings.heartbeatMs,
       mayGrant: (service) => this.ownership.mayGrant(service),
       onChange: () => this.gossip.announce(),
       onFreed: (freed) => this.ownership.noteFreed(freed),
@@ -453,9 +458,14 @@
   private answerPromiseQuestion(
     question: Extract<Datagram, { kind: "ask_promise" }>,
   ): void {
-    const { service, sender: owner, askedAtMs } = question;
-    if (!this.ownership.mayPromise(service, owner)) {
-      this.logger.log("tenure_promise_refused", { service, peer: owner });
+    const { service, sender: owner, askedAtMs, confirmedRevision } = question;
+    if (!this.ownership.mayPromise(service, { owner, confirmedRevision })) {
+      this.logger.log("tenure_promise_refused", {
+        service,
+        peer: owner,
+        confirmed_revision: confirmedRevision,
+        revision: this.directory.record(service)?.revision,
+      });
       return;
     }
     const sender = this.view.ownReport.address;
--- a/packages/router/src/tenure_keeper.ts
+++ b/packages/router/src/tenure_keeper.ts
@@ -5,7 +5,11 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import { OwnershipRecord, type Tenure } from "@bamboolink/keyspace";
+import {
+  type GrantBook,
+  OwnershipRecord,
+  type Tenure,
+} from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { Store } from "@bamboolink/store";
 import { bootMs } from "./clock.ts";
@@ -33,12 +37,22 @@
 /** How long the store may take to answer before keys are given up, in milliseconds; usually it takes 4. */
 const PROBE_MS = 400;
 
+/** What an arbiter is asked. */
+export interface TenureQuestion {
+  readonly service: string;
+  /** The own clock, in milliseconds; comes back with the promise. */
+  readonly askedAtMs: number;
+  /** Revision of the record by which the tenure was last confirmed. */
+  readonly confirmedRevision: number;
+}
+
 /** What the keeper needs. */
 export interface TenureKeeperContext {
   readonly store: Store;
   readonly logger: Logger;
   readonly directory: OwnershipDirectory;
   readonly tenure: Tenure;
+  readonly grants: GrantBook;
   /** The own daemon's address. */
   readonly own: () => string;
   /** The service of which the backend server here owns keys, if it is of such a service. */
@@ -50,10 +64,7 @@
   /** Called when the own daemon is found to be sealed. */
   readonly onSealed: (service: string) => void;
   /** Asks an arbiter for its promise; the daemon's clock comes back with it. */
-  readonly onPromiseNeeded: (
-    arbiter: string,
-    question: { service: string; askedAtMs: number },
-  ) => void;
+  readonly onPromiseNeeded: (arbiter: string, question: TenureQuestion) => void;
 }
 
 /** Keeps the tenure of the backend server on this host. */
@@ -115,7 +126,7 @@
   }
 
   private async read(service: string, sentAtMs: number): Promise<void> {
-    const { store, directory, logger, tenure, own, onRead, onSealed } =
+    const { store, directory, logger, tenure, grants, own, onRead, onSealed } =
       this.context;
     const found = await store.get(OWNERSHIP_PREFIX + service);
     if (found.isErr()) {
@@ -142,7 +153,11 @@
       return;
     }
     if (!record.isSealed(own())) {
-      tenure.confirm(sentAtMs, record.arbiters);
+      grants.noteConfirmed({
+        revision: record.revision,
+        hasLapsed: tenure.hasLapsed(bootMs()),
+      });
+      tenure.confirm(sentAtMs, record);
       return;
     }
     logger.log("ownership_sealed_here", {
@@ -174,8 +189,11 @@
         arbiters: tenure.arbiters.map(({ daemon }) => daemon),
       });
     }
-    tenure.arbiters.forEach(({ daemon }) =>
-      onPromiseNeeded(daemon, { service, askedAtMs: nowMs })
-    );
+    const question = {
+      service,
+      askedAtMs: nowMs,
+      confirmedRevision: tenure.confirmedRevision,
+    };
+    tenure.arbiters.forEach(({ daemon }) => onPromiseNeeded(daemon, question));
   }
 }
