--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -370,8 +370,9 @@
     number: 1818,
     severity: "error",
     meaning:
-      "A record of who owns which keys could not be read; the last good one stays in use.",
-    action: "Look at the record in the store.",
+      "A record of who owns which keys could not be read, or was taken away. Keys are not free by that: nobody else is given them, and owners serve on for up to 10 s.",
+    action:
+      "Write the last good text back (a peer's answer holds it); or delete the record, wait 15 s, and restart one daemon.",
   },
   ownership_sealed_here: {
     number: 1819,
--- a/packages/router/src/tenure_keeper.ts
+++ b/packages/router/src/tenure_keeper.ts
@@ -135,15 +135,21 @@
     }
     const stored = found.value;
     const known = directory.record(service);
+    const hasVanished = stored === undefined && (known?.revision ?? 0) > 0;
     const record = stored === undefined
-      ? OwnershipRecord.create()
+      ? (hasVanished ? undefined : OwnershipRecord.create())
       : known?.revision === stored.revision
       ? known
       : OwnershipRecord.decode(stored.value, stored.revision).unwrapOr(
         undefined,
       );
     if (record === undefined) {
-      logger.log("ownership_unreadable", { service });
+      // Nothing is confirmed: where a record was taken away, the next one may name other owners at any moment.
+      logger.log("ownership_unreadable", {
+        service,
+        known_revision: known?.revision,
+        revision: stored?.revision,
+      });
       return;
     }
     directory.note(service, record);
