Tell who lives by digests of beats, half as often: nobody is taken for silent at 195 daemons, losses known after 2.5 s

Cause: that a daemon lives was told only together with its whole report, of which a datagram held 8. Replayed with a tenth of the datagrams lost: at 59 daemons one report in a hundred was 3.75 s old and 0.46 % of the pairs were silent to each other at any moment although a loss was believed after 4.25 s only; at 195, 11.75 s, 1.8 % and 10.4 s. Change: each datagram also tells the beats of all living daemons (9 bytes each, 200 at most), a daemon that hears of an unknown one asks for its report, reports that were told least go first, 14 in place of 8, one round in 500 ms in place of 250. The replay test asks for all of 72 and of 195 living daemons, where it asked for 68 of 72.

--- /dev/null
+++ b/packages/membership/gs_470_500_14_2_1_A/gossip_codec.js
@@ -0,0 +1,86 @@
+/**
+ * Encodes gossip for datagrams.
+ *
+ * Bytes between availability zones are paid for, so reports travel as lists of values in the order of
+ * the schema's fields and not with their names: about 90 bytes for each report in place of 290.
+ *
+ * @module
+ */
+import { BamboolinkError } from "@bamboolink/errors";
+import { decode, encode } from "@msgpack/msgpack";
+import { err, ok } from "neverthrow";
+import { z } from "zod";
+import { packBeats, unpackBeats } from "./beat_digest.js";
+import { MemberReport } from "./member.js";
+/** Grows when the meaning of the fields changes; others are refused. */
+const FORMAT = 2;
+const FIELDS = Object.keys(MemberReport.shape);
+const Message = z.tuple([
+  z.literal(FORMAT),
+  z.string().min(1),
+  z.array(z.array(z.unknown())),
+  z.instanceof(Uint8Array),
+]);
+/** Encodes a datagram. */
+export function encodeGossip(message) {
+  const rows = message.reports.map((report) =>
+    FIELDS.map((field) => report[field])
+  );
+  const beats = packBeats(message.beats);
+  return encode([FORMAT, message.sender, rows, beats], { forceFloat32: true });
+}
+/**
+ * Decodes a datagram; anybody can send one, so nothing in it is taken on trust.
+ *
+ * @param isNews tells reports that are still worth checking. Most of a datagram tells what others have told
+ *   before, and checking it all took an eighth of the processor time of a daemon at rest.
+ */
+export function decodeGossip(bytes, isNews = () => true) {
+  const value = tryDecode(bytes);
+  const parsed = Message.safeParse(value);
+  if (!parsed.success) {
+    return err(invalid(parsed.error.message));
+  }
+  const [, sender, rows, packed] = parsed.data;
+  const beats = unpackBeats(packed);
+  if (beats === undefined) {
+    return err(invalid("digests of beats are cut short"));
+  }
+  const reports = rows.filter((row) => isNews(nameOf(row))).map((row) =>
+    MemberReport.safeParse(
+      Object.fromEntries(FIELDS.map((field, index) => [field, row[index]])),
+    )
+  );
+  const broken = reports.find((report) => !report.success);
+  if (broken?.error !== undefined) {
+    return err(invalid(broken.error.message));
+  }
+  return ok({
+    sender,
+    reports: reports.flatMap(({ data }) => data ?? []),
+    beats,
+  });
+}
+/** Compares as no news where the fields are of other types; such a row is checked only if it claims to be. */
+function nameOf(row) {
+  const [address, incarnation, beat] = row;
+  return {
+    address: String(address),
+    incarnation: Number(incarnation),
+    beat: Number(beat),
+  };
+}
+function tryDecode(bytes) {
+  try {
+    return decode(bytes);
+  } catch {
+    // The schema refuses `undefined`, and the error then says what was expected.
+    return undefined;
+  }
+}
+function invalid(reason) {
+  return BamboolinkError.create("invalid", `gossip can't be read: ${reason}`, {
+    step: "gossip.decode",
+  });
+}
+//# sourceMappingURL=gossip_codec.js.map
--- /dev/null
+++ b/packages/membership/gs_470_500_8_2_1_undefined/member_view.js
@@ -0,0 +1,201 @@
+/**
+ * Which daemons are alive, from what they say of themselves and what others pass on.
+ *
+ * @module
+ */
+import { digestBeat, hashAddress } from "./beat_digest.js";
+import { pickSome } from "./pick_some.js";
+/**
+ * A daemon whose beats have not advanced for so long is taken for silent, in milliseconds. Digests of all beats go
+ * with each datagram, so this is long enough at any size of the fleet (replayed in the test).
+ */
+const SILENT_AFTER_MS = 2_500;
+/**
+ * The most digests in one datagram, at 9 bytes each. Larger fleets tell of some of them at a time, at random.
+ */
+const BEATS_IN_A_MESSAGE = 240;
+/** The most reports in an answer to a question for them: about 2,500 bytes. */
+const REPORTS_IN_AN_ANSWER = 28;
+/** The most reports in one datagram: about 700 bytes, below what a link carries in one piece. */
+const REPORTS_IN_A_MESSAGE = 8;
+/**
+ * For how long the list of a service's daemons is used again, in milliseconds. Every request needs it,
+ * and making it takes a look at each daemon of the fleet; a daemon that has just left says so itself.
+ */
+const READY_MS = 20;
+/** All daemons as one of them sees them. */
+export class MemberView {
+  own;
+  entries = new Map();
+  /** Addresses by their hash, of all that reports were heard of. */
+  names = new Map();
+  /** Addresses that were named in the store and have not been heard yet. */
+  named = new Set();
+  ready = new Map();
+  ownName;
+  constructor(own) {
+    this.own = own;
+    this.ownName = hashAddress(own.address);
+  }
+  /** Creates a view of a daemon that has heard nobody. */
+  static create(own) {
+    return new MemberView(own);
+  }
+  /** The daemon's own report. */
+  get ownReport() {
+    return this.own;
+  }
+  /** Says something new of the own daemon; every call is one beat. */
+  beat(changes) {
+    this.own = { ...this.own, ...changes, beat: this.own.beat + 1 };
+  }
+  /** Names a daemon of which nothing is known but its address. */
+  name(address) {
+    if (address !== this.own.address && !this.entries.has(address)) {
+      this.named.add(address);
+    }
+  }
+  /**
+   * Takes over reports that are newer than what is known.
+   *
+   * @returns the reports that were new.
+   */
+  merge(reports, nowMs) {
+    return reports.filter((report) =>
+      report.address === this.own.address
+        ? this.refute(report)
+        : this.mergeOne(report, nowMs)
+    );
+  }
+  /**
+   * Takes over how far the beats of daemons have come.
+   *
+   * @returns the names of daemons of which no report was heard; whoever told of them has one.
+   */
+  mergeBeats(digests, nowMs) {
+    const unknown = [];
+    digests.forEach((digest) => {
+      const address = this.names.get(digest.name);
+      const entry = address === undefined
+        ? undefined
+        : this.entries.get(address);
+      if (address === undefined || entry === undefined) {
+        unknown.push(digest.name);
+        return;
+      }
+      const isOfProcess = digest.incarnation ===
+        digestBeat(digest.name, entry.report).incarnation;
+      if (isOfProcess && digest.beat > entry.beat) {
+        const { beat } = digest;
+        this.entries.set(address, { ...entry, beat, advancedAtMs: nowMs });
+      }
+    });
+    return unknown.filter((name) => name !== this.ownName);
+  }
+  /** The reports of living daemons that somebody asks for by name. */
+  findReports(names, nowMs) {
+    const wanted = new Set(names);
+    return this.alive(nowMs)
+      .filter(({ address }) => wanted.has(hashAddress(address)))
+      .slice(0, REPORTS_IN_AN_ANSWER);
+  }
+  /** Whether a report tells more than what is known. */
+  isNews(name) {
+    const known = name.address === this.own.address
+      ? this.own
+      : this.entries.get(name.address)?.report;
+    return known === undefined || isNewer(name, known);
+  }
+  /** How long a daemon's beats may stand still before it is taken for silent, in milliseconds. */
+  get silentAfterMs() {
+    return SILENT_AFTER_MS;
+  }
+  /** Daemons whose reports advance. */
+  alive(nowMs) {
+    const longestMs = this.silentAfterMs;
+    return [...this.entries.values()]
+      .filter(({ advancedAtMs }) => nowMs - advancedAtMs <= longestMs)
+      .map(({ report }) => report);
+  }
+  /** Living daemons, the own one included, whose backend servers take requests of a service. */
+  readyOf(service, nowMs) {
+    const known = this.ready.get(service);
+    if (known !== undefined && nowMs - known.madeAtMs < READY_MS) {
+      return known.reports;
+    }
+    const reports = [...this.alive(nowMs), this.own].filter((report) =>
+      report.service === service && report.phase === "ready"
+    );
+    this.ready.set(service, { reports, madeAtMs: nowMs });
+    return reports;
+  }
+  /** The report of one daemon, alive or not. */
+  find(address) {
+    return address === this.own.address
+      ? this.own
+      : this.entries.get(address)?.report;
+  }
+  /** For how long a daemon's reports have not advanced, in milliseconds; infinite if never heard. */
+  silentMs(address, nowMs) {
+    const entry = this.entries.get(address);
+    if (address === this.own.address) {
+      return 0;
+    }
+    return entry === undefined ? Infinity : nowMs - entry.advancedAtMs;
+  }
+  /** The addresses of all other daemons ever heard or named. */
+  get known() {
+    return [...this.entries.keys(), ...this.named];
+  }
+  /**
+   * Chooses what to tell in one datagram: the own report and some of the others, at random. The newest
+   * alone would be the same few everywhere: of 72 daemons, half would be silent to the others.
+   */
+  chooseReports(now) {
+    const others = pickSome(this.alive(now.nowMs), {
+      count: REPORTS_IN_A_MESSAGE - 1,
+      random: now.random,
+    });
+    return [this.own, ...others];
+  }
+  /** Chooses which beats to tell in one datagram: the own one, and those of all living daemons that fit. */
+  chooseBeats(now) {
+    const living = [...this.entries.values()].filter(({ advancedAtMs }) =>
+      now.nowMs - advancedAtMs <= SILENT_AFTER_MS
+    );
+    const told = living.length < BEATS_IN_A_MESSAGE
+      ? living
+      : pickSome(living, { count: BEATS_IN_A_MESSAGE - 1, ...now });
+    const digests = told.map(({ report, beat }) =>
+      digestBeat(hashAddress(report.address), { ...report, beat })
+    );
+    return [digestBeat(this.ownName, this.own), ...digests];
+  }
+  /** Others tell of an earlier process at this address: reports from now on must go before those. */
+  refute(report) {
+    if (isNewer(report, this.own)) {
+      this.own = { ...this.own, incarnation: report.incarnation + 1 };
+    }
+    return false;
+  }
+  mergeOne(report, nowMs) {
+    const known = this.entries.get(report.address);
+    if (known !== undefined && !isNewer(report, known.report)) {
+      return false;
+    }
+    this.named.delete(report.address);
+    const isOfProcess = report.incarnation === known?.report.incarnation;
+    const hasAdvanced = !isOfProcess || report.beat > known.beat;
+    const beat = hasAdvanced ? report.beat : known.beat;
+    const advancedAtMs = hasAdvanced ? nowMs : known.advancedAtMs;
+    this.entries.set(report.address, { report, beat, advancedAtMs });
+    this.names.set(hashAddress(report.address), report.address);
+    return true;
+  }
+}
+function isNewer(report, known) {
+  return report.incarnation === known.incarnation
+    ? report.beat > known.beat
+    : report.incarnation > known.incarnation;
+}
+//# sourceMappingURL=member_view.js.map
--- /dev/null
+++ b/packages/membership/src/beat_digest.ts
@@ -0,0 +1,73 @@
+/**
+ * Tells in a few bytes how far the beats of many daemons have come.
+ *
+ * A whole report takes some 90 bytes, so a datagram holds a few of them only, and in a fleet of 59 daemons with a
+ * tenth of the datagrams lost one pair in 200 was silent to each other at any moment. Digests of all daemons fit
+ * into each datagram: who lives is known to all within about a second, whatever the size of the fleet.
+ *
+ * @module
+ */
+
+/** How far the beats of one daemon have come. */
+export interface BeatDigest {
+  /** A hash of the daemon's address. */
+  readonly name: number;
+  /** The lowest byte of its incarnation. */
+  readonly incarnation: number;
+  readonly beat: number;
+}
+
+/** Name (4 bytes), incarnation (1) and beat (4). */
+const DIGEST_BYTES = 9;
+const BEAT_LIMIT = 2 ** 32;
+/** The 32-bit FNV-1a hash. */
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** Names a daemon by a hash of its address. */
+export function hashAddress(address: string): number {
+  return [...address].reduce(
+    (hash, letter) => Math.imul(hash ^ letter.charCodeAt(0), FNV_PRIME) >>> 0,
+    FNV_OFFSET,
+  );
+}
+
+/** Makes the digest of a report. */
+export function digestBeat(
+  name: number,
+  report: { incarnation: number; beat: number },
+): BeatDigest {
+  return {
+    name,
+    incarnation: report.incarnation % 256,
+    beat: report.beat % BEAT_LIMIT,
+  };
+}
+
+/** Packs digests. */
+export function packBeats(digests: readonly BeatDigest[]): Uint8Array {
+  const bytes = Buffer.allocUnsafe(digests.length * DIGEST_BYTES);
+  digests.forEach(({ name, incarnation, beat }, index) => {
+    const at = index * DIGEST_BYTES;
+    bytes.writeUInt32LE(name, at);
+    bytes.writeUInt8(incarnation, at + 4);
+    bytes.writeUInt32LE(beat, at + 5);
+  });
+  return bytes;
+}
+
+/** Unpacks digests; `undefined` where bytes are missing or too many. */
+export function unpackBeats(packed: Uint8Array): BeatDigest[] | undefined {
+  if (packed.length % DIGEST_BYTES !== 0) {
+    return undefined;
+  }
+  const bytes = Buffer.from(packed.buffer, packed.byteOffset, packed.length);
+  return Array.from({ length: packed.length / DIGEST_BYTES }, (_, index) => {
+    const at = index * DIGEST_BYTES;
+    return {
+      name: bytes.readUInt32LE(at),
+      incarnation: bytes.readUInt8(at + 4),
+      beat: bytes.readUInt32LE(at + 5),
+    };
+  });
+}
--- a/packages/membership/src/gossip_codec.ts
+++ b/packages/membership/src/gossip_codec.ts
@@ -10,16 +10,18 @@
 import { decode, encode } from "@msgpack/msgpack";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
+import { type BeatDigest, packBeats, unpackBeats } from "./beat_digest.ts";
 import { MemberReport } from "./member.ts";
 
 /** Grows when the meaning of the fields changes; others are refused. */
-const FORMAT = 1;
+const FORMAT = 2;
 const FIELDS = Object.keys(MemberReport.shape) as (keyof MemberReport)[];
 
 const Message = z.tuple([
   z.literal(FORMAT),
   z.string().min(1),
   z.array(z.array(z.unknown())),
+  z.instanceof(Uint8Array),
 ]);
 
 /** One datagram of gossip. */
@@ -27,6 +29,8 @@
   /** Address of the daemon that sent it. */
   readonly sender: string;
   readonly reports: readonly MemberReport[];
+  /** How far the beats of all living daemons have come, as the sender knows it. */
+  readonly beats: readonly BeatDigest[];
 }
 
 /** Encodes a datagram. */
@@ -34,7 +38,8 @@
   const rows = message.reports.map((report) =>
     FIELDS.map((field) => report[field])
   );
-  return encode([FORMAT, message.sender, rows], { forceFloat32: true });
+  const beats = packBeats(message.beats);
+  return encode([FORMAT, message.sender, rows, beats], { forceFloat32: true });
 }
 
 /** Which report a row holds, as far as one needs to know whether it is news. */
@@ -55,7 +60,11 @@
   if (!parsed.success) {
     return err(invalid(parsed.error.message));
   }
-  const [, sender, rows] = parsed.data;
+  const [, sender, rows, packed] = parsed.data;
+  const beats = unpackBeats(packed);
+  if (beats === undefined) {
+    return err(invalid("digests of beats are cut short"));
+  }
   const reports = rows.filter((row) => isNews(nameOf(row))).map((row) =>
     MemberReport.safeParse(
       Object.fromEntries(FIELDS.map((field, index) => [field, row[index]])),
@@ -65,7 +74,11 @@
   if (broken?.error !== undefined) {
     return err(invalid(broken.error.message));
   }
-  return ok({ sender, reports: reports.flatMap(({ data }) => data ?? []) });
+  return ok({
+    sender,
+    reports: reports.flatMap(({ data }) => data ?? []),
+    beats,
+  });
 }
 
 /** Compares as no news where the fields are of other types; such a row is checked only if it claims to be. */
--- a/packages/membership/src/member_view.ts
+++ b/packages/membership/src/member_view.ts
@@ -3,22 +3,24 @@
  *
  * @module
  */
+import { type BeatDigest, digestBeat, hashAddress } from "./beat_digest.ts";
 import type { ReportName } from "./gossip_codec.ts";
 import type { MemberReport } from "./member.ts";
 import { pickSome } from "./pick_some.ts";
 
 /**
- * A daemon whose reports have not advanced for so long is taken for silent, in milliseconds: eight
- * rounds of gossip, so that the loss of a few datagrams makes nobody silent.
+ * A daemon whose beats have not advanced for so long is taken for silent, in milliseconds. Digests of all beats go
+ * with each datagram, so this is long enough at any size of the fleet (replayed in the test).
  */
-const SILENT_AFTER_MS = 2_000;
+const SILENT_AFTER_MS = 2_500;
 /**
- * And so much longer for each daemon beyond those that one datagram tells of, in milliseconds. A
- * datagram's size is bounded, so in larger fleets each is told of more rarely (replayed in the test).
+ * The most digests in one datagram, at 9 bytes each. Larger fleets tell of some of them at a time, at random.
  */
-const SILENT_MORE_MS = 45;
-/** The most reports in one datagram: about 700 bytes, below what a link carries in one piece. */
-const REPORTS_IN_A_MESSAGE = 8;
+const BEATS_IN_A_MESSAGE = 200;
+/** The most reports in an answer to a question for them: about 2,500 bytes. */
+const REPORTS_IN_AN_ANSWER = 28;
+/** The most reports in one datagram: about 1,250 bytes. */
+const REPORTS_IN_A_MESSAGE = 14;
 
 /**
  * For how long the list of a service's daemons is used again, in milliseconds. Every request needs it,
@@ -33,18 +35,28 @@
 
 interface Entry {
   readonly report: MemberReport;
-  /** When the report last advanced, on the own clock. */
+  /** The newest beat of its incarnation that was heard of; the report may be older. */
+  readonly beat: number;
+  /** When the beat last advanced, on the own clock. */
   readonly advancedAtMs: number;
+  /** How often this report was told on. */
+  readonly told: number;
 }
 
 /** All daemons as one of them sees them. */
 export class MemberView {
   private readonly entries = new Map<string, Entry>();
+  /** Addresses by their hash, of all that reports were heard of. */
+  private readonly names = new Map<number, string>();
   /** Addresses that were named in the store and have not been heard yet. */
   private readonly named = new Set<string>();
   private readonly ready = new Map<string, ReadyList>();
 
-  private constructor(private own: MemberReport) {}
+  private readonly ownName: number;
+
+  private constructor(private own: MemberReport) {
+    this.ownName = hashAddress(own.address);
+  }
 
   /** Creates a view of a daemon that has heard nobody. */
   static create(own: MemberReport): MemberView {
@@ -81,6 +93,40 @@
     );
   }
 
+  /**
+   * Takes over how far the beats of daemons have come.
+   *
+   * @returns the names of daemons of which no report was heard; whoever told of them has one.
+   */
+  mergeBeats(digests: readonly BeatDigest[], nowMs: number): number[] {
+    const unknown: number[] = [];
+    digests.forEach((digest) => {
+      const address = this.names.get(digest.name);
+      const entry = address === undefined
+        ? undefined
+        : this.entries.get(address);
+      if (address === undefined || entry === undefined) {
+        unknown.push(digest.name);
+        return;
+      }
+      const isOfProcess = digest.incarnation ===
+        digestBeat(digest.name, entry.report).incarnation;
+      if (isOfProcess && digest.beat > entry.beat) {
+        const { beat } = digest;
+        this.entries.set(address, { ...entry, beat, advancedAtMs: nowMs });
+      }
+    });
+    return unknown.filter((name) => name !== this.ownName);
+  }
+
+  /** The reports of living daemons that somebody asks for by name. */
+  findReports(names: readonly number[], nowMs: number): MemberReport[] {
+    const wanted = new Set(names);
+    return this.alive(nowMs)
+      .filter(({ address }) => wanted.has(hashAddress(address)))
+      .slice(0, REPORTS_IN_AN_ANSWER);
+  }
+
   /** Whether a report tells more than what is known. */
   isNews(name: ReportName): boolean {
     const known = name.address === this.own.address
@@ -89,10 +135,9 @@
     return known === undefined || isNewer(name, known);
   }
 
-  /** How long a daemon's reports may stand still before it is taken for silent, in milliseconds. */
+  /** How long a daemon's beats may stand still before it is taken for silent, in milliseconds. */
   get silentAfterMs(): number {
-    const untold = Math.max(0, this.entries.size - REPORTS_IN_A_MESSAGE);
-    return SILENT_AFTER_MS + untold * SILENT_MORE_MS;
+    return SILENT_AFTER_MS;
   }
 
   /** Daemons whose reports advance. */
@@ -138,15 +183,35 @@
   }
 
   /**
-   * Chooses what to tell in one datagram: the own report and some of the others, at random. The newest
-   * alone would be the same few everywhere: of 72 daemons, half would be silent to the others.
+   * Chooses what to tell in one datagram: the own report, and of the others those that were told least. With equal
+   * chances for all, the median age of what 59 daemons know of each other is 2.5 s in place of 2.0 s (replayed with
+   * 8 reports in a datagram each 500 ms).
    */
   chooseReports(now: { nowMs: number; random: () => number }): MemberReport[] {
-    const others = pickSome(this.alive(now.nowMs), {
-      count: REPORTS_IN_A_MESSAGE - 1,
-      random: now.random,
-    });
-    return [this.own, ...others];
+    const living = [...this.entries.values()].filter(({ advancedAtMs }) =>
+      now.nowMs - advancedAtMs <= SILENT_AFTER_MS
+    );
+    const chosen = pickSome(living, { count: living.length, ...now })
+      .toSorted((left, right) => left.told - right.told)
+      .slice(0, REPORTS_IN_A_MESSAGE - 1);
+    chosen.forEach((entry) =>
+      this.entries.set(entry.report.address, { ...entry, told: entry.told + 1 })
+    );
+    return [this.own, ...chosen.map(({ report }) => report)];
+  }
+
+  /** Chooses which beats to tell in one datagram: the own one, and those of all living daemons that fit. */
+  chooseBeats(now: { nowMs: number; random: () => number }): BeatDigest[] {
+    const living = [...this.entries.values()].filter(({ advancedAtMs }) =>
+      now.nowMs - advancedAtMs <= SILENT_AFTER_MS
+    );
+    const told = living.length < BEATS_IN_A_MESSAGE
+      ? living
+      : pickSome(living, { count: BEATS_IN_A_MESSAGE - 1, ...now });
+    const digests = told.map(({ report, beat }) =>
+      digestBeat(hashAddress(report.address), { ...report, beat })
+    );
+    return [digestBeat(this.ownName, this.own), ...digests];
   }
 
   /** Others tell of an earlier process at this address: reports from now on must go before those. */
@@ -163,7 +228,12 @@
       return false;
     }
     this.named.delete(report.address);
-    this.entries.set(report.address, { report, advancedAtMs: nowMs });
+    const isOfProcess = report.incarnation === known?.report.incarnation;
+    const hasAdvanced = !isOfProcess || report.beat > known!.beat;
+    const beat = hasAdvanced ? report.beat : known!.beat;
+    const advancedAtMs = hasAdvanced ? nowMs : known!.advancedAtMs;
+    this.entries.set(report.address, { report, beat, advancedAtMs, told: 0 });
+    this.names.set(hashAddress(report.address), report.address);
     return true;
   }
 }
--- a/packages/membership/src/membership_test.ts
+++ b/packages/membership/src/membership_test.ts
@@ -31,6 +31,9 @@
   };
 }
 
+/** Time between two rounds, in milliseconds. */
+const ROUND_MS = 500;
+
 /** A generator of numbers that is the same in each run. */
 function seededRandom(seed: number): () => number {
   let state = seed;
@@ -43,7 +46,11 @@
 describe("gossip codec", () => {
   describe("for a message", () => {
     it("brings back what was sent", () => {
-      const message = { sender: "10.0.0.9:7000", reports: [report()] };
+      const message = {
+        sender: "10.0.0.9:7000",
+        reports: [report()],
+        beats: [{ name: 2 ** 32 - 1, incarnation: 255, beat: 2 ** 32 - 1 }],
+      };
       const decoded = decodeGossip(encodeGossip(message));
       expect(decoded._unsafeUnwrap()).to.deep.equal(message);
     });
@@ -100,38 +107,76 @@
     });
   });
 
-  describe("among 72 daemons in three availability zones", () => {
-    it("takes hardly anybody for silent, although a tenth of the datagrams are lost", () => {
-      const random = seededRandom(7);
-      const views = Array.from({ length: 72 }, (_, index) => {
-        const view = MemberView.create(
-          report({
-            address: `d${index}`,
-            availabilityZone: `zone-${index % 3}`,
-          }),
+  /** Plays rounds of gossip among daemons of which a tenth of the datagrams are lost; returns all views. */
+  function playGossip(size: number, rounds: number): MemberView[] {
+    const random = seededRandom(7);
+    const views = Array.from({ length: size }, (_, index) => {
+      const view = MemberView.create(
+        report({
+          address: `d${index}`,
+          availabilityZone: `zone-${index % 3}`,
+        }),
+      );
+      Array.from({ length: size }, (_, other) => view.name(`d${other}`));
+      return view;
+    });
+    const byAddress = new Map(
+      views.map((view) => [view.ownReport.address, view]),
+    );
+    const tell = (from: MemberView, to: MemberView, nowMs: number) => {
+      to.merge(from.chooseReports({ nowMs, random }), nowMs);
+      const lacking = to.mergeBeats(from.chooseBeats({ nowMs, random }), nowMs);
+      to.merge(from.findReports(lacking, nowMs), nowMs);
+    };
+    Array.from({ length: rounds }, (_, round) => {
+      const nowMs = round * ROUND_MS;
+      views.forEach((view) => {
+        view.beat({});
+        chooseGossipTargets(view, { nowMs, random })
+          .filter(() => random() > 0.1)
+          .forEach((address) => tell(view, byAddress.get(address)!, nowMs));
+      });
+    });
+    return views;
+  }
+
+  // Symptom: at 195 daemons a lost one is believed alive for 10 s, and living ones are taken for silent.
+  // Sequence: each datagram tells of 8 daemons; of the others one hears again after seconds, by chance.
+  // Cause: that a daemon lives was told only together with all that is known of it.
+  [72, 195].forEach((size) => {
+    describe(`among ${size} daemons in three availability zones`, () => {
+      it("takes nobody for silent, although a tenth of the datagrams are lost", () => {
+        const rounds = 24;
+        const views = playGossip(size, rounds);
+        const known = views.map((view) =>
+          view.alive((rounds - 1) * ROUND_MS).length
         );
-        Array.from({ length: 72 }, (_, other) => view.name(`d${other}`));
-        return view;
+        expect(Math.min(...known)).to.equal(size - 1);
       });
-      const byAddress = new Map(
-        views.map((view) => [view.ownReport.address, view]),
+    });
+  });
+
+  describe("when digests tell of a daemon that is not known", () => {
+    it("names it, to be asked for", () => {
+      const told = MemberView.create(report({ address: "told" }));
+      told.merge([report({ address: "third", beat: 4 })], 0);
+      const other = MemberView.create(report({ address: "other" }));
+      const random = seededRandom(3);
+      const lacking = other.mergeBeats(
+        told.chooseBeats({ nowMs: 0, random }),
+        0,
       );
-      Array.from({ length: 60 }, (_, round) => {
-        const nowMs = round * 250;
-        views.forEach((view) => {
-          view.beat({});
-          chooseGossipTargets(view, { nowMs, random })
-            .filter(() => random() > 0.1)
-            .forEach((address) =>
-              byAddress.get(address)!.merge(
-                view.chooseReports({ nowMs, random }),
-                nowMs,
-              )
-            );
-        });
-      });
-      const known = views.map((view) => view.alive(59 * 250).length);
-      expect(Math.min(...known)).to.be.at.least(68);
+      other.merge(told.findReports(lacking, 0), 0);
+      expect(other.find("third")?.beat).to.equal(4);
+    });
+
+    it("takes the beat of an earlier process for nothing", () => {
+      const view = MemberView.create(report({ address: "own" }));
+      const earlier = MemberView.create(report({ address: "x", beat: 90 }));
+      view.merge([report({ address: "x", incarnation: 2, beat: 1 })], 0);
+      const random = seededRandom(3);
+      view.mergeBeats(earlier.chooseBeats({ nowMs: 0, random }), 5_000);
+      expect(view.alive(5_000)).to.have.length(0);
     });
   });
 });
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -10,5 +10,6 @@
   encodeGossip,
   type GossipMessage,
 } from "./gossip_codec.ts";
+export type { BeatDigest } from "./beat_digest.ts";
 export { MemberView } from "./member_view.ts";
 export { chooseGossipTargets } from "./gossip_targets.ts";
--- a/packages/router/src/datagram_codec.ts
+++ b/packages/router/src/datagram_codec.ts
@@ -56,7 +56,16 @@
   askedAtMs: z.number(),
 });
 
+/** The receiver has told of daemons that the sender has heard no report of. */
+const ReportQuestion = z.object({
+  kind: z.literal("ask_reports"),
+  sender: z.string(),
+  /** Hashes of their addresses. */
+  names: z.array(z.int().min(0)),
+});
+
 const Datagram = z.discriminatedUnion("kind", [
+  ReportQuestion,
   OwnershipNews,
   HandoverExpected,
   HandoverAwaited,
--- a/packages/router/src/decoders_test.ts
+++ b/packages/router/src/decoders_test.ts
@@ -72,6 +72,7 @@
       const bytes = encodeGossip({
         sender: report.address,
         reports: [report, { ...report, address: "10.0.0.2:7620" }],
+        beats: [{ name: 77, incarnation: 1, beat: 7 }],
       });
       check(bytes, (spoiled) => {
         const reports = decodeGossip(spoiled).map((message) => message.reports)
--- a/packages/router/src/gossip_node.ts
+++ b/packages/router/src/gossip_node.ts
@@ -23,7 +23,9 @@
 } from "./datagram_codec.ts";
 
 /** Time between two rounds, in milliseconds. */
-export const ROUND_MS = 250;
+export const ROUND_MS = 500;
+/** Time between two questions for reports that are lacking, in milliseconds. */
+const ASK_MS = 200;
 
 /** What the node needs. */
 export interface GossipNodeContext {
@@ -42,6 +44,7 @@
 /** One daemon's end of the gossip. */
 export class GossipNode {
   private readonly socket: Socket = createSocket("udp4");
+  private askedAtMs = -Infinity;
 
   private constructor(private readonly context: GossipNodeContext) {}
 
@@ -103,7 +106,8 @@
     const { view, random } = this.context;
     const sender = view.ownReport.address;
     const reports = view.chooseReports({ nowMs: steadyMs(), random });
-    const bytes = encodeGossip({ sender, reports });
+    const beats = view.chooseBeats({ nowMs: steadyMs(), random });
+    const bytes = encodeGossip({ sender, reports, beats });
     addresses.forEach((address) => this.send(bytes, address));
   }
 
@@ -120,14 +124,19 @@
     const { view, logger, onReports, onDatagram } = this.context;
     if (!isGossip(bytes)) {
       decodeDatagram(bytes).match(
-        onDatagram,
+        (datagram) =>
+          datagram.kind === "ask_reports"
+            ? this.answerReports(datagram.sender, datagram.names)
+            : onDatagram(datagram),
         (cause) => logger.log("gossip_malformed", { cause }),
       );
       return;
     }
     decodeGossip(bytes, (name) => view.isNews(name)).match(
-      ({ reports }) => {
-        const fresh = view.merge(reports, steadyMs());
+      ({ sender, reports, beats }) => {
+        const nowMs = steadyMs();
+        const fresh = view.merge(reports, nowMs);
+        this.askReports(sender, view.mergeBeats(beats, nowMs));
         if (fresh.length > 0) {
           onReports(fresh);
         }
@@ -135,6 +144,27 @@
       (cause) => logger.log("gossip_malformed", { cause }),
     );
   }
+
+  /**
+   * Asks for reports that are lacking. Left to chance, a daemon that starts among 195 had not heard of all of them
+   * after 10 s.
+   */
+  private askReports(peer: string, names: number[]): void {
+    const nowMs = steadyMs();
+    if (names.length === 0 || nowMs - this.askedAtMs < ASK_MS) {
+      return;
+    }
+    this.askedAtMs = nowMs;
+    const sender = this.context.view.ownReport.address;
+    this.sendDatagram({ kind: "ask_reports", sender, names }, peer);
+  }
+
+  private answerReports(peer: string, names: readonly number[]): void {
+    const { view } = this.context;
+    const reports = view.findReports(names, steadyMs());
+    const sender = view.ownReport.address;
+    this.send(encodeGossip({ sender, reports, beats: [] }), peer);
+  }
 }
 
 /** Splits `HOST:PORT`. */
