--- /dev/null
+++ b/packages/admission/src/link_pacer_test.ts
@@ -0,0 +1,94 @@
+/**
+ * Tests of how large answers share a link with small ones.
+ *
+ * @module
+ */
+import { expect } from "chai";
+import { LinkPacer, type WaitingAnswer } from "./link_pacer.ts";
+
+/** A link of 10.5 Mbit/s. */
+const BYTES_PER_SECOND = 1_312_500;
+const PIECE_BYTES = 32_768;
+const ANSWER_BYTES = 94_500;
+
+interface Sent {
+  readonly objectiveAtMs: number;
+  readonly leftAtMs: number;
+}
+
+/**
+ * Plays a second in which a server makes so many answers; returns when each had left, and the longest time that a
+ * small message would have waited behind what was written.
+ */
+function play(answersASecond: number, isPaced: boolean) {
+  const pacer = LinkPacer.create<WaitingAnswer>(
+    isPaced ? BYTES_PER_SECOND : Infinity,
+  );
+  const sent: Sent[] = [];
+  let linkFreeAtMs = 0;
+  let longestWaitMs = 0;
+  for (let nowMs = 0; nowMs < 2_000; nowMs += 1) {
+    if (nowMs < 1_000 && nowMs % Math.round(1_000 / answersASecond) === 0) {
+      pacer.add({ objectiveAtMs: nowMs + 700, bytesLeft: ANSWER_BYTES });
+    }
+    for (let next = pacer.next(nowMs); next; next = pacer.next(nowMs)) {
+      const bytes = Math.min(PIECE_BYTES, next.bytesLeft);
+      next.bytesLeft -= bytes;
+      pacer.noteWritten(bytes, nowMs);
+      linkFreeAtMs = Math.max(linkFreeAtMs, nowMs) +
+        bytes / (BYTES_PER_SECOND / 1_000);
+      if (next.bytesLeft === 0) {
+        const { objectiveAtMs } = next;
+        sent.push({ objectiveAtMs, leftAtMs: linkFreeAtMs });
+        pacer.remove((answer) => answer.bytesLeft === 0);
+      }
+    }
+    longestWaitMs = Math.max(longestWaitMs, linkFreeAtMs - nowMs);
+  }
+  return { sent, longestWaitMs };
+}
+
+describe("link pacer", () => {
+  describe("when more large answers are made than the link carries", () => {
+    // Symptom: small calls to a host of large answers end at their deadline, and it seems silent.
+    // Sequence: 20 answers of 94 kB a second are written to a link that carries 14.
+    // Cause: what waits for the link waits in its buffers, in front of all that is written later.
+    it("lets small messages wait for one piece at most", () => {
+      expect(play(20, false).longestWaitMs).to.be.above(400);
+      expect(play(20, true).longestWaitMs).to.be.below(40);
+    });
+
+    it("uses the link as well as without", () => {
+      const paced = play(20, true).sent.at(-1)!.leftAtMs;
+      const unpaced = play(20, false).sent.at(-1)!.leftAtMs;
+      expect(paced).to.be.below(unpaced * 1.02);
+    });
+  });
+
+  describe("when an answer is asked for", () => {
+    it("expects what waits, what is being made and the answer itself to leave first", () => {
+      const pacer = LinkPacer.create<WaitingAnswer>(1_000_000);
+      pacer.noteWritten(20_000, 0);
+      pacer.add({ objectiveAtMs: 0, bytesLeft: 30_000 });
+      expect(pacer.expectMs(50_000, 10)).to.equal(90);
+    });
+  });
+
+  describe("when answers wait", () => {
+    it("lets go first what is wanted first", () => {
+      const pacer = LinkPacer.create<WaitingAnswer>(1_000_000);
+      pacer.add({ objectiveAtMs: 900, bytesLeft: 1 });
+      pacer.add({ objectiveAtMs: 300, bytesLeft: 1 });
+      expect(pacer.next(0)?.objectiveAtMs).to.equal(300);
+    });
+  });
+
+  describe("of a link whose speed is not known", () => {
+    it("holds nothing back", () => {
+      const pacer = LinkPacer.create<WaitingAnswer>(Infinity);
+      pacer.noteWritten(1e9, 0);
+      expect(pacer.delayMs(0)).to.equal(0);
+      expect(pacer.expectMs(1e9, 0)).to.equal(0);
+    });
+  });
+});
--- /dev/null
+++ b/packages/router/src/answer_sender_test.ts
@@ -0,0 +1,121 @@
+/**
+ * Tests of large answers over a link: they come whole, and don't hold up small ones.
+ *
+ * @module
+ */
+import { type AddressInfo, connect, createServer } from "node:net";
+import { expect } from "chai";
+import { AnswerSender } from "./answer_sender.ts";
+import { FrameSocket } from "./frame_socket.ts";
+import { LinkClient } from "./link_client.ts";
+import { encodeFrame, type Frame, FRAME_KINDS } from "./link_codec.ts";
+import { notRun, type Outcome, type Work } from "./work.ts";
+
+const LOAD = { waitMs: 0, utilization: 0, serviceMs: 1, failureShare: 0 };
+/** Slow enough that a large answer takes several turns. */
+const LINK_BYTES_PER_SECOND = 4_000_000;
+
+const work: Work = {
+  id: "a1",
+  service: "images",
+  route: "download",
+  rank: 2,
+  isIdempotent: true,
+  key: undefined,
+  callerService: "desk",
+  objectiveAtMs: 300,
+  deadlineAtMs: 800,
+  mayEndLate: true,
+  method: "GET",
+  target: "/images/7",
+  headers: [],
+  body: undefined,
+};
+
+function createLarge(size: number): Extract<Outcome, { kind: "answer" }> {
+  const body = Buffer.from(
+    Array.from({ length: size }, (_, index) => index % 251),
+  );
+  return { kind: "answer", status: 200, headers: {}, body, isFramed: true };
+}
+
+/** Sends outcomes back to the requests of one link, in the order of the requests; returns them as they come. */
+async function exchange(outcomes: readonly Outcome[]): Promise<Outcome[]> {
+  const nowMs = () => performance.now();
+  const sender = AnswerSender.create(LINK_BYTES_PER_SECOND, nowMs);
+  const server = createServer((socket) => {
+    const frames = FrameSocket.create(socket, "peer", {
+      onFrame: ({ kind, id }: Frame) => {
+        if (kind === FRAME_KINDS.request) {
+          const target = { frames, id, route: "download", objectiveAtMs: id };
+          sender.send(target, outcomes[id - 1]!, LOAD);
+        }
+      },
+      onEnd: () => sender.drop(frames),
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const link = LinkClient.create(`127.0.0.1:${port}`, nowMs);
+  const come: Outcome[] = [];
+  await Promise.all(
+    outcomes.map(() =>
+      new Promise<void>((resolve, reject) =>
+        link.send(work, {
+          onAcknowledged: () => undefined,
+          onOutcome: (outcome) => {
+            come.push(outcome);
+            resolve();
+          },
+          onSilent: () => undefined,
+          onLost: (_isSent, cause) => reject(cause),
+        })
+      )
+    ),
+  );
+  link.close();
+  server.close();
+  return come;
+}
+
+describe("answer sender", () => {
+  describe("with a large answer", () => {
+    it("brings it whole, in pieces", async () => {
+      const large = createLarge(300_000);
+      const [come] = await exchange([large]);
+      expect(come).to.deep.equal(large);
+    });
+
+    // Symptom: calls to a server of large answers take as long as these.
+    // Sequence: a large answer is written to a slow link, and a refusal right behind it.
+    // Cause: all that is written to a link leaves in its order.
+    it("lets what is small overtake it", async () => {
+      const large = createLarge(300_000);
+      const come = await exchange([large, notRun("overloaded")]);
+      expect(come.map(({ kind }) => kind)).to.deep.equal(["not_run", "answer"]);
+    });
+  });
+
+  describe("when nobody waits for a large answer any more", () => {
+    it("sends no more of it", async () => {
+      const sender = AnswerSender.create(1_000, () => 0);
+      const server = createServer();
+      await new Promise<void>((resolve) =>
+        server.listen(0, "127.0.0.1", resolve)
+      );
+      const { port } = server.address() as AddressInfo;
+      const frames = FrameSocket.create(connect(port, "127.0.0.1"), "peer", {
+        onFrame: () => undefined,
+        onEnd: () => undefined,
+      });
+      const target = { frames, id: 1, route: "download", objectiveAtMs: 1 };
+      sender.send(target, createLarge(300_000), LOAD);
+      expect(sender.waitingCount).to.equal(1);
+      sender.cancel(frames, 1);
+      expect(sender.waitingCount).to.equal(0);
+      frames.write(encodeFrame({ kind: FRAME_KINDS.farewell, id: 0 }));
+      frames.destroy();
+      server.close();
+    });
+  });
+});
--- a/packages/router/src/link_client.ts
+++ b/packages/router/src/link_client.ts
@@ -36,6 +36,8 @@
   readonly sentAtMs: number;
   readonly listener: LinkListener;
   isAcknowledged: boolean;
+  /** What has come of a large answer. */
+  readonly pieces: Buffer[];
 }
 
 /** A connection that carries many requests at a time. */
@@ -110,7 +112,13 @@
     const id = this.lastId;
     const sentAtMs = this.nowMs();
     this.usedAtMs = sentAtMs;
-    this.requests.set(id, { id, sentAtMs, listener, isAcknowledged: false });
+    this.requests.set(id, {
+      id,
+      sentAtMs,
+      listener,
+      isAcknowledged: false,
+      pieces: [],
+    });
     const bytes = encodeWork(id, work, sentAtMs);
     if (this.isOpen) {
       this.frames.write(bytes);
@@ -161,9 +169,15 @@
       request.isAcknowledged = true;
       request.listener.onAcknowledged();
     }
+    if (frame.kind === FRAME_KINDS.piece) {
+      request.pieces.push(frame.body);
+    }
     if (frame.kind === FRAME_KINDS.outcome) {
       this.requests.delete(frame.id);
-      const { outcome, load } = decodeOutcome(frame);
+      const body = request.pieces.length === 0
+        ? frame.body
+        : Buffer.concat([...request.pieces, frame.body]);
+      const { outcome, load } = decodeOutcome({ ...frame, body });
       request.listener.onOutcome(outcome, load);
     }
   }
--- a/packages/router/src/link_codec.ts
+++ b/packages/router/src/link_codec.ts
@@ -24,10 +24,12 @@
   cancellation: 5,
   /** Nothing is read any more; its number is that of the last request that was. */
   farewell: 6,
+  /** A piece of a large answer; the last one comes with the outcome. */
+  piece: 7,
 } as const;
 
 /** Grows when the meaning of a frame changes; links of another format are refused. */
-export const LINK_FORMAT = 2;
+export const LINK_FORMAT = 3;
 /** Length of the length itself, in bytes. */
 const LENGTH_BYTES = 4;
 /** Kind, number and length of the head, in bytes. */
--- a/packages/router/src/link_server.ts
+++ b/packages/router/src/link_server.ts
@@ -5,12 +5,12 @@
  */
 import { createServer, type Server, type Socket } from "node:net";
 import type { Logger } from "@bamboolink/logger";
+import type { AnswerSender } from "./answer_sender.ts";
 import { Cancellation } from "./cancellation.ts";
 import { FrameSocket } from "./frame_socket.ts";
 import {
   decodeWork,
   encodeFrame,
-  encodeOutcome,
   type Frame,
   FRAME_KINDS,
 } from "./link_codec.ts";
@@ -28,6 +28,7 @@
 export interface LinkServerContext {
   readonly logger: Logger;
   readonly backend: LocalBackend;
+  readonly answers: AnswerSender;
   readonly lag: LoopLag;
   readonly nowMs: () => number;
 }
@@ -66,7 +67,11 @@
 
   /** How many requests are under way. */
   get activeCount(): number {
-    return [...this.links].reduce((sum, { running }) => sum + running.size, 0);
+    const running = [...this.links].reduce(
+      (sum, link) => sum + link.running.size,
+      0,
+    );
+    return running + this.context.answers.waitingCount;
   }
 
   /** From now on no request is taken any more. */
@@ -121,6 +126,7 @@
       onFrame: (frame) => this.take(link, frame),
       onEnd: (cause) => {
         this.links.delete(link);
+        this.context.answers.drop(frames);
         running.forEach(({ cancellation }) => cancellation.cancel("cancelled"));
         running.clear();
         this.context.logger.log("link_ended", { peer, cause });
@@ -133,6 +139,7 @@
   private take(link: Link, frame: Frame): void {
     if (frame.kind === FRAME_KINDS.cancellation) {
       link.running.get(frame.id)?.cancellation.cancel("cancelled");
+      this.context.answers.cancel(link.frames, frame.id);
       return;
     }
     if (frame.kind !== FRAME_KINDS.request || this.hasSaidFarewell) {
@@ -153,15 +160,26 @@
     id: number,
     { work, cancellation }: Running,
   ): Promise<void> {
-    const { backend, lag, logger } = this.context;
+    const { backend, answers, lag, logger } = this.context;
+    const { route, objectiveAtMs } = work;
     await lag.catchUp({ isFirst: false });
-    const outcome = await this.run(work, cancellation).catch((cause) => {
-      logger.log("unexpected_error", { step: "link_server", cause });
-      return { kind: "unknown", reason: "connection_lost" } as const;
-    });
+    const linkMs = answers.expectMs(route);
+    answers.noteRunning(route, 1);
+    const outcome = await this.run(leaveTime(work, linkMs), cancellation)
+      .catch((cause) => {
+        logger.log("unexpected_error", { step: "link_server", cause });
+        return { kind: "unknown", reason: "connection_lost" } as const;
+      });
+    answers.noteRunning(route, -1);
     if (link.running.delete(id) && cancellation.reason !== "cancelled") {
-      link.frames.write(
-        encodeOutcome(id, outcome, backend.reportOn(work.route)),
+      const { frames } = link;
+      const load = backend.reportOn(route);
+      // Whoever chooses among servers chooses among the links to them, too.
+      const serviceMs = load.serviceMs + answers.expectMs(route);
+      answers.send(
+        { frames, id, route, objectiveAtMs },
+        outcome,
+        { ...load, serviceMs },
       );
     }
   }
@@ -177,3 +195,15 @@
     return backend.attempt(work, cancellation);
   }
 }
+
+/**
+ * A request whose answer will wait for the link has so much less time to be made. Without this, servers run requests
+ * whose answers can't arrive in time, at the cost of those that could.
+ */
+function leaveTime(work: Work, linkMs: number): Work {
+  return linkMs === 0 ? work : {
+    ...work,
+    objectiveAtMs: work.objectiveAtMs - linkMs,
+    deadlineAtMs: work.deadlineAtMs - linkMs,
+  };
+}
--- a/packages/router/src/ports/router_settings.ts
+++ b/packages/router/src/ports/router_settings.ts
@@ -31,6 +31,8 @@
   /** Where metrics are read; none are served without it. */
   metricsAddress: address.optional(),
   storeAddress: address,
+  /** Speed of the host's network link; not known without it. */
+  linkBytesPerSecond: z.number().positive().optional(),
   /** Usual pause between two heartbeats of the backend server, in milliseconds. */
   heartbeatMs: z.number().positive(),
   bounds: z.object({
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -18,6 +18,7 @@
 import { type MemberReport, MemberView } from "@bamboolink/membership";
 import { Metrics } from "@bamboolink/metrics";
 import type { Store } from "@bamboolink/store";
+import { AnswerSender } from "./answer_sender.ts";
 import { BackendBoard } from "./backend_board.ts";
 import { BackendKeeper } from "./backend_keeper.ts";
 import { bootMs, steadyMs } from "./clock.ts";
@@ -237,6 +238,10 @@
     });
     this.linkServer = LinkServer.create({
       logger,
+      answers: AnswerSender.create(
+        settings.linkBytesPerSecond ?? Infinity,
+        steadyMs,
+      ),
       backend: this.backend,
       lag: this.lag,
       nowMs: steadyMs,
