Let one daemon read the ownership record for all owners

Cause: each owner reads the record every 1.5 s to confirm its tenure. Change: owners ask the leading daemon by datagram; it gathers questions for 400 ms, reads once, answers with the revision. An owner that knows that revision, or a later one, counts from when it asked; with news it reads, and where no answer comes within 800 ms it reads for itself. A tenure depends on promises after 2.4 s in place of 2.0 s.

--- a/packages/keyspace/src/tenure_safety_test.ts
+++ b/packages/keyspace/src/tenure_safety_test.ts
@@ -146,6 +146,30 @@
     exactly("advance", 0, 20),
   ]);
 
+/** Another daemon reads for an owner, which is sealed and taken over at the first moment. */
+const sharedRead = fc.tuple(
+  fc.nat(40),
+  fc.nat(399),
+  fc.integer({ min: 100, max: 400 }),
+).map((
+  [late, gather, more],
+) => [
+  ...[0, 1, 2, 3].map((host) => exactly("confirm", host)),
+  exactly("advance", 0, 1),
+  exactly("seal", 0),
+  exactly("advance", 0, 1 + more),
+  exactly("shared_confirm", 1, gather, 0),
+  exactly("advance", 0, 2_530 - more),
+  exactly("heartbeat", 1),
+  exactly("advance", 0, 5 + late),
+  exactly("take_over", 0),
+  exactly("advance", 0, 3),
+  exactly("confirm", 0),
+  exactly("advance", 0, 3),
+  exactly("heartbeat", 0),
+  exactly("advance", 0, 20),
+]);
+
 /** An owner removes a seal, and is sealed again before the first who sealed it has looked. */
 const sealedTwice = fc.tuple(fc.nat(200), fc.nat(40))
   .map(([wait, more]) => [
@@ -341,6 +365,7 @@
       { weight: 1, arbitrary: sameId },
       { weight: 1, arbitrary: lastMoment },
       { weight: 1, arbitrary: slowRead },
+      { weight: 1, arbitrary: sharedRead },
       { weight: 1, arbitrary: sealedTwice },
       { weight: 1, arbitrary: hasty },
       { weight: 1, arbitrary: missedReturn },
@@ -450,6 +475,7 @@
       "promise_under_seal",
       "arbiter_at_once",
       "nameless_office",
+      "read_before_question",
       "tokens_outlive_tenure",
       "promise_after_takeover",
       "promise_after_restart",
--- a/packages/keyspace/src/testing/tenure_world.ts
+++ b/packages/keyspace/src/testing/tenure_world.ts
@@ -54,6 +54,8 @@
   | "arbiter_at_once"
   /** Appointments have no name: an arbiter takes itself for one all along. */
   | "nameless_office"
+  /** The daemon that reads for all answers with what it had read before it was asked. */
+  | "read_before_question"
   /** Tokens stay as they are while keys may have been another owner's. */
   | "tokens_outlive_tenure"
   /** An arbiter remembers no seal: what it has taken over looks like any other owner. */
@@ -79,6 +81,7 @@
   "heartbeat",
   "late_heartbeat",
   "confirm",
+  "shared_confirm",
   "release",
   "publish",
   "seal",
@@ -203,6 +206,12 @@
         return this.sendHeartbeat(host, { thereMs: a * 3, backMs: b });
       case "confirm":
         return this.confirm(host, { thereMs: a % 200, backMs: b * 2 });
+      case "shared_confirm":
+        return this.confirmShared(host, {
+          reader: other,
+          gatherMs: a % 400,
+          backMs: b * 2,
+        });
       case "release":
         return host.grants.beginRelease(host.grants.ownRanges.slice(0, 1));
       case "publish":
@@ -486,6 +495,33 @@
     });
   }
 
+  /** Asks another daemon, which gathers questions and reads, what the store holds. */
+  private confirmShared(
+    host: Host,
+    read: { reader: Host; gatherMs: number; backMs: number },
+  ): void {
+    if (!this.isAwake(host)) {
+      return;
+    }
+    const { reader, gatherMs, backMs } = read;
+    const askedAtMs = this.clockOf(host);
+    const { life } = host;
+    const before = reader.record.revision;
+    this.at(reader, gatherMs, () => {
+      if (this.nowMs < this.outageUntilMs) {
+        return;
+      }
+      const revision = this.fault === "read_before_question"
+        ? before
+        : this.stored.revision;
+      this.later(backMs, () => {
+        if (host.life === life && host.record.revision >= revision) {
+          this.at(host, 0, () => this.noteRead(host, host.record, askedAtMs));
+        }
+      });
+    });
+  }
+
   /** Names one or both of two hosts as arbiters. */
   private appoint(host: Host, names: { other: Host; choice: number }): void {
     const { other, choice } = names;
--- a/packages/router/src/datagram_codec.ts
+++ b/packages/router/src/datagram_codec.ts
@@ -64,7 +64,27 @@
   names: z.array(z.int().min(0)),
 });
 
+/** An owner asks the daemon that reads for all what the store holds. */
+const SharedReadQuestion = z.object({
+  kind: z.literal("ask_read"),
+  sender: z.string(),
+  service: z.string(),
+  /** The owner's clock, in milliseconds; comes back with the answer. */
+  askedAtMs: z.number(),
+});
+
+/** What the store held after the question had arrived. */
+const SharedReadAnswer = z.object({
+  kind: z.literal("read"),
+  sender: z.string(),
+  service: z.string(),
+  askedAtMs: z.number(),
+  revision: z.int().min(0),
+});
+
 const Datagram = z.discriminatedUnion("kind", [
+  SharedReadQuestion,
+  SharedReadAnswer,
   ReportQuestion,
   OwnershipNews,
   HandoverExpected,
--- a/packages/router/src/ownership_keeper.ts
+++ b/packages/router/src/ownership_keeper.ts
@@ -27,6 +27,7 @@
 import type { OwnershipDirectory } from "./ownership_directory.ts";
 import { findTakers, OwnershipLeader } from "./ownership_leader.ts";
 import { RecordWriter } from "./record_writer.ts";
+import type { ReadAnswer, ReadQuestion } from "./shared_reader.ts";
 import { TenureKeeper, type TenureQuestion } from "./tenure_keeper.ts";
 
 /** Heartbeats of the own backend server that stay away for so long won't come soon, in milliseconds. */
@@ -47,6 +48,8 @@
   readonly onWritten: (service: string, record: OwnershipRecord) => void;
   /** Tells a daemon that keys are about to come to it. */
   readonly onPlanned: (daemon: string, moves: readonly PlannedMove[]) => void;
+  /** Asks the daemon that reads for all owners what the store holds. */
+  readonly onReadWanted: (reader: string, question: ReadQuestion) => void;
   /** Asks an arbiter for its promise; the daemon's clock comes back with it. */
   readonly onPromiseNeeded: (
     arbiter: string,
@@ -70,6 +73,7 @@
       ...context,
       ownService,
       own: () => this.own,
+      findReader: () => this.leader.findLeader(),
       isGivingUp: () => this.isGivingUp,
       onRead: (service) => this.ensureTokens(service),
       onSealed: (service) => this.answerSeal(service),
@@ -154,6 +158,11 @@
     this.leader.tick();
   }
 
+  /** Takes what the daemon that reads for all owners has found. */
+  noteShared(answer: ReadAnswer): void {
+    this.tenures.noteShared(answer);
+  }
+
   /** Whether an owner is promised not to be taken over by this daemon for a while. */
   mayPromise(service: string, question: PromiseQuestion): boolean {
     return this.leader.mayPromise(service, question);
--- a/packages/router/src/ownership_leader.ts
+++ b/packages/router/src/ownership_leader.ts
@@ -92,13 +92,21 @@
   /** Any daemon may write, since writes are conditional; one of them does, to save calls. */
   private isLeading(): boolean {
     const { view } = this.context;
-    const nowMs = steadyMs();
-    if (nowMs - this.startedAtMs < SETTLE_MS || !view.ownReport.reachesStore) {
-      return false;
-    }
-    return view.alive(nowMs)
+    const hasSettled = steadyMs() - this.startedAtMs >= SETTLE_MS;
+    return hasSettled && view.ownReport.reachesStore &&
+      this.findLeader() === undefined;
+  }
+
+  /** The daemon that leads, if it is another one: the first that reaches the store, in the order of addresses. */
+  findLeader(): string | undefined {
+    const first = this.context.view.alive(steadyMs())
       .filter(({ reachesStore, phase }) => reachesStore && phase !== "stopping")
-      .every(({ address }) => address > this.own);
+      .map(({ address }) => address)
+      .reduce(
+        (least, address) => address < least ? address : least,
+        this.own,
+      );
+    return first === this.own ? undefined : first;
   }
 
   private leadService(service: string): void {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -47,6 +47,7 @@
 import { probeBackend } from "./probe_backend.ts";
 import { RelayedStore } from "./relayed_store.ts";
 import { RequestRunner } from "./request_runner.ts";
+import { SharedReader } from "./shared_reader.ts";
 import { StoreWatcher } from "./store_watcher.ts";
 
 /** Time between two steps of the control loop, in milliseconds. */
@@ -95,6 +96,7 @@
   private readonly store: RelayedStore;
   private readonly view: MemberView;
   private readonly directory: OwnershipDirectory;
+  private readonly reader: SharedReader;
   private readonly backend: LocalBackend;
   private readonly keeper: BackendKeeper;
   private readonly ownership: OwnershipKeeper;
@@ -131,6 +133,16 @@
       findHelper: () => this.findHelper(),
     });
     this.directory = OwnershipDirectory.create(logger);
+    this.reader = SharedReader.create({
+      store: this.directStore,
+      logger,
+      onAnswer: (owner, answer) =>
+        this.gossip.sendDatagram({
+          kind: "read",
+          sender: this.view.ownReport.address,
+          ...answer,
+        }, owner),
+    });
     this.backend = LocalBackend.create({
       address: settings.backendAddress,
       protocol: ports.backends,
@@ -172,6 +184,12 @@
       desk: this.desk,
       onWritten: (service, record) => this.tellOwnership(service, record),
       onPlanned: (daemon, moves) => this.tellExpected(daemon, moves),
+      onReadWanted: (reader, question) =>
+        this.gossip.sendDatagram({
+          kind: "ask_read",
+          sender: this.view.ownReport.address,
+          ...question,
+        }, reader),
       onPromiseNeeded: (arbiter, question) =>
         this.gossip.sendDatagram({
           kind: "ask_promise",
@@ -428,6 +446,12 @@
       case "ask_promise":
         this.answerPromiseQuestion(datagram);
         return;
+      case "ask_read":
+        this.reader.ask(datagram.sender, datagram);
+        return;
+      case "read":
+        this.ownership.noteShared(datagram);
+        return;
       case "promise":
         if (datagram.service === this.keeper.service) {
           this.tenure.notePromise(datagram.sender, datagram.askedAtMs);
--- a/packages/router/src/tenure_keeper.ts
+++ b/packages/router/src/tenure_keeper.ts
@@ -13,6 +13,7 @@
 import type { Logger } from "@bamboolink/logger";
 import type { Store } from "@bamboolink/store";
 import { bootMs } from "./clock.ts";
+import type { ReadAnswer, ReadQuestion } from "./shared_reader.ts";
 import {
   OWNERSHIP_PREFIX,
   type OwnershipDirectory,
@@ -29,14 +30,20 @@
 const MOVABLE_MS = 2 * CONFIRM_MS;
 /**
  * A tenure that was not confirmed for so long depends on the promises of the arbiters soon, in milliseconds: a
- * read that is due every 1.5 s has failed.
+ * read that is due every 1.5 s, and may be gathered for 0.4 s, has failed.
  */
-const ASK_AFTER_MS = 2_000;
+const ASK_AFTER_MS = 2_400;
 /** Time between two questions for a promise, in milliseconds; one holds for 2.5 s. */
 const ASK_MS = 500;
 /** How long the store may take to answer before keys are given up, in milliseconds; usually it takes 4. */
 const PROBE_MS = 400;
 
+/**
+ * An owner reads for itself if the daemon that reads for all has not answered for so long, in milliseconds: it
+ * gathers questions for 400, and the store takes a few.
+ */
+const SHARED_READ_MS = 800;
+
 /** What an arbiter is asked. */
 export interface TenureQuestion {
   readonly service: string;
@@ -57,6 +64,10 @@
   readonly own: () => string;
   /** The service of which the backend server here owns keys, if it is of such a service. */
   readonly ownService: () => string | undefined;
+  /** The daemon that reads for all owners, if that is another one. */
+  readonly findReader: () => string | undefined;
+  /** Asks the daemon that reads for all what the store holds. */
+  readonly onReadWanted: (reader: string, question: ReadQuestion) => void;
   /** Whether keys wait to be given to others. */
   readonly isGivingUp: () => boolean;
   /** Called with each read of the own service's record. */
@@ -70,6 +81,8 @@
 /** Keeps the tenure of the backend server on this host. */
 export class TenureKeeper {
   private confirmSentMs = -Infinity;
+  /** When another daemon was asked to read, if its answer is still awaited. */
+  private sharedAskedMs: number | undefined;
   private askedAtMs = -Infinity;
   private isConfirming = false;
   private isOnPromises = false;
@@ -89,9 +102,29 @@
       return;
     }
     this.confirm(service);
+    this.missSharedRead(service);
     this.askPromises(service);
   }
 
+  /**
+   * Takes what the daemon that reads for all has found after it was asked. An answer with the revision of the known
+   * record, or of an earlier one, says that the known record was in force after the question; one with a later
+   * revision says that there is news.
+   */
+  noteShared({ service, askedAtMs, revision }: ReadAnswer): void {
+    const record = this.context.directory.record(service);
+    if (service !== this.context.ownService() || record === undefined) {
+      return;
+    }
+    this.sharedAskedMs = undefined;
+    if (record.revision < revision) {
+      void this.read(service, bootMs());
+      return;
+    }
+    this.context.onRead(service);
+    this.confirmBy(service, record, askedAtMs);
+  }
+
   /** Whether a move that begins now can be written, as far as that is known. */
   isMovable(): boolean {
     return this.context.tenure.confirmedForMs(bootMs()) < MOVABLE_MS;
@@ -119,6 +152,24 @@
       return;
     }
     this.confirmSentMs = nowMs;
+    const reader = hasToGiveUp ? undefined : this.context.findReader();
+    if (reader === undefined) {
+      this.readAlone(service, nowMs);
+      return;
+    }
+    this.sharedAskedMs = nowMs;
+    this.context.onReadWanted(reader, { service, askedAtMs: nowMs });
+  }
+
+  private missSharedRead(service: string): void {
+    const nowMs = bootMs();
+    if (nowMs - (this.sharedAskedMs ?? Infinity) > SHARED_READ_MS) {
+      this.sharedAskedMs = undefined;
+      this.readAlone(service, nowMs);
+    }
+  }
+
+  private readAlone(service: string, nowMs: number): void {
     this.isConfirming = true;
     void this.read(service, nowMs).finally(() => {
       this.isConfirming = false;
@@ -126,8 +177,7 @@
   }
 
   private async read(service: string, sentAtMs: number): Promise<void> {
-    const { store, directory, logger, tenure, grants, own, onRead, onSealed } =
-      this.context;
+    const { store, directory, logger, onRead } = this.context;
     const found = await store.get(OWNERSHIP_PREFIX + service);
     if (found.isErr()) {
       logger.log("store_call_failed", { step: "tenure", cause: found.error });
@@ -154,6 +204,16 @@
     }
     directory.note(service, record);
     onRead(service);
+    this.confirmBy(service, record, sentAtMs);
+  }
+
+  /** The record was in force at a time after `sinceMs`. */
+  private confirmBy(
+    service: string,
+    record: OwnershipRecord,
+    sinceMs: number,
+  ): void {
+    const { logger, tenure, grants, own, onSealed } = this.context;
     if (this.context.ownService() !== service) {
       // The backend server was replaced by one of another service while the read was under way.
       return;
@@ -163,7 +223,7 @@
         revision: record.revision,
         hasLapsed: tenure.hasLapsed(bootMs()),
       });
-      tenure.confirm(sentAtMs, record);
+      tenure.confirm(sinceMs, record);
       return;
     }
     logger.log("ownership_sealed_here", {
