--- a/packages/admission/src/link_pacer.ts
+++ b/packages/admission/src/link_pacer.ts
@@ -21,6 +21,14 @@
   bytesLeft: number;
 }
 
+/** How long an answer waits for the link, and takes on it, in milliseconds. */
+export interface LinkDelay {
+  /** Where it is in time: it goes before those that are not. */
+  readonly inTimeMs: number;
+  /** Where it is late: it goes after all others. */
+  readonly lateMs: number;
+}
+
 /** The pace of one link. */
 export class LinkPacer<Answer extends WaitingAnswer> {
   private waiting: Answer[] = [];
@@ -62,9 +70,17 @@
     this.waiting = this.waiting.filter((answer) => !isGone(answer));
   }
 
-  /** The answer of which the next piece may leave now, if there is one. */
+  /**
+   * The answer of which the next piece may leave now, if there is one. Answers that can still arrive in time go
+   * before those that can't: in the order of their objectives alone, all of them are late as soon as the link is
+   * asked for more than it carries (replayed in the test).
+   */
   next(nowMs: number): Answer | undefined {
-    return this.delayMs(nowMs) <= 0 ? this.waiting[0] : undefined;
+    if (this.delayMs(nowMs) > 0) {
+      return undefined;
+    }
+    return this.waiting.find((answer) => this.isInTime(answer, nowMs)) ??
+      this.waiting[0];
   }
 
   /** Until the next piece may leave, in milliseconds. */
@@ -73,16 +89,27 @@
   }
 
   /**
-   * Until an answer would have left that is asked for now, in milliseconds.
+   * Until an answer would have left that is asked for now.
    *
    * @param bytes its size, and that of those that are being made already.
    */
-  expectMs(bytes: number, nowMs: number): number {
-    const waiting = this.waiting.reduce(
-      (sum, { bytesLeft }) => sum + bytesLeft,
-      0,
+  expect(bytes: number, nowMs: number): LinkDelay {
+    const inTime = this.waiting.filter((answer) =>
+      this.isInTime(answer, nowMs)
     );
-    return Math.max(0, this.clearAtMs - nowMs) +
-      (waiting + bytes) / this.bytesPerMs;
+    const clearMs = Math.max(0, this.clearAtMs - nowMs);
+    return {
+      inTimeMs: clearMs + (sumBytes(inTime) + bytes) / this.bytesPerMs,
+      lateMs: clearMs + (sumBytes(this.waiting) + bytes) / this.bytesPerMs,
+    };
   }
+
+  private isInTime(answer: Answer, nowMs: number): boolean {
+    const leftAtMs = nowMs + answer.bytesLeft / this.bytesPerMs;
+    return leftAtMs <= answer.objectiveAtMs;
+  }
+}
+
+function sumBytes(answers: readonly WaitingAnswer[]): number {
+  return answers.reduce((sum, { bytesLeft }) => sum + bytesLeft, 0);
 }
--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -34,4 +34,4 @@
 export { ResendBudget, type ResendLimits } from "./resend_budget.ts";
 export { createAnswerSpread } from "./answer_spread.ts";
 export { CallerPatience } from "./caller_patience.ts";
-export { LinkPacer, type WaitingAnswer } from "./link_pacer.ts";
+export { type LinkDelay, LinkPacer, type WaitingAnswer } from "./link_pacer.ts";
--- a/packages/keyspace/src/balance_loads.ts
+++ b/packages/keyspace/src/balance_loads.ts
@@ -35,9 +35,9 @@
  * An owner sheds only while its utilization is above this: below it no request waits long, and a move
  * would cost more than it brings.
  */
-const HOT_UTILIZATION = 0.45;
+const HOT_UTILIZATION = 0.6;
 /** The least distance above the target that is worth a move. */
-const WORTHWHILE_EXCESS = 0.15;
+const WORTHWHILE_EXCESS = 0.25;
 /** An owner sheds to one without any keys from this utilization on, so that it takes part at all. */
 const SHARING_UTILIZATION = 0.05;
 /** An owner above this refuses requests; others are better filled up beyond the mean than that. */
--- a/packages/router/src/answer_sender.ts
+++ b/packages/router/src/answer_sender.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
-import { LinkPacer, type WaitingAnswer } from "@bamboolink/admission";
+import {
+  type LinkDelay,
+  LinkPacer,
+  type WaitingAnswer,
+} from "@bamboolink/admission";
 import type { FrameSocket } from "./frame_socket.ts";
 import {
   encodeFrame,
@@ -22,6 +26,8 @@
 /** Share of the link for large answers; the rest is for small ones, requests and gossip. */
 const LINK_SHARE = 0.9;
 
+const NO_DELAY: LinkDelay = { inTimeMs: 0, lateMs: 0 };
+
 /** Where an outcome goes, and until when it is wanted. */
 export interface AnswerTarget {
   readonly frames: FrameSocket;
@@ -69,17 +75,17 @@
     this.running.set(route, (this.running.get(route) ?? 0) + change);
   }
 
-  /** Until the answer to a request of a route would have left, beside the time to make it, in milliseconds. */
-  expectMs(route: string): number {
+  /** Until the answer to a request of a route would have left, beside the time to make it. */
+  expect(route: string): LinkDelay {
     const size = this.sizes.get(route) ?? 0;
     if (size <= SMALL_BYTES) {
-      return 0;
+      return NO_DELAY;
     }
     const made = [...this.running].reduce((sum, [other, count]) => {
       const each = this.sizes.get(other) ?? 0;
       return each <= SMALL_BYTES ? sum : sum + each * count;
     }, 0);
-    return this.pacer.expectMs(size + made, this.nowMs());
+    return this.pacer.expect(size + made, this.nowMs());
   }
 
   /** Sends an outcome, now or when its turn comes. */
--- a/packages/router/src/link_server.ts
+++ b/packages/router/src/link_server.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { createServer, type Server, type Socket } from "node:net";
+import type { LinkDelay } from "@bamboolink/admission";
 import type { Logger } from "@bamboolink/logger";
 import type { AnswerSender } from "./answer_sender.ts";
 import { Cancellation } from "./cancellation.ts";
@@ -163,9 +164,12 @@
     const { backend, answers, lag, logger } = this.context;
     const { route, objectiveAtMs } = work;
     await lag.catchUp({ isFirst: false });
-    const linkMs = answers.expectMs(route);
+    const leaving = leaveTime(work, answers.expect(route), {
+      nowMs: this.context.nowMs(),
+      serviceMs: backend.reportOn(route).serviceMs,
+    });
     answers.noteRunning(route, 1);
-    const outcome = await this.run(leaveTime(work, linkMs), cancellation)
+    const outcome = await this.run(leaving, cancellation)
       .catch((cause) => {
         logger.log("unexpected_error", { step: "link_server", cause });
         return { kind: "unknown", reason: "connection_lost" } as const;
@@ -175,7 +179,7 @@
       const { frames } = link;
       const load = backend.reportOn(route);
       // Whoever chooses among servers chooses among the links to them, too.
-      const serviceMs = load.serviceMs + answers.expectMs(route);
+      const serviceMs = load.serviceMs + answers.expect(route).inTimeMs;
       answers.send(
         { frames, id, route, objectiveAtMs },
         outcome,
@@ -200,10 +204,16 @@
  * A request whose answer will wait for the link has so much less time to be made. Without this, servers run requests
  * whose answers can't arrive in time, at the cost of those that could.
  */
-function leaveTime(work: Work, linkMs: number): Work {
-  return linkMs === 0 ? work : {
-    ...work,
-    objectiveAtMs: work.objectiveAtMs - linkMs,
-    deadlineAtMs: work.deadlineAtMs - linkMs,
-  };
+function leaveTime(
+  work: Work,
+  { inTimeMs, lateMs }: LinkDelay,
+  now: { nowMs: number; serviceMs: number },
+): Work {
+  if (lateMs === 0) {
+    return work;
+  }
+  const objectiveAtMs = work.objectiveAtMs - inTimeMs;
+  const isInTime = now.nowMs + now.serviceMs <= objectiveAtMs;
+  const deadlineAtMs = work.deadlineAtMs - (isInTime ? inTimeMs : lateMs);
+  return { ...work, objectiveAtMs, deadlineAtMs };
 }
