Let a restarted daemon hear of its earlier process also after it was silent

Digests did not tell a daemon of itself at all. Change: beats of silent daemons are told for 60 s, a digest of the own name that is not of this process makes a daemon ask for the report behind it, and questions are answered for silent daemons, too. Test: away for 10 s, back with beat 0, alive to the other after one exchange; it would have stayed silent for 400 beats.

--- a/packages/membership/src/member_view.ts
+++ b/packages/membership/src/member_view.ts
@@ -17,6 +17,11 @@
  * The most digests in one datagram, at 9 bytes each. Larger fleets tell of some of them at a time, at random.
  */
 const BEATS_IN_A_MESSAGE = 200;
+/**
+ * Beats of silent daemons are told for so long, in milliseconds: one that has started again hears of its earlier process
+ * by them. Without that nobody would believe it for as long as that process had run.
+ */
+const REMEMBERED_MS = 60_000;
 /** The most reports in an answer to a question for them: about 2,500 bytes. */
 const REPORTS_IN_AN_ANSWER = 28;
 /** The most reports in one datagram: about 1,250 bytes. */
@@ -96,11 +101,18 @@
   /**
    * Takes over how far the beats of daemons have come.
    *
-   * @returns the names of daemons of which no report was heard; whoever told of them has one.
+   * @returns the names of daemons of which no report was heard, and the own name where another process at this
+   *   address is told of; whoever told of them has their reports.
    */
   mergeBeats(digests: readonly BeatDigest[], nowMs: number): number[] {
     const unknown: number[] = [];
     digests.forEach((digest) => {
+      if (digest.name === this.ownName) {
+        if (!this.isOwn(digest)) {
+          unknown.push(digest.name);
+        }
+        return;
+      }
       const address = this.names.get(digest.name);
       const entry = address === undefined
         ? undefined
@@ -116,14 +128,20 @@
         this.entries.set(address, { ...entry, beat, advancedAtMs: nowMs });
       }
     });
-    return unknown.filter((name) => name !== this.ownName);
+    return unknown;
+  }
+
+  /** Whether a digest of the own name tells of this process. */
+  private isOwn({ incarnation, beat }: BeatDigest): boolean {
+    const own = digestBeat(this.ownName, this.own);
+    return incarnation === own.incarnation && beat <= own.beat;
   }
 
-  /** The reports of living daemons that somebody asks for by name. */
-  findReports(names: readonly number[], nowMs: number): MemberReport[] {
-    const wanted = new Set(names);
-    return this.alive(nowMs)
-      .filter(({ address }) => wanted.has(hashAddress(address)))
+  /** The reports that somebody asks for by name. */
+  findReports(names: readonly number[]): MemberReport[] {
+    return names
+      .flatMap((name) => this.names.get(name) ?? [])
+      .flatMap((address) => this.entries.get(address)?.report ?? [])
       .slice(0, REPORTS_IN_AN_ANSWER);
   }
 
@@ -200,14 +218,17 @@
     return [this.own, ...chosen.map(({ report }) => report)];
   }
 
-  /** Chooses which beats to tell in one datagram: the own one, and those of all living daemons that fit. */
+  /**
+   * Chooses which beats to tell in one datagram: the own one, and those of the other daemons that fit, but for those
+   * that have long been silent.
+   */
   chooseBeats(now: { nowMs: number; random: () => number }): BeatDigest[] {
-    const living = [...this.entries.values()].filter(({ advancedAtMs }) =>
-      now.nowMs - advancedAtMs <= SILENT_AFTER_MS
+    const remembered = [...this.entries.values()].filter(({ advancedAtMs }) =>
+      now.nowMs - advancedAtMs <= REMEMBERED_MS
     );
-    const told = living.length < BEATS_IN_A_MESSAGE
-      ? living
-      : pickSome(living, { count: BEATS_IN_A_MESSAGE - 1, ...now });
+    const told = remembered.length < BEATS_IN_A_MESSAGE
+      ? remembered
+      : pickSome(remembered, { count: BEATS_IN_A_MESSAGE - 1, ...now });
     const digests = told.map(({ report, beat }) =>
       digestBeat(hashAddress(report.address), { ...report, beat })
     );
--- a/packages/membership/src/membership_test.ts
+++ b/packages/membership/src/membership_test.ts
@@ -126,7 +126,7 @@
     const tell = (from: MemberView, to: MemberView, nowMs: number) => {
       to.merge(from.chooseReports({ nowMs, random }), nowMs);
       const lacking = to.mergeBeats(from.chooseBeats({ nowMs, random }), nowMs);
-      to.merge(from.findReports(lacking, nowMs), nowMs);
+      to.merge(from.findReports(lacking), nowMs);
     };
     Array.from({ length: rounds }, (_, round) => {
       const nowMs = round * ROUND_MS;
@@ -166,7 +166,7 @@
         told.chooseBeats({ nowMs: 0, random }),
         0,
       );
-      other.merge(told.findReports(lacking, 0), 0);
+      other.merge(told.findReports(lacking), 0);
       expect(other.find("third")?.beat).to.equal(4);
     });
 
@@ -179,4 +179,31 @@
       expect(view.alive(5_000)).to.have.length(0);
     });
   });
+
+  describe("when a daemon starts again after the others took it for silent", () => {
+    // Symptom: nobody sends work to a restarted daemon for as long as its earlier process had run.
+    // Sequence: it is away for 10 s, is silent to all by then, and counts its beats from 0.
+    // Cause: its reports looked older than what was known, and nobody told it of those any more.
+    it("hears of its earlier process, and goes before it", () => {
+      const random = seededRandom(5);
+      const other = MemberView.create(report({ address: "other" }));
+      other.merge([report({ address: "back", beat: 400 })], 0);
+      const back = MemberView.create(report({ address: "back" }));
+      const nowMs = 10_000;
+      back.merge([other.ownReport], nowMs);
+      const lacking = back.mergeBeats(
+        other.chooseBeats({ nowMs, random }),
+        nowMs,
+      );
+      back.merge(other.findReports(lacking), nowMs);
+      back.beat({});
+      other.merge([back.ownReport], nowMs);
+      expect(other.alive(nowMs)).to.have.length(1);
+      const settled = back.mergeBeats(
+        other.chooseBeats({ nowMs, random }),
+        nowMs,
+      );
+      expect(settled).to.deep.equal([]);
+    });
+  });
 });
--- a/packages/router/src/gossip_node.ts
+++ b/packages/router/src/gossip_node.ts
@@ -161,7 +161,7 @@
 
   private answerReports(peer: string, names: readonly number[]): void {
     const { view } = this.context;
-    const reports = view.findReports(names, steadyMs());
+    const reports = view.findReports(names);
     const sender = view.ownReport.address;
     this.send(encodeGossip({ sender, reports, beats: [] }), peer);
   }
