--- a/packages/admission/src/link_pacer.ts
+++ b/packages/admission/src/link_pacer.ts
@@ -3,8 +3,8 @@
  *
  * The load it answers: hosts beside servers of large answers, whose link carries fewer of them than their slots can
  * make. What is written faster than the link carries waits in its buffers, and every small answer, acknowledgement and
- * heartbeat behind it, too: 145 of 2,100 calls to such a host ended at their deadline and its peers took it for
- * silent. So small messages leave at once, and large answers wait here, in pieces, for the time at which the link is
+ * heartbeat behind it, too: in five seconds 96 of 2,086 requests to such hosts ended at their deadline, and peers took them
+ * for silent 71 times. So small messages leave at once, and large answers wait here, in pieces, for the time at which the link is
  * free.
  *
  * @module
--- a/packages/keyspace/src/tenure_safety_test.ts
+++ b/packages/keyspace/src/tenure_safety_test.ts
@@ -33,6 +33,21 @@
   });
 }
 
+/** One exact step. */
+function exactly(kind: StepKind, host: number, a = 1, b = 0): Step {
+  return { kind, host, a, b };
+}
+
+/** The first host takes a sealed owner over, and is granted its keys. */
+const TAKEN_OVER: readonly Step[] = [
+  exactly("take_over", 0),
+  exactly("advance", 0, 3),
+  exactly("confirm", 0),
+  exactly("advance", 0, 3),
+  exactly("heartbeat", 0),
+  exactly("advance", 0, 20),
+];
+
 const anything = fc.constantFrom(...STEP_KINDS).chain((kind) => step(kind))
   .map((one) => [one]);
 
@@ -105,11 +120,6 @@
   exactly("advance", 0, 3),
 ]);
 
-/** One exact step. */
-function exactly(kind: StepKind, host: number, a = 1, b = 0): Step {
-  return { kind, host, a, b };
-}
-
 /** An owner that is heard but can't confirm is taken over as its tenure ends. */
 const lastMoment = fc.tuple(fc.nat(30), fc.integer({ min: 540, max: 700 }))
   .map(([early, late]) => [
@@ -120,12 +130,7 @@
     exactly("advance", 0, 1_870 + early),
     exactly("heartbeat", 1),
     exactly("advance", 0, late),
-    exactly("take_over", 0),
-    exactly("advance", 0, 3),
-    exactly("confirm", 0),
-    exactly("advance", 0, 3),
-    exactly("heartbeat", 0),
-    exactly("advance", 0, 20),
+    ...TAKEN_OVER,
   ]);
 
 /** The answer to an owner's read comes late; it is sealed meanwhile, and taken over at the first moment. */
@@ -138,12 +143,7 @@
     exactly("advance", 0, 2_530),
     exactly("heartbeat", 1),
     exactly("advance", 0, 5 + late),
-    exactly("take_over", 0),
-    exactly("advance", 0, 3),
-    exactly("confirm", 0),
-    exactly("advance", 0, 3),
-    exactly("heartbeat", 0),
-    exactly("advance", 0, 20),
+    ...TAKEN_OVER,
   ]);
 
 /** Another daemon reads for an owner, which is sealed and taken over at the first moment. */
@@ -162,12 +162,7 @@
   exactly("advance", 0, 2_530 - more),
   exactly("heartbeat", 1),
   exactly("advance", 0, 5 + late),
-  exactly("take_over", 0),
-  exactly("advance", 0, 3),
-  exactly("confirm", 0),
-  exactly("advance", 0, 3),
-  exactly("heartbeat", 0),
-  exactly("advance", 0, 20),
+  ...TAKEN_OVER,
 ]);
 
 /** An owner removes a seal, and is sealed again before the first who sealed it has looked. */
@@ -191,12 +186,7 @@
     exactly("advance", 0, 560 + wait),
     exactly("heartbeat", 1),
     exactly("advance", 0, more),
-    exactly("take_over", 0),
-    exactly("advance", 0, 3),
-    exactly("confirm", 0),
-    exactly("advance", 0, 3),
-    exactly("heartbeat", 0),
-    exactly("advance", 0, 20),
+    ...TAKEN_OVER,
   ]);
 
 /** Keys are given up just after the daemon, or its backend server, was replaced. */
@@ -251,12 +241,7 @@
     exactly("advance", 0, heartbeatAfter),
     exactly("heartbeat", 1),
     exactly("advance", 0, Math.max(1, left + more)),
-    exactly("take_over", 0),
-    exactly("advance", 0, 3),
-    exactly("confirm", 0),
-    exactly("advance", 0, 3),
-    exactly("heartbeat", 0),
-    exactly("advance", 0, 20),
+    ...TAKEN_OVER,
   ];
 }
 
--- a/packages/membership/src/beat_digest.ts
+++ b/packages/membership/src/beat_digest.ts
@@ -3,7 +3,7 @@
  *
  * A whole report takes some 90 bytes, so a datagram holds a few of them only, and in a fleet of 59 daemons with a
  * tenth of the datagrams lost one pair in 200 was silent to each other at any moment. Digests of all daemons fit
- * into each datagram: who lives is known to all within about a second, whatever the size of the fleet.
+ * into each datagram: replayed at 59 and at 195 daemons, 99 in 100 beats are at most a second old.
  *
  * @module
  */
--- a/packages/membership/src/member_view.ts
+++ b/packages/membership/src/member_view.ts
@@ -10,7 +10,7 @@
 
 /**
  * A daemon whose beats have not advanced for so long is taken for silent, in milliseconds. Digests of all beats go
- * with each datagram, so this is long enough at any size of the fleet (replayed in the test).
+ * with each datagram, so this is long enough for 195 daemons as for 12 (replayed in the test).
  */
 const SILENT_AFTER_MS = 2_500;
 /**
--- a/packages/router/src/answer_sender.ts
+++ b/packages/router/src/answer_sender.ts
@@ -57,7 +57,11 @@
     this.pacer = LinkPacer.create(linkBytesPerSecond * LINK_SHARE);
   }
 
-  /** Creates a sender. @param linkBytesPerSecond speed of the host's network link; infinite if not known. */
+  /**
+   * Creates a sender.
+   *
+   * @param linkBytesPerSecond speed of the host's network link; infinite if not known.
+   */
   static create(
     linkBytesPerSecond: number,
     nowMs: () => number,
--- a/packages/router/src/answer_sender_test.ts
+++ b/packages/router/src/answer_sender_test.ts
@@ -9,29 +9,13 @@
 import { FrameSocket } from "./frame_socket.ts";
 import { LinkClient } from "./link_client.ts";
 import { encodeFrame, type Frame, FRAME_KINDS } from "./link_codec.ts";
-import { notRun, type Outcome, type Work } from "./work.ts";
+import { WORK } from "./testing/work.ts";
+import { notRun, type Outcome } from "./work.ts";
 
 const LOAD = { waitMs: 0, utilization: 0, serviceMs: 1, failureShare: 0 };
 /** Slow enough that a large answer takes several turns. */
 const LINK_BYTES_PER_SECOND = 4_000_000;
 
-const work: Work = {
-  id: "a1",
-  service: "images",
-  route: "download",
-  rank: 2,
-  isIdempotent: true,
-  key: undefined,
-  callerService: "desk",
-  objectiveAtMs: 300,
-  deadlineAtMs: 800,
-  mayEndLate: true,
-  method: "GET",
-  target: "/images/7",
-  headers: [],
-  body: undefined,
-};
-
 function createLarge(size: number): Extract<Outcome, { kind: "answer" }> {
   const body = Buffer.from(
     Array.from({ length: size }, (_, index) => index % 251),
@@ -61,7 +45,7 @@
   await Promise.all(
     outcomes.map(() =>
       new Promise<void>((resolve, reject) =>
-        link.send(work, {
+        link.send(WORK, {
           onAcknowledged: () => undefined,
           onOutcome: (outcome) => {
             come.push(outcome);
--- a/packages/router/src/backend_keeper.ts
+++ b/packages/router/src/backend_keeper.ts
@@ -211,7 +211,11 @@
       (born === undefined || born === current.born);
   }
 
-  /** @param succession how a new incarnation took the place of the known one; `undefined` for the known one. */
+  /**
+   * Takes over what a believed heartbeat says, and decides the grant with which it is answered.
+   *
+   * @param succession how a new incarnation took the place of the known one; `undefined` for the known one.
+   */
   private async accept(
     heartbeat: BackendHeartbeat,
     succession: Succession | undefined,
--- a/packages/router/src/link_test.ts
+++ b/packages/router/src/link_test.ts
@@ -25,6 +25,7 @@
   WorkHead,
 } from "./link_codec.ts";
 import { LinkClient } from "./link_client.ts";
+import { WORK } from "./testing/work.ts";
 import { notRun, type Outcome, unknown, type Work } from "./work.ts";
 
 const LOAD = {
@@ -35,23 +36,6 @@
 };
 const SEED = 20_261_202;
 
-const work: Work = {
-  id: "a1",
-  service: "rooms",
-  route: "browse",
-  rank: 2,
-  isIdempotent: true,
-  key: undefined,
-  callerService: "desk",
-  objectiveAtMs: 300,
-  deadlineAtMs: 800,
-  mayEndLate: true,
-  method: "GET",
-  target: "/rooms/7",
-  headers: ["host", "rooms.example"],
-  body: undefined,
-};
-
 const anyWork: fc.Arbitrary<Work> = fc.record({
   id: fc.string(),
   service: fc.string(),
@@ -152,7 +136,7 @@
 /** Sends one request; resolves with what its listener hears first. */
 function sendOne(link: LinkClient): Promise<"sent" | "unsent" | Outcome> {
   return new Promise((resolve) => {
-    link.send(work, {
+    link.send(WORK, {
       onAcknowledged: () => undefined,
       onSilent: () => undefined,
       onOutcome: (outcome) => resolve(outcome),
@@ -257,7 +241,7 @@
         onUnreachable: (daemon) => unreachable.push(daemon),
       });
       const forward = (mayGiveUp: boolean) =>
-        forwarder.forward(work, {
+        forwarder.forward(WORK, {
           daemon: peer.address,
           cancellation: Cancellation.create(),
           mayGiveUp: () => mayGiveUp,
--- /dev/null
+++ b/packages/router/src/tenure_keeper_test.ts
@@ -0,0 +1,91 @@
+/**
+ * Tests of what confirms the right of a daemon to its keys.
+ *
+ * @module
+ */
+import { setImmediate as nextTurn } from "node:timers/promises";
+import { expect } from "chai";
+import { GrantBook, OwnershipRecord, Tenure } from "@bamboolink/keyspace";
+import { Logger } from "@bamboolink/logger";
+import type { Store } from "@bamboolink/store";
+import { okAsync } from "neverthrow";
+import { bootMs } from "./clock.ts";
+import { OwnershipDirectory } from "./ownership_directory.ts";
+import { TenureKeeper } from "./tenure_keeper.ts";
+
+const SERVICE = "rooms";
+const RECORD = OwnershipRecord.create()
+  .assign([{ from: 0, to: 99, daemon: "own", handover: "" }])
+  .withRevision(7);
+
+/** A daemon that knows the record, and a store that holds something, or nothing. */
+function createKeeper(stored: { value: string; revision: number } | undefined) {
+  const logger = Logger.createBounded("test", { level: "error" });
+  const directory = OwnershipDirectory.create(logger);
+  directory.note(SERVICE, RECORD);
+  const tenure = Tenure.create();
+  const found = stored === undefined ? undefined : { key: "", ...stored };
+  const keeper = TenureKeeper.create({
+    store: { get: () => okAsync(found) } as unknown as Store,
+    logger,
+    directory,
+    tenure,
+    grants: GrantBook.create(bootMs()),
+    own: () => "own",
+    ownService: () => SERVICE,
+    findReader: () => undefined,
+    onReadWanted: () => undefined,
+    isGivingUp: () => false,
+    onRead: () => undefined,
+    onSealed: () => undefined,
+    onPromiseNeeded: () => undefined,
+  });
+  return { keeper, tenure };
+}
+
+async function isConfirmed(
+  stored: { value: string; revision: number } | undefined,
+): Promise<boolean> {
+  const { keeper, tenure } = createKeeper(stored);
+  keeper.tick();
+  await nextTurn();
+  return tenure.longestHoldMs(bootMs()) > 0;
+}
+
+describe("tenure keeper", () => {
+  describe("that finds the record that it knows", () => {
+    it("confirms the tenure", async () => {
+      const stored = { value: RECORD.encode(), revision: 7 };
+      expect(await isConfirmed(stored)).to.equal(true);
+    });
+  });
+
+  describe("that finds no record where it knows one", () => {
+    // Symptom: two backend servers hold the same keys.
+    // Sequence: somebody deletes the record; a daemon that starts then divides the keys anew, while the owners of
+    // before go on.
+    // Cause: an empty record shows no seal, and so confirmed every tenure.
+    it("confirms nothing", async () => {
+      expect(await isConfirmed(undefined)).to.equal(false);
+    });
+  });
+
+  describe("that finds a record that can't be read", () => {
+    it("confirms nothing", async () => {
+      const spoiled = { value: "{ spoiled", revision: 8 };
+      expect(await isConfirmed(spoiled)).to.equal(false);
+    });
+  });
+
+  describe("that is answered by the daemon that reads for all", () => {
+    it("counts from when it asked if it knows that record, and reads for itself if there is news", async () => {
+      const { keeper, tenure } = createKeeper({ value: "{", revision: 8 });
+      const askedAtMs = bootMs() - 300;
+      keeper.noteShared({ service: SERVICE, askedAtMs, revision: 8 });
+      await nextTurn();
+      expect(tenure.longestHoldMs(bootMs())).to.equal(0);
+      keeper.noteShared({ service: SERVICE, askedAtMs, revision: 7 });
+      expect(tenure.confirmedForMs(askedAtMs)).to.equal(0);
+    });
+  });
+});
