Log answers whose connection ends before their bytes have left, and which side ended it

Cause: on-call engineers could not tell from the logs whether a cut answer was ended by the daemon or by the caller, nor whether the process ended with answers unsent. Change: `answer_undelivered` (BL1835), with bytes, unsent bytes and the side that ended the connection; `process_stopped` tells how many answers were unsent. No change of logic.

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -449,6 +449,14 @@
       "How busy the backend server was since the last such line: requests that run and wait, offered and finished, its usual time and the share that failed.",
     action: NOTHING,
   },
+  answer_undelivered: {
+    number: 1835,
+    severity: "warn",
+    meaning:
+      "A caller's connection ended before the system had taken all bytes of an answer; `ended_by` says which side ended it.",
+    action:
+      "Where the daemon itself ended it, report it with the lines of the same second.",
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -89,6 +89,7 @@
   /** Connections that have brought a request before. */
   private readonly served = new WeakSet<Socket>();
   private active = 0;
+  private unsent = 0;
   private isStopping = false;
 
   private constructor(private readonly context: IngressContext) {
@@ -111,6 +112,11 @@
     return this.active;
   }
 
+  /** How many answers the system has not taken whole yet. */
+  get unsentCount(): number {
+    return this.unsent;
+  }
+
   /** Takes over the bounds on callers. */
   setLimits(limits: CallerLimits): void {
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -341,6 +347,7 @@
       return "caller_left";
     }
     if (outcome.kind === "answer") {
+      this.watchDelivery(response, { work, bytes: outcome.body.length });
       this.passOn(response, outcome);
       return "answered";
     }
@@ -384,6 +391,31 @@
     return `unknown_${reason}`;
   }
 
+  /** Tells of an answer that is cut: the request counts as served here, and its caller has half of it. */
+  private watchDelivery(
+    response: ServerResponse,
+    answer: { work: CallerWork; bytes: number },
+  ): void {
+    const { work, bytes } = answer;
+    const { socket } = response.req;
+    this.unsent += 1;
+    response.once("close", () => {
+      this.unsent -= 1;
+      if (response.writableFinished) {
+        return;
+      }
+      const isCallers = socket.readableEnded || socket.errored !== null;
+      this.context.logger.log("answer_undelivered", {
+        request_id: work.id,
+        route: work.route,
+        ended_by: isCallers ? "caller" : "daemon",
+        bytes,
+        unsent_bytes: socket.writableLength,
+        is_stopping: this.isStopping,
+      });
+    });
+  }
+
   private passOn(
     response: ServerResponse,
     answer: Extract<Outcome, { kind: "answer" }>,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -351,6 +351,7 @@
     await this.close();
     this.logger.log("process_stopped", {
       unfinished: this.ingress.activeCount + this.linkServer.activeCount,
+      unsent: this.ingress.unsentCount,
     });
   }
 
