--- a/packages/router/src/link_server.ts
+++ b/packages/router/src/link_server.ts
@@ -34,7 +34,7 @@
 /** What the server needs. */
 export interface LinkServerContext {
   readonly logger: Logger;
-  readonly backend: LocalBackend;
+  readonly backend: Pick<LocalBackend, "attempt" | "reportOn">;
   readonly answers: AnswerSender;
   readonly lag: LoopLag;
   readonly nowMs: () => number;
--- /dev/null
+++ b/packages/router/src/link_server_test.ts
@@ -0,0 +1,86 @@
+/**
+ * Tests of the receiving end of links when its daemon ends.
+ *
+ * @module
+ */
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import { Logger } from "@bamboolink/logger";
+import { AnswerSender } from "./answer_sender.ts";
+import {
+  encodeFrame,
+  encodeWork,
+  FRAME_KINDS,
+  LINK_FORMAT,
+} from "./link_codec.ts";
+import { LinkServer } from "./link_server.ts";
+import { LoopLag } from "./loop_lag.ts";
+import { WORK } from "./testing/work.ts";
+import type { Outcome } from "./work.ts";
+
+const LOAD = { waitMs: 0, utilization: 0, serviceMs: 1, failureShare: 0 };
+/** More than the buffers of both ends of a loopback connection hold, in bytes. */
+const LARGE_BYTES = 32_000_000;
+const TICK_MS = 50;
+
+function createServer(answer: Outcome): LinkServer {
+  const nowMs = () => performance.now();
+  return LinkServer.create({
+    logger: Logger.createBounded("test", { level: "error" }),
+    backend: {
+      attempt: () => Promise.resolve(answer),
+      reportOn: () => LOAD,
+    },
+    answers: AnswerSender.create(Infinity, nowMs),
+    lag: LoopLag.create(TICK_MS, nowMs),
+    nowMs,
+  });
+}
+
+/** Opens a link, sends one request on it and reads nothing yet. */
+async function askSlowly(server: LinkServer): Promise<Socket> {
+  await new Promise<void>((resolve) =>
+    server.server.listen(0, "127.0.0.1", resolve)
+  );
+  const { port } = server.server.address() as AddressInfo;
+  const socket = connect(port, "127.0.0.1");
+  socket.on("error", () => undefined);
+  await new Promise<void>((resolve) => socket.once("connect", resolve));
+  socket.pause();
+  const { greeting: kind } = FRAME_KINDS;
+  socket.write(encodeFrame({ kind, id: 0, head: [LINK_FORMAT] }));
+  socket.write(encodeWork(1, WORK, performance.now()));
+  return socket;
+}
+
+describe("link server", () => {
+  describe("with an answer that the link has not taken yet", () => {
+    // A caller of another daemon was told that its request may have run, though the answer was there: the daemon beside
+    // the backend server stopped, counted the answer as gone once it was written to the link, and ended while most of its
+    // bytes waited in the process for a slow link.
+    it("has something under way until the other daemon has read it", async () => {
+      const body = Buffer.alloc(LARGE_BYTES);
+      const server = createServer({
+        kind: "answer",
+        status: 200,
+        headers: {},
+        body,
+        isFramed: true,
+      });
+      const socket = await askSlowly(server);
+      await sleep(500);
+      expect(server.activeCount).to.equal(1);
+      let bytes = 0;
+      socket.on("data", (chunk) => {
+        bytes += chunk.length;
+      });
+      while (server.activeCount > 0) {
+        await sleep(5);
+      }
+      expect(bytes).to.be.greaterThan(LARGE_BYTES / 2);
+      server.close();
+      socket.destroy();
+    });
+  });
+});
