Deliver the answers of a stopping daemon: a connection ends when its caller has closed it, not when its answer was written

Cause: 'written' was taken for 'delivered'. Node.js counts a connection as idle from `response.end` on, and both `closeIdleConnections` and `close` of an HTTP server destroy it then, with the bytes that wait in the process. A request left the count of what is under way at the same moment, so the process ended. And after `connection: close` Node.js closes the socket with its last byte handed to the system: with a request sent ahead unread, that is a reset, which drops what is on its way. Change: the new package `connections` closes only connections on which nothing is under way, ends a connection after its last answer and leaves the closing to the caller for up to a second; requests behind an answer that ends its connection are left and not run. Links: bytes that wait in the process count as under way, and a stopping daemon waits until the other daemons have closed their links. The daemon of before has the same mend. The link's test read nothing after it had paused its socket, so it would have waited for ever with the mend: it resumes the socket now, the checks are as before.

--- /dev/null
+++ b/packages/connections/src/server_connections.ts
@@ -0,0 +1,125 @@
+/**
+ * The connections of one HTTP server, and how they end.
+ *
+ * An answer is not delivered when `response.end` has been called: its bytes may wait in the process, in the system or on
+ * the network. Node.js takes a connection for idle from that call on, and destroys a connection right after its last byte
+ * was handed to the system. Both cut answers that leave slowly, which callers notice as bodies that end too soon.
+ *
+ * @module
+ */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { Server as ConnectionServer, type Socket } from "node:net";
+
+/**
+ * How long a connection is kept after its last byte was handed to the system, in milliseconds. A caller that is told of
+ * the end closes as soon as it has read that far; 1 s is ten times what 100 kB take on a link of 10 Mbit/s.
+ */
+const LINGER_MS = 1_000;
+
+/** What is known of one connection. */
+interface Entry {
+  /** Requests whose answers the system has not taken whole yet. */
+  unanswered: number;
+  /** Nothing that comes from now on is answered. */
+  isEnding: boolean;
+  /** Bytes that had been read when the last answer had left. */
+  readBytes: number;
+}
+
+/** The connections of one HTTP server. */
+export class ServerConnections {
+  private readonly entries = new Map<Socket, Entry>();
+
+  private constructor(private readonly server: Server) {
+    server.on("connection", (socket: Socket) => this.accept(socket));
+    server.on(
+      "request",
+      (incoming, response) => this.noteRequest(incoming, response),
+    );
+  }
+
+  /** Watches the connections of a server from now on. */
+  static create(server: Server): ServerConnections {
+    return new ServerConnections(server);
+  }
+
+  /** How many connections have a request, an answer or bytes under way. */
+  get busyCount(): number {
+    return [...this.entries].filter(([socket, entry]) => isBusy(socket, entry))
+      .length;
+  }
+
+  /** Bytes of answers that wait in the process. */
+  get unsentBytes(): number {
+    return [...this.entries.keys()]
+      .reduce((sum, { writableLength }) => sum + writableLength, 0);
+  }
+
+  /** Whether a connection answers nothing that comes from now on. */
+  isEnding(socket: Socket): boolean {
+    return this.entries.get(socket)?.isEnding === true;
+  }
+
+  /**
+   * The answer that is written next on a connection is its last. Requests that come behind it must not be run: nobody
+   * could be told of them.
+   */
+  announceEnd(socket: Socket): void {
+    const entry = this.entries.get(socket);
+    if (entry !== undefined) {
+      entry.isEnding = true;
+    }
+  }
+
+  /** Takes no new connections; `close` of an HTTP server would cut those whose answers have not left. */
+  stopListening(): void {
+    ConnectionServer.prototype.close.call(this.server);
+  }
+
+  /** Closes the connections on which nothing is under way. */
+  closeIdle(): void {
+    [...this.entries]
+      .filter(([socket, entry]) => !isBusy(socket, entry))
+      .forEach(([socket]) => socket.destroy());
+  }
+
+  private accept(socket: Socket): void {
+    this.entries.set(socket, { unanswered: 0, isEnding: false, readBytes: 0 });
+    socket.once("close", () => this.entries.delete(socket));
+    // The HTTP server calls this after the last answer of a connection.
+    socket.destroySoon = () => this.end(socket);
+  }
+
+  private noteRequest(
+    { socket }: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const entry = this.entries.get(socket);
+    if (entry === undefined || entry.isEnding) {
+      return;
+    }
+    entry.unanswered += 1;
+    response.once("close", () => {
+      entry.unanswered -= 1;
+      entry.readBytes = socket.bytesRead;
+    });
+  }
+
+  /**
+   * Says that nothing more comes and leaves the closing to the caller for a while. A connection that is closed with
+   * unread bytes, as of a request sent ahead, is reset, and a reset drops what the caller has not received yet.
+   */
+  private end(socket: Socket): void {
+    this.announceEnd(socket);
+    socket.end(() => {
+      const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+      socket.once("close", () => clearTimeout(timer));
+    });
+  }
+}
+
+/** Also where a request has come in part, and where the caller has yet to close. */
+function isBusy(socket: Socket, entry: Entry): boolean {
+  return entry.unanswered > 0 || entry.isEnding ||
+    socket.writableLength > 0 || socket.bytesRead > entry.readBytes;
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,6 +10,7 @@
   type ServerHttp2Session,
 } from "node:http2";
 import { setTimeout as sleep } from "node:timers/promises";
+import { ServerConnections } from "@bamboolink/connections";
 import { BamboolinkError } from "@bamboolink/errors";
 import { Logger } from "@bamboolink/logger";
 import { Metrics } from "@bamboolink/metrics";
@@ -72,6 +73,7 @@
   private readonly entrance: Entrance;
   private readonly admin: AdminServer;
   private readonly dataServer: Server;
+  private readonly connections: ServerConnections;
   private readonly controlServer: Http2Server;
   private readonly controlSessions = new Set<ServerHttp2Session>();
   private loop: NodeJS.Timeout | undefined;
@@ -167,11 +169,15 @@
       headersTimeout: HEADERS_TIMEOUT_MS,
       keepAliveTimeout: KEEP_ALIVE_MS,
     }, (incoming, response) => {
+      if (this.connections.isEnding(incoming.socket)) {
+        return;
+      }
       this.lastRequestMs = monotonicMs();
       // Whoever keeps this connection is told that it ends, and sends nothing more on it.
       response.shouldKeepAlive &&= !this.stopping;
       void this.entrance.serve(incoming, response);
     });
+    this.connections = ServerConnections.create(this.dataServer);
     this.controlServer = createHttp2Server(connectNodeAdapter({
       routes: createPeerRoutes({
         fleet,
@@ -238,8 +244,12 @@
     while (monotonicMs() < until && !this.isQuiet()) {
       await sleep(TICK_MS);
     }
-    this.dataServer.close();
-    this.dataServer.closeIdleConnections();
+    this.connections.stopListening();
+    this.connections.closeIdle();
+    while (monotonicMs() < until && this.connections.busyCount > 0) {
+      await sleep(TICK_MS);
+      this.connections.closeIdle();
+    }
     await this.close();
     this.logger.log("process_stopped");
   }
--- a/packages/router/src/frame_socket.ts
+++ b/packages/router/src/frame_socket.ts
@@ -14,6 +14,12 @@
   LINK_FORMAT,
 } from "./link_codec.ts";
 
+/**
+ * How long the other end may take to close a link that was ended, in milliseconds. It closes when it has read to the
+ * end; a daemon that stops keeps 700 ms for closing.
+ */
+const LINGER_MS = 400;
+
 /** What one end of a link tells of. */
 export interface FrameSocketEvents {
   readonly onFrame: (frame: Frame) => void;
@@ -67,11 +73,26 @@
     this.socket.write(bytes);
   }
 
-  /** Writes what is left and ends the connection. */
-  finish(): void {
+  /** Whether bytes wait in the process. */
+  get hasUnsent(): boolean {
+    return this.socket.writableLength > 0;
+  }
+
+  /**
+   * Writes what is left and ends the connection; resolves when it is closed. A process that ends sooner loses what
+   * waits in it, and resets the connection if the other end has just sent something.
+   */
+  finish(): Promise<void> {
     this.isEnded = true;
     this.flush();
-    this.socket.end();
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => this.socket.destroy(), LINGER_MS);
+      this.socket.once("close", () => {
+        clearTimeout(timer);
+        resolve();
+      });
+      this.socket.end();
+    });
   }
 
   /** Ends the connection at once, without a word to the owner. */
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -11,6 +11,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { CallerPatience, createAnswerSpread } from "@bamboolink/admission";
+import { ServerConnections } from "@bamboolink/connections";
 import type { Logger } from "@bamboolink/logger";
 import type { Metrics } from "@bamboolink/metrics";
 import { ConnectionOrder, TrafficSplit } from "@bamboolink/traffic";
@@ -88,8 +89,8 @@
   private readonly places = new WeakMap<ServerResponse, number>();
   /** Connections that have brought a request before. */
   private readonly served = new WeakSet<Socket>();
+  private readonly connections: ServerConnections;
   private active = 0;
-  private unsent = 0;
   private isStopping = false;
 
   private constructor(private readonly context: IngressContext) {
@@ -100,6 +101,7 @@
       keepAliveTimeout: FIRST_LIMITS.idleTimeoutMs,
       requestTimeout: 0,
     }, (incoming, response) => void this.serve(incoming, response));
+    this.connections = ServerConnections.create(this.server);
   }
 
   /** Creates an ingress that does not listen yet. */
@@ -112,9 +114,14 @@
     return this.active;
   }
 
-  /** How many answers the system has not taken whole yet. */
-  get unsentCount(): number {
-    return this.unsent;
+  /** How many connections have a request or an answer under way. */
+  get busyCount(): number {
+    return this.connections.busyCount;
+  }
+
+  /** Bytes of answers that wait in the process. */
+  get unsentBytes(): number {
+    return this.connections.unsentBytes;
   }
 
   /** Takes over the bounds on callers. */
@@ -128,11 +135,24 @@
     this.isStopping = true;
   }
 
+  /** From now on no new connections are taken. */
+  stopListening(): void {
+    this.connections.stopListening();
+  }
+
+  /** Closes the connections on which nothing is under way. */
+  closeIdle(): void {
+    this.connections.closeIdle();
+  }
+
   private async serve(
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     const { socket } = incoming;
+    if (this.connections.isEnding(socket)) {
+      return;
+    }
     let route: string | undefined;
     this.active += 1;
     this.places.set(response, this.order.begin(socket));
@@ -398,9 +418,7 @@
   ): void {
     const { work, bytes } = answer;
     const { socket } = response.req;
-    this.unsent += 1;
     response.once("close", () => {
-      this.unsent -= 1;
       if (response.writableFinished) {
         return;
       }
@@ -428,6 +446,7 @@
       : String(answer.body.length);
     if (!answer.isFramed) {
       // The caller must not take for whole what may have been cut: it ends with the connection here, too.
+      this.connections.announceEnd(response.req.socket);
       response.useChunkedEncodingByDefault = false;
       response.shouldKeepAlive = false;
       response.writeHead(answer.status, { ...headers, connection: "close" });
@@ -464,8 +483,12 @@
    * on already, and would be cut.
    */
   private connectionHeader(response: ServerResponse): Record<string, string> {
+    const { socket } = response.req;
     const place = this.places.get(response) ?? 0;
-    const isLast = this.order.isLast(response.req.socket, place);
-    return this.isStopping && isLast ? { connection: "close" } : {};
+    if (!this.isStopping || !this.order.isLast(socket, place)) {
+      return {};
+    }
+    this.connections.announceEnd(socket);
+    return { connection: "close" };
   }
 }
--- a/packages/router/src/link_server.ts
+++ b/packages/router/src/link_server.ts
@@ -72,13 +72,17 @@
     return new LinkServer(context);
   }
 
-  /** How many requests are under way. */
+  /**
+   * How many requests are under way, and links with unsent bytes: answers that wait in the process would be lost with
+   * it, and their callers told that their requests may have run.
+   */
   get activeCount(): number {
-    const running = [...this.links].reduce(
-      (sum, link) => sum + link.running.size,
+    const underWay = [...this.links].reduce(
+      (sum, { running, frames }) =>
+        sum + running.size + (frames.hasUnsent ? 1 : 0),
       0,
     );
-    return running + this.context.answers.waitingCount;
+    return underWay + this.context.answers.waitingCount;
   }
 
   /** From now on no request is taken any more. */
@@ -86,15 +90,16 @@
     this.isStopping = true;
   }
 
-  /** Ends all links in good order. */
-  close(): void {
+  /** Ends all links in good order; resolves when the other daemons have ended them, too. */
+  async close(): Promise<void> {
     this.hasSaidFarewell = true;
     this.server.close();
-    this.links.forEach(({ frames, lastReadId: id }) => {
+    const ended = [...this.links].map(({ frames, lastReadId: id }) => {
       frames.write(encodeFrame({ kind: FRAME_KINDS.farewell, id }));
-      frames.finish();
+      return frames.finish();
     });
     this.links.clear();
+    await Promise.all(ended);
   }
 
   /** Acknowledges what takes long, and gives up what nobody waits for any more. */
--- a/packages/router/src/link_server_test.ts
+++ b/packages/router/src/link_server_test.ts
@@ -72,6 +72,7 @@
       await sleep(500);
       expect(server.activeCount).to.equal(1);
       let bytes = 0;
+      socket.resume();
       socket.on("data", (chunk) => {
         bytes += chunk.length;
       });
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -340,18 +340,19 @@
     await sleep(LEAVE_MS);
     this.isStopping = true;
     this.gossip.announce();
-    this.ingress.server.close();
-    this.ingress.server.closeIdleConnections();
+    this.ingress.stopListening();
+    this.ingress.closeIdle();
     await sleep(TICK_MS);
     this.linkServer.beginStop();
     while (steadyMs() < untilMs && this.hasDuties()) {
       await sleep(TICK_MS / 2);
-      this.ingress.server.closeIdleConnections();
+      this.ingress.closeIdle();
     }
+    const { activeCount: unfinished, unsentBytes } = this.ingress;
     await this.close();
     this.logger.log("process_stopped", {
-      unfinished: this.ingress.activeCount + this.linkServer.activeCount,
-      unsent: this.ingress.unsentCount,
+      unfinished: unfinished + this.linkServer.activeCount,
+      unsent_bytes: unsentBytes,
     });
   }
 
@@ -361,7 +362,7 @@
    * end.
    */
   private hasDuties(): boolean {
-    const requests = this.ingress.activeCount + this.linkServer.activeCount;
+    const requests = this.ingress.busyCount + this.linkServer.activeCount;
     return requests > 0 || this.ownership.isGivingUp;
   }
 
@@ -370,7 +371,7 @@
     this.watcher.stop();
     this.members.stop();
     this.gossip.close();
-    this.linkServer.close();
+    await this.linkServer.close();
     this.forwarder.close();
     [this.peerServer.server, this.readiness, this.heartbeats].forEach(
       (server) => server.close(),
