Read and drop the bodies of requests behind a last answer

Cause: such a request was left alone, its body with it; Node.js stops reading at 16 kB of an unwanted body. So the caller's end was not seen, and after the pause of 1 s the connection was closed with unread bytes, which resets it. 195,584 of 1,000,102 bytes of the last answer came before, all of them now (server_connections_test). Ruled out: the pause under backpressure, which Node.js ends before the answer's end. The body is not kept, so no memory is bound.

--- a/packages/connections/src/server_connections.ts
+++ b/packages/connections/src/server_connections.ts
@@ -55,9 +55,16 @@
       .reduce((sum, { writableLength }) => sum + writableLength, 0);
   }
 
-  /** Whether a connection answers nothing that comes from now on. */
-  isEnding(socket: Socket): boolean {
-    return this.entries.get(socket)?.isEnding === true;
+  /**
+   * Whether a request came behind the last answer of its connection, so that it must not be run. Its body is read and
+   * dropped: with unread bytes the connection would be reset, and the last answer cut.
+   */
+  passesOver(incoming: IncomingMessage): boolean {
+    const isEnding = this.entries.get(incoming.socket)?.isEnding === true;
+    if (isEnding) {
+      incoming.resume();
+    }
+    return isEnding;
   }
 
   /**
--- a/packages/connections/src/server_connections_test.ts
+++ b/packages/connections/src/server_connections_test.ts
@@ -106,7 +106,7 @@
     // closed 1 s later with the rest of the body unread, and that reset dropped 804 of 1,000 kB of the answer.
     it("deliver all of the answer", async () => {
       handle = (incoming, response) => {
-        if (connections.isEnding(incoming.socket)) {
+        if (connections.passesOver(incoming)) {
           return;
         }
         connections.announceEnd(incoming.socket);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -169,7 +169,7 @@
       headersTimeout: HEADERS_TIMEOUT_MS,
       keepAliveTimeout: KEEP_ALIVE_MS,
     }, (incoming, response) => {
-      if (this.connections.isEnding(incoming.socket)) {
+      if (this.connections.passesOver(incoming)) {
         return;
       }
       this.lastRequestMs = monotonicMs();
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -150,7 +150,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const { socket } = incoming;
-    if (this.connections.isEnding(socket)) {
+    if (this.connections.passesOver(incoming)) {
       return;
     }
     let route: string | undefined;
