Take a body that comes after its answer for no further request

Cause: bytes that come after the last answer counted as a request that has come in part. Each request that is refused for its head alone (no route, process behind, too large) has its body come so, when it comes in a later packet; the connection then counted as busy until its next answer. A stopping daemon would wait for it until its grace period has passed, with its listener closed. Shown on loopback: busyCount 1 after the body, 0 now. A stray line end after a request still counts; left, since only what callers send against the protocol does that.

--- a/packages/connections/src/server_connections.ts
+++ b/packages/connections/src/server_connections.ts
@@ -22,7 +22,7 @@
   unanswered: number;
   /** Nothing that comes from now on is answered. */
   isEnding: boolean;
-  /** Bytes that had been read when the last answer had left. */
+  /** Bytes that had been read when the last answer had left, or the last request had come whole. */
   readBytes: number;
 }
 
@@ -98,17 +98,23 @@
   }
 
   private noteRequest(
-    { socket }: IncomingMessage,
+    incoming: IncomingMessage,
     response: ServerResponse,
   ): void {
+    const { socket } = incoming;
     const entry = this.entries.get(socket);
     if (entry === undefined || entry.isEnding) {
       return;
     }
     entry.unanswered += 1;
+    const noteRead = () => {
+      entry.readBytes = socket.bytesRead;
+    };
+    // A body may come after its answer; taken for a further request, it would keep the connection busy for good.
+    incoming.once("close", noteRead);
     response.once("close", () => {
       entry.unanswered -= 1;
-      entry.readBytes = socket.bytesRead;
+      noteRead();
     });
   }
 
