End idle connections instead of closing them at once

Price: a caller that does not close when told of the end holds a stopping daemon for 1 s more. graceful_stop, platform_fleet and link_server tests pass (16).

--- a/packages/connections/src/server_connections.ts
+++ b/packages/connections/src/server_connections.ts
@@ -83,11 +83,14 @@
     ConnectionServer.prototype.close.call(this.server);
   }
 
-  /** Closes the connections on which nothing is under way. */
+  /**
+   * Ends the connections on which nothing is under way. They stay until their callers have closed them: the system may
+   * still hold bytes of an answer, which a request sent ahead to a closed connection would cut.
+   */
   closeIdle(): void {
     [...this.entries]
       .filter(([socket, entry]) => !isBusy(socket, entry))
-      .forEach(([socket]) => socket.destroy());
+      .forEach(([socket]) => this.end(socket));
   }
 
   private accept(socket: Socket): void {
