Test that fails: a request behind one that ends its connection is run

The daemon marks the response of each request that comes while it stops as the last of its connection, and knows the connection as ending only when that answer has left. Whatever comes behind it before is run, also what may run once only, and nobody can be told. Shown on loopback and in the test: '/behind' is taken. The router announces the end when it writes the answer and decides by the order of the requests, so it isn't concerned, except by callers that ask for the end themselves.

--- a/packages/connections/src/server_connections_test.ts
+++ b/packages/connections/src/server_connections_test.ts
@@ -174,4 +174,30 @@
       expect(caller.bytes).to.be.greaterThan(ANSWER_BYTES);
     });
   });
+
+  describe("with a request behind one that ends the connection", () => {
+    // A stopping daemon marked the response of each request that came as its connection's last, and still ran what came
+    // behind it before that answer had left. An order was run so, and its caller had to take it for unread.
+    it("leave it unread", async () => {
+      const taken: ServerResponse[] = [];
+      handle = (incoming, response) => {
+        if (connections.passesOver(incoming)) {
+          return;
+        }
+        taken.push(response);
+        response.shouldKeepAlive = false;
+      };
+      let read = 0;
+      server.on("request", () => {
+        read += 1;
+      });
+      await caller.send(createHead("GET", "/last", 0));
+      await until(() => read === 1);
+      await caller.send(createHead("POST", "/behind", 0));
+      await until(() => read === 2);
+      taken[0]!.end();
+      await caller.readToEnd();
+      expect(taken.map(({ req }) => req.url)).to.deep.equal(["/last"]);
+    });
+  });
 });
