Know a connection as ending as soon as a response is marked as its last

Mends the request that is run behind one which ends its connection, for the daemon and for callers that ask for the end. No caller of the class has to tell: the mark on the response is read once its listener has run.

--- a/packages/connections/src/server_connections.ts
+++ b/packages/connections/src/server_connections.ts
@@ -38,7 +38,7 @@
     );
   }
 
-  /** Watches the connections of a server from now on. */
+  /** Watches the connections of a server from now on, after the listener that takes its requests was added. */
   static create(server: Server): ServerConnections {
     return new ServerConnections(server);
   }
@@ -110,6 +110,8 @@
       return;
     }
     entry.unanswered += 1;
+    // A response may be marked as the last while its request is taken; what comes behind it then could not be answered.
+    entry.isEnding = !response.shouldKeepAlive;
     const noteRead = () => {
       entry.readBytes = socket.bytesRead;
     };
