Write nothing to a link after its end

The request of a dropped answer ends as before, with its link. Frame socket, link server, link and answer sender tests pass (12).

--- a/packages/router/src/frame_socket.ts
+++ b/packages/router/src/frame_socket.ts
@@ -62,9 +62,13 @@
 
   /**
    * Writes a frame. All frames of one turn of the event loop go out in one write: calls to the system
-   * are a good part of what a request costs.
+   * are a good part of what a request costs. Nothing is written after the end: that would destroy the connection, and
+   * with it the answers that wait.
    */
   write(bytes: Buffer): void {
+    if (this.isEnded) {
+      return;
+    }
     if (!this.isCorked) {
       this.isCorked = true;
       this.socket.cork();
