Test that fails: a connection that came just before the listener closed is ended with its request

closeIdle took a connection that has brought nothing yet for idle, which closeIdleConnections of Node.js does not: shown by a script on loopback.

--- a/packages/connections/src/server_connections_test.ts
+++ b/packages/connections/src/server_connections_test.ts
@@ -91,7 +91,11 @@
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", resolve)
     );
+    const accepted = new Promise((resolve) =>
+      server.once("connection", resolve)
+    );
     caller = await Caller.create(server);
+    await accepted;
   });
 
   afterEach(() => {
@@ -200,4 +204,37 @@
       expect(taken.map(({ req }) => req.url)).to.deep.equal(["/last"]);
     });
   });
+
+  describe("that came just before the listener closed", () => {
+    // The connections on which nothing is under way were ended in the same turn in which the listener closed. One had
+    // come in that turn, with its request right behind, so the request was read on an ended connection and never
+    // answered. Node.js itself counts a connection as idle only once it has brought a request.
+    it("have their request answered", async () => {
+      handle = (incoming, response) => {
+        if (!connections.passesOver(incoming)) {
+          response.end("done");
+        }
+      };
+      server.once("connection", () => {
+        connections.stopListening();
+        connections.closeIdle();
+      });
+      const late = await Caller.create(server);
+      await late.send(createHead("GET", "/first", 0));
+      await late.read(1);
+      expect(late.bytes).to.be.greaterThan(0);
+      late.close();
+    });
+
+    it("are ended soon if none comes", async () => {
+      server.once("connection", () => connections.stopListening());
+      const late = await Caller.create(server);
+      await until(() => {
+        connections.closeIdle();
+        return connections.busyCount === 0;
+      });
+      await late.readToEnd();
+      expect(late.bytes).to.equal(0);
+    });
+  });
 });
