Leave new connections their moment to send while a daemon stops

A connection that has brought nothing yet counts as busy for 100 ms, so a request that lies right behind its opening is answered. One that brings nothing is ended after that: callers that connect ahead do not hold a stop. connections, graceful_stop, platform_fleet, link_server and frame_socket tests pass.

--- a/packages/connections/src/server_connections.ts
+++ b/packages/connections/src/server_connections.ts
@@ -16,8 +16,12 @@
  */
 const LINGER_MS = 1_000;
 
+/** Whoever connects sends within this time, as a rule, in milliseconds; callers are within a few milliseconds. */
+const FRESH_MS = 100;
+
 /** What is known of one connection. */
 interface Entry {
+  readonly acceptedAtMs: number;
   /** Requests whose answers the system has not taken whole yet. */
   unanswered: number;
   /** Nothing that comes from now on is answered. */
@@ -94,7 +98,13 @@
   }
 
   private accept(socket: Socket): void {
-    this.entries.set(socket, { unanswered: 0, isEnding: false, readBytes: 0 });
+    const acceptedAtMs = performance.now();
+    this.entries.set(socket, {
+      acceptedAtMs,
+      unanswered: 0,
+      isEnding: false,
+      readBytes: 0,
+    });
     socket.once("close", () => this.entries.delete(socket));
     // The HTTP server calls this after the last answer of a connection.
     socket.destroySoon = () => this.end(socket);
@@ -136,8 +146,14 @@
   }
 }
 
-/** Also where a request has come in part, and where the caller has yet to close. */
+/** Also where a request has come in part or may be on its way, and where the caller has yet to close. */
 function isBusy(socket: Socket, entry: Entry): boolean {
   return entry.unanswered > 0 || entry.isEnding ||
-    socket.writableLength > 0 || socket.bytesRead > entry.readBytes;
+    socket.writableLength > 0 || socket.bytesRead > entry.readBytes ||
+    isFresh(socket, entry);
+}
+
+/** The request of a new connection lies right behind its opening. */
+function isFresh({ bytesRead }: Socket, { acceptedAtMs }: Entry): boolean {
+  return bytesRead === 0 && performance.now() - acceptedAtMs < FRESH_MS;
 }
