Run no request that becomes whole after its connection has ended

Mends what the pause before closing brought: the ingress notes the place of an answer without a length and leaves what becomes whole behind it unrun.

--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -87,6 +87,8 @@
   private readonly order = ConnectionOrder.create<Socket>();
   /** The place of each request on its connection. */
   private readonly places = new WeakMap<ServerResponse, number>();
+  /** The place of the answer with which a connection ends, though others may have come behind it. */
+  private readonly endings = new WeakMap<Socket, number>();
   /** Connections that have brought a request before. */
   private readonly served = new WeakSet<Socket>();
   private readonly connections: ServerConnections;
@@ -279,6 +281,9 @@
       this.refuse(response, { kind: "too_large" }, request);
       return "too_large";
     }
+    if (this.isBehindEnd(response)) {
+      return "unread";
+    }
     const work = this.createWork(
       { incoming, request, arrivedMs, body: read.body },
       match,
@@ -287,6 +292,12 @@
     return this.answer(response, { ending, work });
   }
 
+  /** Whether the connection has ended before a request was whole: run now, its caller would take it for unread. */
+  private isBehindEnd(response: ServerResponse): boolean {
+    const place = this.places.get(response) ?? 0;
+    return place > (this.endings.get(response.req.socket) ?? Infinity);
+  }
+
   private createWork(
     arrival: {
       incoming: IncomingMessage;
@@ -446,7 +457,9 @@
       : String(answer.body.length);
     if (!answer.isFramed) {
       // The caller must not take for whole what may have been cut: it ends with the connection here, too.
-      this.connections.announceEnd(response.req.socket);
+      const { socket } = response.req;
+      this.connections.announceEnd(socket);
+      this.endings.set(socket, this.places.get(response) ?? 0);
       response.useChunkedEncodingByDefault = false;
       response.shouldKeepAlive = false;
       response.writeHead(answer.status, { ...headers, connection: "close" });
