Test that fails: a caller that stops in the middle of a head holds a stopping daemon

A part of a head, or a stray line end, counts as busy without bound, so the stop lasts until the grace period has passed, with the listener closed. Before, only requests that had come whole were waited for.

--- a/packages/connections/src/server_connections_test.ts
+++ b/packages/connections/src/server_connections_test.ts
@@ -237,4 +237,20 @@
       expect(late.bytes).to.equal(0);
     });
   });
+
+  describe("with a head of which no more comes", () => {
+    // A part of a head, or a stray line end behind a request, made a connection busy until its next answer. One caller
+    // that had stopped in the middle of a head held a stopping daemon, whose listener was closed, until its grace period
+    // had passed.
+    it("are ended after a while", async () => {
+      await caller.send("GET /part HTT");
+      await until(() => connections.busyCount === 1);
+      await until(() => {
+        connections.closeIdle();
+        return connections.busyCount === 0;
+      });
+      await caller.readToEnd();
+      expect(caller.bytes).to.equal(0);
+    });
+  });
 });
