Wait a second, and no longer, for the rest of a head while a daemon stops

A connection whose head has come in part counts as busy for 1 s after its latest bytes; that of a stray line end, too. Whole requests and bodies that are on their way are waited for as before: they are counted by their answers.

--- a/packages/connections/src/server_connections.ts
+++ b/packages/connections/src/server_connections.ts
@@ -19,9 +19,14 @@
 /** Whoever connects sends within this time, as a rule, in milliseconds; callers are within a few milliseconds. */
 const FRESH_MS = 100;
 
+/** A head of which nothing more comes is waited for so long, in milliseconds: a lost packet is sent again by then. */
+const STALLED_MS = 1_000;
+
 /** What is known of one connection. */
 interface Entry {
-  readonly acceptedAtMs: number;
+  /** Bytes that had been read at the latest look, and since when they are as many. */
+  lookedBytes: number;
+  changedAtMs: number;
   /** Requests whose answers the system has not taken whole yet. */
   unanswered: number;
   /** Nothing that comes from now on is answered. */
@@ -98,9 +103,9 @@
   }
 
   private accept(socket: Socket): void {
-    const acceptedAtMs = performance.now();
     this.entries.set(socket, {
-      acceptedAtMs,
+      lookedBytes: 0,
+      changedAtMs: performance.now(),
       unanswered: 0,
       isEnding: false,
       readBytes: 0,
@@ -149,11 +154,18 @@
 /** Also where a request has come in part or may be on its way, and where the caller has yet to close. */
 function isBusy(socket: Socket, entry: Entry): boolean {
   return entry.unanswered > 0 || entry.isEnding ||
-    socket.writableLength > 0 || socket.bytesRead > entry.readBytes ||
-    isFresh(socket, entry);
+    socket.writableLength > 0 || isExpected(socket, entry);
 }
 
-/** The request of a new connection lies right behind its opening. */
-function isFresh({ bytesRead }: Socket, { acceptedAtMs }: Entry): boolean {
-  return bytesRead === 0 && performance.now() - acceptedAtMs < FRESH_MS;
+/** Whether the rest of a request may come soon. The request of a new connection lies right behind its opening. */
+function isExpected({ bytesRead }: Socket, entry: Entry): boolean {
+  const nowMs = performance.now();
+  if (bytesRead !== entry.lookedBytes) {
+    entry.lookedBytes = bytesRead;
+    entry.changedAtMs = nowMs;
+  }
+  const quietMs = nowMs - entry.changedAtMs;
+  return bytesRead === 0
+    ? quietMs < FRESH_MS
+    : bytesRead > entry.readBytes && quietMs < STALLED_MS;
 }
