--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -429,8 +429,13 @@
   ): void {
     const { work, bytes } = answer;
     const { socket } = response.req;
+    let hasLeft = false;
+    response.once("finish", () => {
+      // Also emitted when a connection is destroyed with the answer in its buffer.
+      hasLeft = !socket.destroyed;
+    });
     response.once("close", () => {
-      if (response.writableFinished) {
+      if (hasLeft) {
         return;
       }
       const isCallers = socket.readableEnded || socket.errored !== null;
@@ -439,7 +444,6 @@
         route: work.route,
         ended_by: isCallers ? "caller" : "daemon",
         bytes,
-        unsent_bytes: socket.writableLength,
         is_stopping: this.isStopping,
       });
     });
