Build on the news of another's write after a lost race, in place of a read

Cause: who lost a race read the record from the store at once, a paid call, at the same moment as all who had lost to the same write. The news of that write arrives by datagram some milliseconds later.

Compare-and-swap decides as before, so nothing of the proofs changes.

--- a/packages/router/src/ownership_keeper.ts
+++ b/packages/router/src/ownership_keeper.ts
@@ -44,6 +44,7 @@
   readonly backend: LocalBackend;
   readonly keeper: () => BackendKeeper;
   readonly desk: HandoverDesk;
+  readonly random: () => number;
   /** Tells all daemons of a newer record. */
   readonly onWritten: (service: string, record: OwnershipRecord) => void;
   /** Tells a daemon that keys are about to come to it. */
--- a/packages/router/src/record_writer.ts
+++ b/packages/router/src/record_writer.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import { OwnershipRecord } from "@bamboolink/keyspace";
+import { setTimeout as sleep } from "node:timers/promises";
+import { OwnershipRecord, WriteTurns } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import { type Store, writeSettled } from "@bamboolink/store";
 import { steadyMs } from "./clock.ts";
@@ -25,6 +26,7 @@
   readonly store: Store;
   readonly logger: Logger;
   readonly directory: OwnershipDirectory;
+  readonly random: () => number;
   /** Tells all daemons of a newer record. */
   readonly onWritten: (service: string, record: OwnershipRecord) => void;
 }
@@ -38,8 +40,11 @@
 export class RecordWriter {
   private readonly busy = new Set<string>();
   private readonly pausedUntilMs = new Map<string, number>();
+  private readonly turns: WriteTurns;
 
-  private constructor(private readonly context: RecordWriterContext) {}
+  private constructor(private readonly context: RecordWriterContext) {
+    this.turns = WriteTurns.create(context.random);
+  }
 
   /** Creates a writer. */
   static create(context: RecordWriterContext): RecordWriter {
@@ -96,6 +101,7 @@
           from_revision: known.revision,
           revision: written.value,
         });
+        this.turns.noteWon();
         const record = changed.withRevision(written.value);
         directory.note(service, record);
         this.context.onWritten(service, record);
@@ -111,12 +117,17 @@
         this.pausedUntilMs.set(service, steadyMs() + WRITE_PAUSE_MS);
         return;
       }
-      await this.reread(service);
+      await this.learnOther(service, known.revision);
     }
   }
 
-  private async reread(service: string): Promise<void> {
+  /** Waits for the news of the write that came before the own one, and reads the store if none comes. */
+  private async learnOther(service: string, before: number): Promise<void> {
     const { store, directory } = this.context;
+    await sleep(this.turns.noteLost(), undefined, { ref: false });
+    if ((directory.record(service)?.revision ?? 0) > before) {
+      return;
+    }
     const key = OWNERSHIP_PREFIX + service;
     const found = await store.get(key);
     if (found.isOk() && found.value !== undefined) {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -182,6 +182,7 @@
       backend: this.backend,
       keeper: () => this.keeper,
       desk: this.desk,
+      random: this.ports.random,
       onWritten: (service, record) => this.tellOwnership(service, record),
       onPlanned: (daemon, moves) => this.tellExpected(daemon, moves),
       onReadWanted: (reader, question) =>
