Bring the questions of owners together, so that one read in 1.4 s is enough

Cause: owners asked the daemon that reads for all 1.5 s after their last question, so questions came at all moments and a gathering of 0.4 s was always open; the daemon that reads read for its own keys beside that.

Now an owner asks again 0.9 to 1.1 s after the answer, and the daemon that reads does so at multiples of 1.4 s on its clock: who asks within 0.6 s before such a moment waits for it, others are answered after 0.2 s and so come earlier each time, until they are among the first. The daemon that reads asks itself for its own keys. A move's own read before keys are given up no longer shifts an owner's questions.

What proves a tenure is unchanged: the store is read after the question, and the tenure counts from the question.

The test "answers with the next read" waited 460 ms for the read to begin, which is at no fixed time any more; now it waits until the store is read. It still asks during that read and expects the next revision.

--- a/packages/keyspace/src/mod.ts
+++ b/packages/keyspace/src/mod.ts
@@ -46,6 +46,7 @@
 export { PromiseBook, type PromiseQuestion } from "./promise_book.ts";
 export { LoadProfile } from "./load_profile.ts";
 export type { OwnerLoad } from "./balance_loads.ts";
+export { CONFIRM_MS, ConfirmTurns, gatherForMs } from "./confirm_turns.ts";
 export { WriteTurns } from "./write_turns.ts";
 export { type PlannedMove, planShedding } from "./plan_shedding.ts";
 export {
--- a/packages/router/src/ownership_keeper.ts
+++ b/packages/router/src/ownership_keeper.ts
@@ -74,7 +74,7 @@
       ...context,
       ownService,
       own: () => this.own,
-      findReader: () => this.leader.findLeader(),
+      findReader: () => this.leader.findReader(),
       isGivingUp: () => this.isGivingUp,
       onRead: (service) => this.ensureTokens(service),
       onSealed: (service) => this.answerSeal(service),
--- a/packages/router/src/ownership_leader.ts
+++ b/packages/router/src/ownership_leader.ts
@@ -109,6 +109,12 @@
     return first === this.own ? undefined : first;
   }
 
+  /** The daemon that reads for all owners, if one reaches the store: the leading one, for itself, too. */
+  findReader(): string | undefined {
+    return this.findLeader() ??
+      (this.context.view.ownReport.reachesStore ? this.own : undefined);
+  }
+
   private leadService(service: string): void {
     const known = this.context.directory.record(service);
     if (known === undefined || known.revision === 0) {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -47,7 +47,11 @@
 import { probeBackend } from "./probe_backend.ts";
 import { RelayedStore } from "./relayed_store.ts";
 import { RequestRunner } from "./request_runner.ts";
-import { SharedReader } from "./shared_reader.ts";
+import {
+  type ReadAnswer,
+  type ReadQuestion,
+  SharedReader,
+} from "./shared_reader.ts";
 import { StoreWatcher } from "./store_watcher.ts";
 
 /** Time between two steps of the control loop, in milliseconds. */
@@ -136,12 +140,7 @@
     this.reader = SharedReader.create({
       store: this.directStore,
       logger,
-      onAnswer: (owner, answer) =>
-        this.gossip.sendDatagram({
-          kind: "read",
-          sender: this.view.ownReport.address,
-          ...answer,
-        }, owner),
+      onAnswer: (owner, answer) => this.answerRead(owner, answer),
     });
     this.backend = LocalBackend.create({
       address: settings.backendAddress,
@@ -185,12 +184,7 @@
       random: this.ports.random,
       onWritten: (service, record) => this.tellOwnership(service, record),
       onPlanned: (daemon, moves) => this.tellExpected(daemon, moves),
-      onReadWanted: (reader, question) =>
-        this.gossip.sendDatagram({
-          kind: "ask_read",
-          sender: this.view.ownReport.address,
-          ...question,
-        }, reader),
+      onReadWanted: (reader, question) => this.askRead(reader, question),
       onPromiseNeeded: (arbiter, question) =>
         this.gossip.sendDatagram({
           kind: "ask_promise",
@@ -505,6 +499,25 @@
     );
   }
 
+  /** Asks the daemon that reads for all owners, which may be the own one. */
+  private askRead(reader: string, question: ReadQuestion): void {
+    const sender = this.view.ownReport.address;
+    if (reader === sender) {
+      this.reader.ask(sender, question);
+      return;
+    }
+    this.gossip.sendDatagram({ kind: "ask_read", sender, ...question }, reader);
+  }
+
+  private answerRead(owner: string, answer: ReadAnswer): void {
+    const sender = this.view.ownReport.address;
+    if (owner === sender) {
+      this.ownership.noteShared(answer);
+      return;
+    }
+    this.gossip.sendDatagram({ kind: "read", sender, ...answer }, owner);
+  }
+
   private tellExpected(daemon: string, moves: readonly PlannedMove[]): void {
     const sender = this.view.ownReport.address;
     const ranges = moves.map(({ from, to, load }): [number, number, number] => [
--- a/packages/router/src/shared_reader.ts
+++ b/packages/router/src/shared_reader.ts
@@ -3,17 +3,16 @@
  *
  * Each owner needs to know every second or two what the store holds. Asked by each on its own, the store's calls grow
  * with the owners: 98 of them would read 65 times a second. So owners ask one daemon, which gathers their questions,
- * reads, and answers all: two reads a second, however many they are.
+ * reads, and answers all: some 0.7 reads a second, however many they are.
  *
  * @module
  */
+import { gatherForMs } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { Store } from "@bamboolink/store";
+import { steadyMs } from "./clock.ts";
 import { OWNERSHIP_PREFIX } from "./ownership_directory.ts";
 
-/** For how long questions are gathered, in milliseconds; a tenure lasts for 4 s from the question. */
-const GATHER_MS = 400;
-
 /** What an owner asks, and is answered with. */
 export interface ReadQuestion {
   readonly service: string;
@@ -53,7 +52,8 @@
       return;
     }
     this.waiting.set(service, new Map([[owner, askedAtMs]]));
-    setTimeout(() => void this.answer(service), GATHER_MS).unref();
+    setTimeout(() => void this.answer(service), gatherForMs(steadyMs()))
+      .unref();
   }
 
   /** Questions that arrive while the store is read belong to the next read: this one may be older than they are. */
--- a/packages/router/src/shared_reader_test.ts
+++ b/packages/router/src/shared_reader_test.ts
@@ -37,7 +37,7 @@
 }
 
 /** Longer than questions are gathered, in milliseconds. */
-const GATHERED_MS = 460;
+const GATHERED_MS = 660;
 
 describe("shared reader", () => {
   describe("asked by many owners", () => {
@@ -65,10 +65,12 @@
     // the record of before.
     // Cause: the read was older than the question.
     it("answers with the next read", async () => {
-      const { store } = createStore(100);
+      const { store, reads } = createStore(100);
       const { reader, answers } = createReader(store);
       reader.ask("early", { service: "rooms", askedAtMs: 1 });
-      await sleep(GATHERED_MS);
+      while (reads.count === 0) {
+        await sleep(5);
+      }
       reader.ask("late", { service: "rooms", askedAtMs: 2 });
       await sleep(GATHERED_MS + 200);
       expect(answers.map(({ owner, revision }) => [owner, revision])).to.deep
--- a/packages/router/src/tenure_keeper.ts
+++ b/packages/router/src/tenure_keeper.ts
@@ -6,6 +6,8 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import {
+  CONFIRM_MS,
+  ConfirmTurns,
   type GrantBook,
   OwnershipRecord,
   type Tenure,
@@ -19,8 +21,6 @@
   type OwnershipDirectory,
 } from "./ownership_directory.ts";
 
-/** Time between two reads that extend the tenure, in milliseconds. Each is a paid call to the store. */
-const CONFIRM_MS = 1_500;
 /** The same while keys wait to be given to others until the store is back, in milliseconds. */
 const CONFIRM_LEAVING_MS = 400;
 /**
@@ -30,7 +30,7 @@
 const MOVABLE_MS = 2 * CONFIRM_MS;
 /**
  * A tenure that was not confirmed for so long depends on the promises of the arbiters soon, in milliseconds: a
- * read that is due every 1.5 s, and may be gathered for 0.4 s, has failed.
+ * read that is due every 1.5 s, and may be gathered for 0.6 s, has failed.
  */
 const ASK_AFTER_MS = 2_400;
 /** Time between two questions for a promise, in milliseconds; one holds for 2.5 s. */
@@ -40,7 +40,7 @@
 
 /**
  * An owner reads for itself if the daemon that reads for all has not answered for so long, in milliseconds: it
- * gathers questions for 400, and the store takes a few.
+ * gathers questions for 600, and the store takes a few.
  */
 const SHARED_READ_MS = 800;
 
@@ -60,11 +60,12 @@
   readonly directory: OwnershipDirectory;
   readonly tenure: Tenure;
   readonly grants: GrantBook;
+  readonly random: () => number;
   /** The own daemon's address. */
   readonly own: () => string;
   /** The service of which the backend server here owns keys, if it is of such a service. */
   readonly ownService: () => string | undefined;
-  /** The daemon that reads for all owners, if that is another one. */
+  /** The daemon that reads for all owners, if there is one. */
   readonly findReader: () => string | undefined;
   /** Asks the daemon that reads for all what the store holds. */
   readonly onReadWanted: (reader: string, question: ReadQuestion) => void;
@@ -80,14 +81,16 @@
 
 /** Keeps the tenure of the backend server on this host. */
 export class TenureKeeper {
-  private confirmSentMs = -Infinity;
-  /** When another daemon was asked to read, if its answer is still awaited. */
+  private readonly turns: ConfirmTurns;
+  /** When the daemon that reads for all was asked, if its answer is still awaited. */
   private sharedAskedMs: number | undefined;
   private askedAtMs = -Infinity;
   private isConfirming = false;
   private isOnPromises = false;
 
-  private constructor(private readonly context: TenureKeeperContext) {}
+  private constructor(private readonly context: TenureKeeperContext) {
+    this.turns = ConfirmTurns.create(context.random);
+  }
 
   /** Creates a keeper. */
   static create(context: TenureKeeperContext): TenureKeeper {
@@ -117,6 +120,7 @@
       return;
     }
     this.sharedAskedMs = undefined;
+    this.turns.noteShared(bootMs());
     if (record.revision < revision) {
       void this.read(service, bootMs());
       return;
@@ -136,8 +140,10 @@
    */
   async reachesStore(service: string): Promise<boolean> {
     const sentAtMs = bootMs();
-    // It confirms the tenure, too, so the next read for that need not come sooner than after this one.
-    this.confirmSentMs = sentAtMs;
+    if (this.context.findReader() === undefined) {
+      // It confirms the tenure, too, so the next read for that need not come sooner than after this one.
+      this.turns.noteSent(sentAtMs);
+    }
     const read = this.read(service, sentAtMs);
     await Promise.race([read, sleep(PROBE_MS, undefined, { ref: false })]);
     return this.context.tenure.confirmedForMs(sentAtMs) <= 0;
@@ -147,11 +153,11 @@
   private confirm(service: string): void {
     const nowMs = bootMs();
     const hasToGiveUp = this.context.isGivingUp() && !this.isMovable();
-    const pauseMs = hasToGiveUp ? CONFIRM_LEAVING_MS : CONFIRM_MS;
-    if (nowMs - this.confirmSentMs < pauseMs || this.isConfirming) {
+    const pauseMs = hasToGiveUp ? CONFIRM_LEAVING_MS : undefined;
+    if (!this.turns.isDue(nowMs, pauseMs) || this.isConfirming) {
       return;
     }
-    this.confirmSentMs = nowMs;
+    this.turns.noteSent(nowMs);
     const reader = hasToGiveUp ? undefined : this.context.findReader();
     if (reader === undefined) {
       this.readAlone(service, nowMs);
--- a/packages/router/src/tenure_keeper_test.ts
+++ b/packages/router/src/tenure_keeper_test.ts
@@ -31,6 +31,7 @@
     directory,
     tenure,
     grants: GrantBook.create(bootMs()),
+    random: Math.random,
     own: () => "own",
     ownService: () => SERVICE,
     findReader: () => undefined,
