Register at a first start without reading the own record before

Cause: a starting daemon makes five calls: it reads its own record, writes it, lists the product's records, lists the configuration and watches it. The first read is of use only where the record is there already.

Now it writes first.

Daemons still register before they read: where the listing comes before the second write, the address was there before both.

Ruled out: a write without a condition, one call for all starts. The store's port and what peers write for each other know conditional writes only.

--- a/packages/keyspace/src/testing/shedding_world.ts
+++ b/packages/keyspace/src/testing/shedding_world.ts
@@ -31,6 +31,8 @@
 const HALF_CALL_MS = 3;
 /** How long the news of a record travels to all, in milliseconds. */
 const NEWS_MS = 8;
+/** How long a request may wait for a slot, in milliseconds. */
+const LONGEST_WAIT_MS = 400;
 /** Age of the reports of other owners' loads, in milliseconds. */
 const REPORT_MS = 500;
 
@@ -57,6 +59,9 @@
   unownedMs: number;
   /** The longest time from giving keys up to their new owner, in milliseconds. */
   longestUnownedMs: number;
+  /** Requests, and those that would have waited too long for a slot. */
+  requests: number;
+  refused: number;
 }
 
 interface Player {
@@ -67,6 +72,8 @@
   knownRevision: number;
   isWriting: boolean;
   readonly turns: WriteTurns;
+  /** When each slot of the backend server is free. */
+  readonly freeAtMs: number[];
 }
 
 /** The service. */
@@ -79,6 +86,8 @@
     movedKeys: 0,
     unownedMs: 0,
     longestUnownedMs: 0,
+    requests: 0,
+    refused: 0,
   };
   private nowMs = 0;
   private readonly queue: { atMs: number; order: number; run: () => void }[] =
@@ -108,6 +117,7 @@
       knownRevision: 1,
       isWriting: false,
       turns: WriteTurns.create(scene.random),
+      freeAtMs: Array.from({ length: scene.slots }, () => 0),
     }));
     this.begin();
   }
@@ -175,12 +185,26 @@
     const pauseMs = -Math.log(1 - random()) / requestsPerSecond * 1_000;
     this.after(pauseMs, () => {
       const key = this.pickKey(random() * this.cumulative[KEY_COUNT - 1]!);
-      const owner = this.owners.get(key)!;
-      this.players[owner]!.profile.note(key, requestMs * (0.5 + random()));
+      const owner = this.players[this.owners.get(key)!]!;
+      const workMs = requestMs * (0.5 + random());
+      owner.profile.note(key, workMs);
+      this.run(owner, workMs);
       this.arrive();
     });
   }
 
+  /** Runs a request on the slot that is free first, if that is soon enough. */
+  private run({ freeAtMs }: Player, workMs: number): void {
+    const first = freeAtMs.indexOf(Math.min(...freeAtMs));
+    const startMs = Math.max(this.nowMs, freeAtMs[first]!);
+    const isRefused = startMs - this.nowMs > LONGEST_WAIT_MS;
+    this.cost.requests += 1;
+    this.cost.refused += isRefused ? 1 : 0;
+    if (!isRefused) {
+      freeAtMs[first] = startMs + workMs;
+    }
+  }
+
   private plan(player: Player, index: number): void {
     if (player.planned.length > 0 || player.released !== undefined) {
       return;
--- a/packages/router/src/member_directory.ts
+++ b/packages/router/src/member_directory.ts
@@ -3,9 +3,11 @@
  *
  * @module
  */
+import type { BamboolinkError } from "@bamboolink/errors";
 import type { Logger } from "@bamboolink/logger";
 import type { MemberView } from "@bamboolink/membership";
 import type { Store, StoredRecord } from "@bamboolink/store";
+import type { Result, ResultAsync } from "neverthrow";
 
 /** All records of the product lie below this. */
 const PRODUCT_PREFIX = "bamboolink/";
@@ -53,22 +55,25 @@
    * finds the other; from then on they hear of each other by gossip, and the store is not watched.
    */
   private async read(): Promise<void> {
-    const { store, view, logger, onRecord } = this.context;
-    const listing = await store.list(PRODUCT_PREFIX);
+    const listing = await this.context.store.list(PRODUCT_PREFIX);
     listing.match(
-      ({ records }) =>
-        records.forEach((record) =>
-          record.key.startsWith(MEMBER_PREFIX)
-            ? view.name(record.key.slice(MEMBER_PREFIX.length))
-            : onRecord(record)
-        ),
+      ({ records }) => this.take(records),
       (cause) => {
-        logger.log("store_call_failed", { step: "members.list", cause });
+        this.logFailure("members.list", cause);
         this.later(() => this.read());
       },
     );
   }
 
+  private take(records: readonly StoredRecord[]): void {
+    const { view, onRecord } = this.context;
+    records.forEach((record) =>
+      record.key.startsWith(MEMBER_PREFIX)
+        ? view.name(record.key.slice(MEMBER_PREFIX.length))
+        : onRecord(record)
+    );
+  }
+
   private later(step: () => Promise<void>): void {
     if (!this.isStopped) {
       this.timer = setTimeout(() => void step(), RETRY_MS);
@@ -78,28 +83,72 @@
   /**
    * Writes the own address. It is written at each start, also when it is there already: the revision
    * of the write is higher than any that an earlier process of this daemon has seen.
+   *
+   * Most starts of a fleet are first ones, so the address is taken for new, which saves a read for each of them.
    */
   private async register(): Promise<void> {
-    const { store, view, logger, onRegistered } = this.context;
-    const { address, availabilityZone } = view.ownReport;
-    const key = MEMBER_PREFIX + address;
-    const written = await store.get(key).andThen((found) =>
-      store.compareAndSwap({
-        key,
-        value: JSON.stringify({ availability_zone: availabilityZone }),
-        expectedRevision: found?.revision ?? 0,
-      })
-    );
-    written.match(
-      (revision) => {
-        logger.log("member_registered", { address, revision });
-        onRegistered(revision);
-        void this.read();
-      },
-      (cause) => {
-        logger.log("store_call_failed", { step: "register", cause });
-        this.later(() => this.register());
-      },
-    );
+    const written = await this.write(0);
+    if (written.isErr() && written.error.code === "conflict") {
+      await this.registerAgain();
+      return;
+    }
+    this.finish(written, { hasRead: false });
+  }
+
+  /**
+   * The address is there from an earlier process, so others find this daemon already; what is read to write it again
+   * tells of them, too. While the store turns this daemon away, it can't list, but others read a single record for it.
+   */
+  private async registerAgain(): Promise<void> {
+    const { store } = this.context;
+    const listing = await store.list(PRODUCT_PREFIX);
+    if (listing.isErr()) {
+      const written = await store.get(this.ownKey)
+        .andThen((found) => this.write(found?.revision ?? 0));
+      this.finish(written, { hasRead: false });
+      return;
+    }
+    const { records } = listing.value;
+    this.take(records);
+    const own = records.find(({ key }) => key === this.ownKey);
+    this.finish(await this.write(own?.revision ?? 0), { hasRead: true });
+  }
+
+  private get ownKey(): string {
+    return MEMBER_PREFIX + this.context.view.ownReport.address;
+  }
+
+  private write(
+    expectedRevision: number,
+  ): ResultAsync<number, BamboolinkError> {
+    const { store, view } = this.context;
+    const { availabilityZone } = view.ownReport;
+    return store.compareAndSwap({
+      key: this.ownKey,
+      value: JSON.stringify({ availability_zone: availabilityZone }),
+      expectedRevision,
+    });
+  }
+
+  private finish(
+    written: Result<number, BamboolinkError>,
+    { hasRead }: { hasRead: boolean },
+  ): void {
+    const { logger, view, onRegistered } = this.context;
+    const { address } = view.ownReport;
+    if (written.isErr()) {
+      this.logFailure("register", written.error);
+      this.later(() => this.register());
+      return;
+    }
+    logger.log("member_registered", { address, revision: written.value });
+    onRegistered(written.value);
+    if (!hasRead) {
+      void this.read();
+    }
+  }
+
+  private logFailure(step: string, cause: BamboolinkError): void {
+    this.context.logger.log("store_call_failed", { step, cause });
   }
 }
