--- a/packages/router/src/ownership_keeper.ts
+++ b/packages/router/src/ownership_keeper.ts
@@ -44,6 +44,7 @@
   readonly backend: LocalBackend;
   readonly keeper: () => BackendKeeper;
   readonly desk: HandoverDesk;
+  readonly random: () => number;
   /** Tells all daemons of a newer record. */
   readonly onWritten: (service: string, record: OwnershipRecord) => void;
   /** Tells a daemon that keys are about to come to it. */
@@ -73,7 +74,7 @@
       ...context,
       ownService,
       own: () => this.own,
-      findReader: () => this.leader.findLeader(),
+      findReader: () => this.leader.findReader(),
       isGivingUp: () => this.isGivingUp,
       onRead: (service) => this.ensureTokens(service),
       onSealed: (service) => this.answerSeal(service),
