Leave out addresses that are none, and say when a report names nobody

Cause: addresses from the store and from datagrams went to a socket as they were; a socket throws at a port that is none, and the process ended. And a row of gossip without numbers for incarnation and beat compared as no news, so it was left out before it was checked, without a log line.

Ruled out: decoding (the text decodes well; only its use threw).

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -370,9 +370,23 @@
     number: 1818,
     severity: "error",
     meaning:
-      "A record of who owns which keys could not be read, or was taken away. Keys are not free by that: nobody else is given them, and owners serve on for up to 10 s.",
+      "A record of who owns which keys could not be read, or was taken away; told once for each revision. Keys are not free by that: nobody else is given them, owners serve on for up to 10 s, and the leading daemon writes the last known record back after 10.3 s.",
     action:
-      "Write the last good text back (a peer's answer holds it); or delete the record, wait 15 s, and restart one daemon.",
+      "Find out who writes below `bamboolink/`. If no `ownership_repaired` follows within 30 s, look at the store.",
+  },
+  ownership_repaired: {
+    number: 1835,
+    severity: "warn",
+    meaning:
+      "The last known record was written in place of one that could not be read, or was taken away.",
+    action: "Compare the owners with the backend servers that run.",
+  },
+  member_unreadable: {
+    number: 1836,
+    severity: "warn",
+    meaning:
+      "A record below `bamboolink/members/` names no address; it was left out.",
+    action: "Delete the record, and find out who wrote it.",
   },
   ownership_sealed_here: {
     number: 1819,
@@ -426,7 +440,8 @@
   gossip_malformed: {
     number: 1827,
     severity: "warn",
-    meaning: "A datagram could not be read.",
+    meaning:
+      "A datagram could not be read, or so many of its reports (`left_out`) as don't say of whom they are.",
     action: "Compare the versions of the daemons.",
   },
   metrics_unavailable: {
--- a/packages/membership/src/gossip_codec.ts
+++ b/packages/membership/src/gossip_codec.ts
@@ -33,6 +33,12 @@
   readonly beats: readonly BeatDigest[];
 }
 
+/** What came with a datagram. */
+export interface DecodedGossip extends GossipMessage {
+  /** How many reports don't say of whom they are, or when they were made. */
+  readonly leftOut: number;
+}
+
 /** Encodes a datagram. */
 export function encodeGossip(message: GossipMessage): Uint8Array {
   const rows = message.reports.map((report) =>
@@ -54,7 +60,7 @@
 export function decodeGossip(
   bytes: Uint8Array,
   isNews: (name: ReportName) => boolean = () => true,
-): Result<GossipMessage, BamboolinkError> {
+): Result<DecodedGossip, BamboolinkError> {
   const value = tryDecode(bytes);
   const parsed = Message.safeParse(value);
   if (!parsed.success) {
@@ -65,7 +71,8 @@
   if (beats === undefined) {
     return err(invalid("digests of beats are cut short"));
   }
-  const reports = rows.filter((row) => isNews(nameOf(row))).map((row) =>
+  const named = rows.filter(isNamed);
+  const reports = named.filter((row) => isNews(nameOf(row))).map((row) =>
     MemberReport.safeParse(
       Object.fromEntries(FIELDS.map((field, index) => [field, row[index]])),
     )
@@ -78,10 +85,20 @@
     sender,
     reports: reports.flatMap(({ data }) => data ?? []),
     beats,
+    leftOut: rows.length - named.length,
   });
 }
 
-/** Compares as no news where the fields are of other types; such a row is checked only if it claims to be. */
+/**
+ * Whether a row says of whom it is, and when it was made. One that does not compares as no news, and would be left out
+ * without a word: nobody would notice that a daemon sends what others can't read.
+ */
+function isNamed(row: readonly unknown[]): boolean {
+  const [address, incarnation, beat] = row;
+  return typeof address === "string" && Number.isInteger(incarnation) &&
+    Number.isInteger(beat);
+}
+
 function nameOf(row: readonly unknown[]): ReportName {
   const [address, incarnation, beat] = row;
   return {
--- a/packages/membership/src/membership_test.ts
+++ b/packages/membership/src/membership_test.ts
@@ -52,7 +52,7 @@
         beats: [{ name: 2 ** 32 - 1, incarnation: 255, beat: 2 ** 32 - 1 }],
       };
       const decoded = decodeGossip(encodeGossip(message));
-      expect(decoded._unsafeUnwrap()).to.deep.equal(message);
+      expect(decoded._unsafeUnwrap()).to.deep.equal({ ...message, leftOut: 0 });
     });
   });
 
--- a/packages/router/src/gossip_node.ts
+++ b/packages/router/src/gossip_node.ts
@@ -26,6 +26,7 @@
 export const ROUND_MS = 500;
 /** Time between two questions for reports that are lacking, in milliseconds. */
 const ASK_MS = 200;
+const LARGEST_PORT = 65_535;
 
 /** What the node needs. */
 export interface GossipNodeContext {
@@ -111,8 +112,13 @@
     addresses.forEach((address) => this.send(bytes, address));
   }
 
+  /** Addresses come from the store and from datagrams, so anything may stand there. */
   private send(bytes: Uint8Array, address: string): void {
     const { host, port } = splitAddress(address);
+    if (!isAddress(address)) {
+      this.context.logger.log("gossip_failed", { peer: address });
+      return;
+    }
     this.socket.send(bytes, port, host, (cause) => {
       if (cause !== null) {
         this.context.logger.log("gossip_failed", { peer: address, cause });
@@ -133,7 +139,10 @@
       return;
     }
     decodeGossip(bytes, (name) => view.isNews(name)).match(
-      ({ sender, reports, beats }) => {
+      ({ sender, reports, beats, leftOut }) => {
+        if (leftOut > 0) {
+          logger.log("gossip_malformed", { peer: sender, left_out: leftOut });
+        }
         const nowMs = steadyMs();
         const fresh = view.merge(reports, nowMs);
         this.askReports(sender, view.mergeBeats(beats, nowMs));
@@ -175,3 +184,13 @@
     port: Number(address.slice(colon + 1)),
   };
 }
+
+/**
+ * Whether a text is `HOST:PORT`. What goes wrong without it: a socket throws at a port that is none, and the process
+ * ends, because somebody has written or sent an address that is none.
+ */
+export function isAddress(text: string): boolean {
+  const { host, port } = splitAddress(text);
+  return host !== "" && Number.isInteger(port) && port > 0 &&
+    port <= LARGEST_PORT;
+}
--- a/packages/router/src/member_directory.ts
+++ b/packages/router/src/member_directory.ts
@@ -6,6 +6,7 @@
 import type { Logger } from "@bamboolink/logger";
 import type { MemberView } from "@bamboolink/membership";
 import type { Store, StoredRecord } from "@bamboolink/store";
+import { isAddress } from "./gossip_node.ts";
 
 /** All records of the product lie below this. */
 const PRODUCT_PREFIX = "bamboolink/";
@@ -53,13 +54,13 @@
    * finds the other; from then on they hear of each other by gossip, and the store is not watched.
    */
   private async read(): Promise<void> {
-    const { store, view, logger, onRecord } = this.context;
+    const { store, logger, onRecord } = this.context;
     const listing = await store.list(PRODUCT_PREFIX);
     listing.match(
       ({ records }) =>
         records.forEach((record) =>
           record.key.startsWith(MEMBER_PREFIX)
-            ? view.name(record.key.slice(MEMBER_PREFIX.length))
+            ? this.name(record.key.slice(MEMBER_PREFIX.length))
             : onRecord(record)
         ),
       (cause) => {
@@ -69,6 +70,15 @@
     );
   }
 
+  private name(address: string): void {
+    const { view, logger } = this.context;
+    if (isAddress(address)) {
+      view.name(address);
+    } else {
+      logger.log("member_unreadable", { address });
+    }
+  }
+
   private later(step: () => Promise<void>): void {
     if (!this.isStopped) {
       this.timer = setTimeout(() => void step(), RETRY_MS);
