Replace a record of ownership that another writer has spoiled, once no owner goes on

Cause: nobody confirms a tenure by a record that can't be read or was taken away, and nobody could write one, since each write expects the last revision that was read. No key of the service was served again for good; the advice (delete it, restart a daemon) was not safe while owners went on.

Chosen: the leading daemon, which sees the record for all owners, waits until it has seen the same revision for 10.3 s, as after a seal, and writes the last record that it knows, expecting that revision. The last known one need not be the last there was, so writing it at once gives keys to two: planted fault `repair_at_once` in tenure_safety_test, found within 6,000 schedules. Writes while the record is spoiled pause, in place of four conflicts a tick; BL1818 is told once for each revision in place of each read.

Ruled out: sealing all owners in the new record at once (an owner that the repairer has not read of goes on without seeing the seal as its own); a command for operators (needs the same wait, and somebody awake).

Not proved: a record that is taken away while all daemons start again within 5 s; one that is made and taken away again within the wait.

--- a/packages/keyspace/src/mod.ts
+++ b/packages/keyspace/src/mod.ts
@@ -44,6 +44,7 @@
   isFirstAssignmentDue,
 } from "./plan_assignment.ts";
 export { PromiseBook, type PromiseQuestion } from "./promise_book.ts";
+export { RepairWait } from "./repair_wait.ts";
 export { LoadProfile } from "./load_profile.ts";
 export type { OwnerLoad } from "./balance_loads.ts";
 export { type PlannedMove, planShedding } from "./plan_shedding.ts";
--- a/packages/keyspace/src/tenure_safety_test.ts
+++ b/packages/keyspace/src/tenure_safety_test.ts
@@ -48,7 +48,11 @@
   exactly("advance", 0, 20),
 ];
 
-const anything = fc.constantFrom(...STEP_KINDS).chain((kind) => step(kind))
+/** A spoiled record stands still all that ownership could do next, so it comes in a sequence that mends it. */
+const EVERYDAY_KINDS = STEP_KINDS.filter((kind) => kind !== "spoil");
+
+const anything = fc.constantFrom(...EVERYDAY_KINDS)
+  .chain((kind) => step(kind))
   .map((one) => [one]);
 
 /** All is well for a moment: everybody confirms and is heard. */
@@ -338,6 +342,47 @@
   ...quickTakeover(late).slice(2),
 ]);
 
+/**
+ * Keys move, a daemon misses that, and another writer spoils the record; the daemon writes back what it knows, as early
+ * as it may.
+ */
+const spoiled = fc.tuple(
+  fc.nat(1),
+  fc.nat(40),
+  fc.integer({ min: 2_520, max: 2_620 }),
+  anything,
+).map(([kind, more, wait, between]) => [
+  exactly("heartbeat", 0),
+  exactly("advance", 0, 2),
+  exactly("release", 0),
+  exactly("heartbeat", 0),
+  exactly("advance", 0, 2),
+  exactly("heartbeat", 0),
+  exactly("advance", 0, 2),
+  exactly("publish", 0, 1, 1),
+  exactly("advance", 0, 3),
+  exactly("confirm", 1),
+  exactly("advance", 0, 3),
+  exactly("spoil", 0, 1, kind),
+  exactly("confirm", 2),
+  exactly("advance", 0, 3),
+  exactly("repair", 2, 1, 1),
+  exactly("heartbeat", 1),
+  exactly("advance", 0, more),
+  exactly("confirm", 0),
+  exactly("advance", 0, 3),
+  exactly("heartbeat", 0),
+  exactly("advance", 0, wait - more),
+  ...between,
+  exactly("repair", 2, 1, 1),
+  exactly("heartbeat", 1),
+  exactly("advance", 0, 3),
+  exactly("confirm", 0),
+  exactly("advance", 0, 3),
+  exactly("heartbeat", 0),
+  exactly("advance", 0, 20),
+]);
+
 const schedule = fc.record({
   size: fc.integer({ min: 2, max: 4 }),
   steps: fc.array(
@@ -359,6 +404,7 @@
       { weight: 1, arbitrary: newArbiter },
       { weight: 1, arbitrary: latePromise },
       { weight: 1, arbitrary: formerArbiter },
+      { weight: 1, arbitrary: spoiled },
     ),
     { maxLength: 25 },
   ).map((parts) => parts.flat()),
@@ -445,6 +491,22 @@
     });
   });
 
+  describe("when another writer has spoiled the record", () => {
+    it("lets all keys be held again once it is replaced after the longest tenure", () => {
+      const world = TenureWorld.create(3);
+      world.play([
+        ...live(2),
+        exactly("spoil", 0, 1, 0),
+        ...live(11),
+        exactly("repair", 2, 1, 1),
+        exactly("advance", 0, 2),
+        ...live(2),
+      ]);
+      expect(world.heldKeys).to.equal(65_536);
+      expect(world.violations).to.deep.equal([]);
+    });
+  });
+
   describe("with a broken rule", () => {
     const faults: Fault[] = [
       "tenure_from_answer",
@@ -465,6 +527,7 @@
       "promise_after_takeover",
       "promise_after_restart",
       "id_names_process",
+      "repair_at_once",
     ];
     faults.forEach((fault) => {
       it(`notices ${fault}`, function () {
--- a/packages/keyspace/src/testing/tenure_world.ts
+++ b/packages/keyspace/src/testing/tenure_world.ts
@@ -21,6 +21,7 @@
   PromiseBook,
   type PromiseQuestion,
   RangeMap,
+  RepairWait,
   TAKEOVER_WAIT_MS,
   TakeoverWaits,
   Tenure,
@@ -63,7 +64,9 @@
   /** An arbiter that has started again promises at once. */
   | "promise_after_restart"
   /** A backend server that starts again under its id is taken for the former process. */
-  | "id_names_process";
+  | "id_names_process"
+  /** A record that can't be read is replaced by the last known one at once. */
+  | "repair_at_once";
 
 /** One step of a schedule. */
 export interface Step {
@@ -94,6 +97,8 @@
   "outage",
   "appoint",
   "ask",
+  "spoil",
+  "repair",
 ] as const;
 /** The kind of a step. */
 export type StepKind = typeof STEP_KINDS[number];
@@ -133,6 +138,7 @@
   waits: TakeoverWaits;
   promises: PromiseBook;
   instances: InstanceBook;
+  repair: RepairWait;
   record: OwnershipRecord;
   registration: number;
   suspendedUntilMs: number;
@@ -155,6 +161,8 @@
   private nowMs = 100_000;
   private outageUntilMs = 0;
   private stored = OwnershipRecord.create();
+  /** Revision of what another writer has put in the record's place, 0 for nothing. */
+  private spoiledAs: number | undefined;
   private revision = 1;
   private instances = 0;
   private readonly highest = RangeMap.create<
@@ -250,6 +258,12 @@
         return this.appoint(host, { other, choice: a });
       case "ask":
         return this.ask(host, { thereMs: a % 50, backMs: b * 5 });
+      case "spoil":
+        this.revision += 1;
+        this.spoiledAs = b % 2 === 0 ? this.revision : 0;
+        return;
+      case "repair":
+        return this.repair(host, b % 3 === 0 ? a * 5 : 2);
     }
   }
 
@@ -265,6 +279,7 @@
       waits: TakeoverWaits.create(),
       promises: PromiseBook.create(-Infinity),
       instances: InstanceBook.create(),
+      repair: RepairWait.create(),
       record: OwnershipRecord.create(),
       registration: 1,
       suspendedUntilMs: 0,
@@ -486,10 +501,17 @@
       if (this.nowMs < this.outageUntilMs) {
         return;
       }
-      const found = this.stored;
+      const { stored, spoiledAs } = this;
       this.later(delays.backMs, () => {
         if (host.life === life) {
-          this.at(host, 0, () => this.noteRead(host, found, sentAtMs));
+          this.at(
+            host,
+            0,
+            () =>
+              spoiledAs === undefined
+                ? this.noteRead(host, stored, sentAtMs)
+                : this.noteSpoiled(host, spoiledAs),
+          );
         }
       });
     });
@@ -513,9 +535,10 @@
       }
       const revision = this.fault === "read_before_question"
         ? before
-        : this.stored.revision;
+        : this.spoiledAs ?? this.stored.revision;
       this.later(backMs, () => {
-        if (host.life === life && host.record.revision >= revision) {
+        const isKnown = revision > 0 && host.record.revision >= revision;
+        if (host.life === life && isKnown) {
           this.at(host, 0, () => this.noteRead(host, host.record, askedAtMs));
         }
       });
@@ -593,6 +616,7 @@
     found: OwnershipRecord,
     sentAtMs: number,
   ): void {
+    host.repair.noteReadable();
     this.noteRecord(host, found);
     if (!found.isSealed(host.name)) {
       if (this.fault !== "tokens_outlive_tenure") {
@@ -607,6 +631,28 @@
     }
   }
 
+  private noteSpoiled(host: Host, revision: number): void {
+    if (revision > 0 || host.record.revision > 0) {
+      host.repair.noteSpoiled(revision, this.clockOf(host));
+    }
+  }
+
+  /** Replaces a spoiled record by the last one that the host has read. */
+  private repair(host: Host, lateMs: number): void {
+    const due = this.fault === "repair_at_once"
+      ? this.spoiledAs
+      : host.repair.findDue(this.clockOf(host));
+    if (due === undefined || !this.isAwake(host)) {
+      return;
+    }
+    const { record } = host;
+    this.later(lateMs, () => {
+      if (this.nowMs >= this.outageUntilMs && this.spoiledAs === due) {
+        this.commit(record);
+      }
+    });
+  }
+
   private noteRecord(host: Host, record: OwnershipRecord): void {
     if (record.revision < host.record.revision) {
       return;
@@ -727,7 +773,9 @@
     }
     this.later(lateMs, () => {
       const isDown = this.nowMs < this.outageUntilMs;
-      if (!isDown && this.stored.revision === known.revision) {
+      const isInForce = this.spoiledAs === undefined &&
+        this.stored.revision === known.revision;
+      if (!isDown && isInForce) {
         this.commit(changed);
         const written = this.stored;
         this.at(host, 2, () => this.noteRecord(host, written));
@@ -738,6 +786,7 @@
   private commit(record: OwnershipRecord): void {
     this.revision += 1;
     this.stored = record.withRevision(this.revision);
+    this.spoiledAs = undefined;
   }
 
   private replaceServer(host: Host, server: Server): void {
@@ -763,6 +812,7 @@
       this.fault === "promise_after_restart" ? -Infinity : nowMs,
     );
     host.instances = InstanceBook.create();
+    host.repair = RepairWait.create();
     host.record = OwnershipRecord.create();
     host.handovers = [];
     this.revision += 1;
--- a/packages/router/src/ownership_keeper.ts
+++ b/packages/router/src/ownership_keeper.ts
@@ -26,6 +26,7 @@
 import type { LocalBackend } from "./local_backend.ts";
 import type { OwnershipDirectory } from "./ownership_directory.ts";
 import { findTakers, OwnershipLeader } from "./ownership_leader.ts";
+import type { RecordInspector } from "./record_inspector.ts";
 import { RecordWriter } from "./record_writer.ts";
 import type { ReadAnswer, ReadQuestion } from "./shared_reader.ts";
 import { TenureKeeper, type TenureQuestion } from "./tenure_keeper.ts";
@@ -39,6 +40,7 @@
   readonly logger: Logger;
   readonly view: MemberView;
   readonly directory: OwnershipDirectory;
+  readonly inspector: RecordInspector;
   readonly grants: GrantBook;
   readonly tenure: Tenure;
   readonly backend: LocalBackend;
--- a/packages/router/src/ownership_leader.ts
+++ b/packages/router/src/ownership_leader.ts
@@ -19,6 +19,7 @@
 import type { BackendKeeper } from "./backend_keeper.ts";
 import { bootMs, steadyMs } from "./clock.ts";
 import type { OwnershipDirectory } from "./ownership_directory.ts";
+import type { RecordInspector } from "./record_inspector.ts";
 import type { RecordWriter } from "./record_writer.ts";
 
 /** An owner that has been silent for so much longer than it takes to be silent is sealed, in ms. */
@@ -30,6 +31,7 @@
 export interface OwnershipLeaderContext {
   readonly view: MemberView;
   readonly directory: OwnershipDirectory;
+  readonly inspector: RecordInspector;
   readonly writer: RecordWriter;
   readonly keeper: () => BackendKeeper;
 }
@@ -110,6 +112,14 @@
   }
 
   private leadService(service: string): void {
+    const { inspector, writer } = this.context;
+    if (inspector.isSpoiled(service)) {
+      const due = inspector.findDue(service);
+      if (due !== undefined) {
+        void writer.repair(service, due);
+      }
+      return;
+    }
     const known = this.context.directory.record(service);
     if (known === undefined || known.revision === 0) {
       this.assignFirst(service);
--- a/packages/router/src/record_writer.ts
+++ b/packages/router/src/record_writer.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { BamboolinkError } from "@bamboolink/errors";
 import { OwnershipRecord } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import { type Store, writeSettled } from "@bamboolink/store";
@@ -11,6 +12,7 @@
   OWNERSHIP_PREFIX,
   type OwnershipDirectory,
 } from "./ownership_directory.ts";
+import type { RecordInspector } from "./record_inspector.ts";
 
 /**
  * Pause after a write that failed for another reason than another writer, in milliseconds: while the store
@@ -25,6 +27,7 @@
   readonly store: Store;
   readonly logger: Logger;
   readonly directory: OwnershipDirectory;
+  readonly inspector: RecordInspector;
   /** Tells all daemons of a newer record. */
   readonly onWritten: (service: string, record: OwnershipRecord) => void;
 }
@@ -57,6 +60,40 @@
     service: string,
     purpose: string,
     change: RecordChange,
+  ): Promise<void> {
+    await this.alone(service, () => this.tryWrite(service, purpose, change));
+  }
+
+  /**
+   * Replaces a record that can't be read, or was taken away, by the last one that is known; by one without owners
+   * where none is. Nobody else may have changed it since it may be replaced, so the write expects its revision.
+   */
+  async repair(service: string, spoiledRevision: number): Promise<void> {
+    const known = this.context.directory.record(service) ??
+      OwnershipRecord.create();
+    await this.alone(service, async () => {
+      const error = await this.put(service, {
+        purpose: "repair",
+        record: known,
+        expectedRevision: spoiledRevision,
+      });
+      if (error === undefined) {
+        this.context.logger.log("ownership_repaired", {
+          service,
+          spoiled_revision: spoiledRevision,
+          known_revision: known.revision,
+        });
+        return;
+      }
+      this.pause(service);
+      await this.reread(service);
+    });
+  }
+
+  /** Does something with a record unless something else is under way, or has just failed. */
+  private async alone(
+    service: string,
+    act: () => Promise<void>,
   ): Promise<void> {
     const isPaused = steadyMs() < (this.pausedUntilMs.get(service) ?? 0);
     if (this.busy.has(service) || isPaused) {
@@ -64,63 +101,87 @@
     }
     this.busy.add(service);
     try {
-      await this.tryWrite(service, purpose, change);
+      await act();
     } finally {
       this.busy.delete(service);
     }
   }
 
+  private pause(service: string): void {
+    this.pausedUntilMs.set(service, steadyMs() + WRITE_PAUSE_MS);
+  }
+
   private async tryWrite(
     service: string,
     purpose: string,
     change: RecordChange,
   ): Promise<void> {
-    const { store, directory, logger } = this.context;
-    const key = OWNERSHIP_PREFIX + service;
+    const { directory } = this.context;
     for (let attempt = 0; attempt < WRITE_ATTEMPTS; attempt += 1) {
       const known = directory.record(service) ?? OwnershipRecord.create();
-      const changed = change(known);
-      if (changed === undefined) {
+      const record = change(known);
+      if (record === undefined) {
         return;
       }
-      const value = changed.encode();
-      const written = await writeSettled(store, {
-        key,
-        value,
+      const error = await this.put(service, {
+        purpose,
+        record,
         expectedRevision: known.revision,
       });
-      if (written.isOk()) {
-        logger.log("ownership_written", {
-          service,
-          purpose,
-          from_revision: known.revision,
-          revision: written.value,
-        });
-        const record = changed.withRevision(written.value);
-        directory.note(service, record);
-        this.context.onWritten(service, record);
+      if (error === undefined) {
         return;
       }
-      logger.log("ownership_write_failed", {
-        service,
-        purpose,
-        from_revision: known.revision,
-        cause: written.error,
-      });
-      if (written.error.code !== "conflict") {
-        this.pausedUntilMs.set(service, steadyMs() + WRITE_PAUSE_MS);
+      if (error.code !== "conflict") {
+        this.pause(service);
         return;
       }
       await this.reread(service);
+      if (this.context.inspector.isSpoiled(service)) {
+        // No write succeeds until the record is replaced.
+        this.pause(service);
+        return;
+      }
     }
   }
 
+  /** Writes a record; returns why that failed, if it did. */
+  private async put(
+    service: string,
+    write: {
+      purpose: string;
+      record: OwnershipRecord;
+      expectedRevision: number;
+    },
+  ): Promise<BamboolinkError | undefined> {
+    const { store, directory, inspector, logger, onWritten } = this.context;
+    const { purpose, record, expectedRevision } = write;
+    const told = { service, purpose, from_revision: expectedRevision };
+    const written = await writeSettled(store, {
+      key: OWNERSHIP_PREFIX + service,
+      value: record.encode(),
+      expectedRevision,
+    });
+    if (written.isErr()) {
+      logger.log("ownership_write_failed", { ...told, cause: written.error });
+      return written.error;
+    }
+    logger.log("ownership_written", { ...told, revision: written.value });
+    const inForce = record.withRevision(written.value);
+    inspector.noteWritten(service);
+    directory.note(service, inForce);
+    onWritten(service, inForce);
+    return undefined;
+  }
+
   private async reread(service: string): Promise<void> {
-    const { store, directory } = this.context;
-    const key = OWNERSHIP_PREFIX + service;
-    const found = await store.get(key);
-    if (found.isOk() && found.value !== undefined) {
-      directory.noteStored(key, found.value);
+    const { store, directory, inspector } = this.context;
+    const found = await store.get(OWNERSHIP_PREFIX + service);
+    if (found.isErr()) {
+      return;
+    }
+    const record = inspector.inspect(service, found.value);
+    if (record !== undefined && record.revision > 0) {
+      directory.note(service, record);
     }
   }
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -46,6 +46,7 @@
 } from "./ports/router_settings.ts";
 import { probeBackend } from "./probe_backend.ts";
 import { RelayedStore } from "./relayed_store.ts";
+import { RecordInspector } from "./record_inspector.ts";
 import { RequestRunner } from "./request_runner.ts";
 import { SharedReader } from "./shared_reader.ts";
 import { StoreWatcher } from "./store_watcher.ts";
@@ -133,9 +134,14 @@
       findHelper: () => this.findHelper(),
     });
     this.directory = OwnershipDirectory.create(logger);
+    const inspector = RecordInspector.create({
+      logger,
+      directory: this.directory,
+    });
     this.reader = SharedReader.create({
       store: this.directStore,
       logger,
+      inspector,
       onAnswer: (owner, answer) =>
         this.gossip.sendDatagram({
           kind: "read",
@@ -177,6 +183,7 @@
       logger,
       view: this.view,
       directory: this.directory,
+      inspector,
       grants: this.grants,
       tenure: this.tenure,
       backend: this.backend,
--- a/packages/router/src/shared_reader.ts
+++ b/packages/router/src/shared_reader.ts
@@ -10,6 +10,7 @@
 import type { Logger } from "@bamboolink/logger";
 import type { Store } from "@bamboolink/store";
 import { OWNERSHIP_PREFIX } from "./ownership_directory.ts";
+import type { RecordInspector } from "./record_inspector.ts";
 
 /** For how long questions are gathered, in milliseconds; a tenure lasts for 4 s from the question. */
 const GATHER_MS = 400;
@@ -30,6 +31,8 @@
 export interface SharedReaderContext {
   readonly store: Store;
   readonly logger: Logger;
+  /** Looks at what was found, which is not told to owners where it is no record. */
+  readonly inspector: RecordInspector;
   readonly onAnswer: (owner: string, answer: ReadAnswer) => void;
 }
 
@@ -69,6 +72,7 @@
       });
       return;
     }
+    this.context.inspector.inspect(service, found.value);
     const revision = found.value?.revision;
     if (revision !== undefined) {
       owners.forEach((askedAtMs, owner) =>
--- a/packages/router/src/shared_reader_test.ts
+++ b/packages/router/src/shared_reader_test.ts
@@ -8,6 +8,8 @@
 import { Logger } from "@bamboolink/logger";
 import type { Store } from "@bamboolink/store";
 import { okAsync } from "neverthrow";
+import { OwnershipDirectory } from "./ownership_directory.ts";
+import { RecordInspector } from "./record_inspector.ts";
 import { type ReadAnswer, SharedReader } from "./shared_reader.ts";
 
 /** A store that counts reads, each of which finds the next revision and takes a while. */
@@ -28,9 +30,12 @@
 
 function createReader(store: Store) {
   const answers: (ReadAnswer & { owner: string })[] = [];
+  const logger = Logger.createBounded("test", { level: "error" });
+  const directory = OwnershipDirectory.create(logger);
   const reader = SharedReader.create({
     store,
-    logger: Logger.createBounded("test", { level: "error" }),
+    logger,
+    inspector: RecordInspector.create({ logger, directory }),
     onAnswer: (owner, answer) => answers.push({ owner, ...answer }),
   });
   return { reader, answers };
--- a/packages/router/src/tenure_keeper.ts
+++ b/packages/router/src/tenure_keeper.ts
@@ -5,14 +5,11 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import {
-  type GrantBook,
-  OwnershipRecord,
-  type Tenure,
-} from "@bamboolink/keyspace";
+import type { GrantBook, OwnershipRecord, Tenure } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { Store } from "@bamboolink/store";
 import { bootMs } from "./clock.ts";
+import type { RecordInspector } from "./record_inspector.ts";
 import type { ReadAnswer, ReadQuestion } from "./shared_reader.ts";
 import {
   OWNERSHIP_PREFIX,
@@ -58,6 +55,7 @@
   readonly store: Store;
   readonly logger: Logger;
   readonly directory: OwnershipDirectory;
+  readonly inspector: RecordInspector;
   readonly tenure: Tenure;
   readonly grants: GrantBook;
   /** The own daemon's address. */
@@ -177,29 +175,15 @@
   }
 
   private async read(service: string, sentAtMs: number): Promise<void> {
-    const { store, directory, logger, onRead } = this.context;
+    const { store, directory, inspector, logger, onRead } = this.context;
     const found = await store.get(OWNERSHIP_PREFIX + service);
     if (found.isErr()) {
       logger.log("store_call_failed", { step: "tenure", cause: found.error });
       return;
     }
-    const stored = found.value;
-    const known = directory.record(service);
-    const hasVanished = stored === undefined && (known?.revision ?? 0) > 0;
-    const record = stored === undefined
-      ? (hasVanished ? undefined : OwnershipRecord.create())
-      : known?.revision === stored.revision
-      ? known
-      : OwnershipRecord.decode(stored.value, stored.revision).unwrapOr(
-        undefined,
-      );
+    const record = inspector.inspect(service, found.value);
     if (record === undefined) {
-      // Nothing is confirmed: where a record was taken away, the next one may name other owners at any moment.
-      logger.log("ownership_unreadable", {
-        service,
-        known_revision: known?.revision,
-        revision: stored?.revision,
-      });
+      // Nothing is confirmed: the next record may name other owners at any moment.
       return;
     }
     directory.note(service, record);
--- a/packages/router/src/tenure_keeper_test.ts
+++ b/packages/router/src/tenure_keeper_test.ts
@@ -11,6 +11,7 @@
 import { okAsync } from "neverthrow";
 import { bootMs } from "./clock.ts";
 import { OwnershipDirectory } from "./ownership_directory.ts";
+import { RecordInspector } from "./record_inspector.ts";
 import { TenureKeeper } from "./tenure_keeper.ts";
 
 const SERVICE = "rooms";
@@ -29,6 +30,7 @@
     store: { get: () => okAsync(found) } as unknown as Store,
     logger,
     directory,
+    inspector: RecordInspector.create({ logger, directory }),
     tenure,
     grants: GrantBook.create(bootMs()),
     own: () => "own",
