--- a/packages/router/src/member_directory.ts
+++ b/packages/router/src/member_directory.ts
@@ -8,6 +8,7 @@
 import type { MemberView } from "@bamboolink/membership";
 import type { Store, StoredRecord } from "@bamboolink/store";
 import type { Result, ResultAsync } from "neverthrow";
+import { isAddress } from "./gossip_node.ts";
 
 /** All records of the product lie below this. */
 const PRODUCT_PREFIX = "bamboolink/";
@@ -66,14 +67,23 @@
   }
 
   private take(records: readonly StoredRecord[]): void {
-    const { view, onRecord } = this.context;
+    const { onRecord } = this.context;
     records.forEach((record) =>
       record.key.startsWith(MEMBER_PREFIX)
-        ? view.name(record.key.slice(MEMBER_PREFIX.length))
+        ? this.name(record.key.slice(MEMBER_PREFIX.length))
         : onRecord(record)
     );
   }
 
+  private name(address: string): void {
+    const { view, logger } = this.context;
+    if (isAddress(address)) {
+      view.name(address);
+    } else {
+      logger.log("member_unreadable", { address });
+    }
+  }
+
   private later(step: () => Promise<void>): void {
     if (!this.isStopped) {
       this.timer = setTimeout(() => void step(), RETRY_MS);
--- a/packages/router/src/record_writer_test.ts
+++ b/packages/router/src/record_writer_test.ts
@@ -10,6 +10,7 @@
 import type { CasRequest, Store } from "@bamboolink/store";
 import { errAsync, okAsync } from "neverthrow";
 import { OWNERSHIP_PREFIX, OwnershipDirectory } from "./ownership_directory.ts";
+import { RecordInspector } from "./record_inspector.ts";
 import { RecordWriter } from "./record_writer.ts";
 
 const SERVICE = "rooms";
@@ -50,6 +51,7 @@
     store: store as unknown as Store,
     logger,
     directory,
+    inspector: RecordInspector.create({ logger, directory }),
     random: () => 0,
     onWritten: () => undefined,
   });
--- a/packages/router/src/shared_reader.ts
+++ b/packages/router/src/shared_reader.ts
@@ -12,6 +12,7 @@
 import type { Store } from "@bamboolink/store";
 import { steadyMs } from "./clock.ts";
 import { OWNERSHIP_PREFIX } from "./ownership_directory.ts";
+import type { RecordInspector } from "./record_inspector.ts";
 
 /** What an owner asks, and is answered with. */
 export interface ReadQuestion {
@@ -29,6 +30,8 @@
 export interface SharedReaderContext {
   readonly store: Store;
   readonly logger: Logger;
+  /** Looks at what was found, which is not told to owners where it is no record. */
+  readonly inspector: RecordInspector;
   readonly onAnswer: (owner: string, answer: ReadAnswer) => void;
 }
 
@@ -69,6 +72,7 @@
       });
       return;
     }
+    this.context.inspector.inspect(service, found.value);
     const revision = found.value?.revision;
     if (revision !== undefined) {
       owners.forEach((askedAtMs, owner) =>
