--- a/packages/membership/src/gossip_codec.ts
+++ b/packages/membership/src/gossip_codec.ts
@@ -12,6 +12,7 @@
 import { z } from "zod";
 import { type BeatDigest, packBeats, unpackBeats } from "./beat_digest.ts";
 import { MemberReport } from "./member.ts";
+import { readReportRow } from "./report_row.ts";
 
 /** Grows when the meaning of the fields changes; others are refused. */
 const FORMAT = 2;
@@ -65,20 +66,12 @@
   if (beats === undefined) {
     return err(invalid("digests of beats are cut short"));
   }
-  const reports = rows.filter((row) => isNews(nameOf(row))).map((row) =>
-    MemberReport.safeParse(
-      Object.fromEntries(FIELDS.map((field, index) => [field, row[index]])),
-    )
-  );
-  const broken = reports.find((report) => !report.success);
-  if (broken?.error !== undefined) {
-    return err(invalid(broken.error.message));
+  const news = rows.filter((row) => isNews(nameOf(row)));
+  const reports = news.flatMap((row) => readReportRow(row) ?? []);
+  if (reports.length < news.length) {
+    return err(invalid("a report has other fields"));
   }
-  return ok({
-    sender,
-    reports: reports.flatMap(({ data }) => data ?? []),
-    beats,
-  });
+  return ok({ sender, reports, beats });
 }
 
 /** Compares as no news where the fields are of other types; such a row is checked only if it claims to be. */
