--- a/scripts/bench.mjs
+++ b/scripts/bench.mjs
@@ -8,6 +8,7 @@
   capacity: () => import("./bench/capacity.mjs"),
   hop: () => import("./bench/hop.mjs"),
   requests: () => import("./bench/requests.mjs"),
+  processor: () => import("./bench/processor.mjs"),
 };
 
 const name = process.argv[2];
--- a/scripts/bench/processor.mjs
+++ b/scripts/bench/processor.mjs
@@ -1,7 +1,7 @@
 /**
  * Measures what daemons take of the processor: until they serve, at rest, and with requests.
  *
- *     node scripts/bench/processor.mjs rest|kinds|mixed DAEMONS FLEETS [PROGRAM[,FLAG...]]...
+ *     npm run bench -- processor rest|kinds|mixed DAEMONS FLEETS [PROGRAM[,FLAG...]]...
  *
  * The daemons are processes of their own, from the bundle; the store and the backend servers are stand-ins in this
  * one. Each variant of program and flags gets as many fleets as asked for, all at the same time, so that other load of
@@ -316,7 +316,7 @@
   store.close();
 }
 
-async function run(act, { daemons, repeats, variants }) {
+async function compare(act, { daemons, repeats, variants }) {
   const fleets = await Promise.all(
     Array.from(
       { length: repeats * variants.length },
@@ -337,15 +337,20 @@
   }
 }
 
-process.setMaxListeners(0);
-const [name, daemons, repeats, ...words] = process.argv.slice(2);
-const variants = (words.length === 0 ? [USUAL_VARIANT] : words).map((word) => {
-  const [program, ...flags] = word.split(",");
-  return { program, flags };
-});
-await run(MEASURES[name], {
-  daemons: Number(daemons),
-  repeats: Number(repeats),
-  variants,
-});
-process.exit(0);
+/** Runs the measurement; the bundle must be there. */
+export async function run([name, daemons, repeats, ...words]) {
+  // Each daemon is ended with this process.
+  process.setMaxListeners(0);
+  const variants = (words.length === 0 ? [USUAL_VARIANT] : words).map(
+    (word) => {
+      const [program, ...flags] = word.split(",");
+      return { program, flags };
+    },
+  );
+  await compare(MEASURES[name], {
+    daemons: Number(daemons),
+    repeats: Number(repeats),
+    variants,
+  });
+  process.exit(0);
+}
