Keep ending connections for 0.3 s, leave what crosses an idle one's end unread, and wait for answers to other daemons

A request that crosses the end of an idle connection was read and dropped, so that one that may run once only could not be sent again. A stopping daemon did not wait for answers to other daemons' questions, and counted what was unfinished after it had closed its links. Change: 0.3 s; idle connections are no longer read from their end on; the peers' server is watched, too; the count is taken before. One connection has a module of its own.

--- /dev/null
+++ b/packages/connections/src/caller_connection.ts
@@ -0,0 +1,113 @@
+/**
+ * One connection of an HTTP server, and how it ends.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/**
+ * How long a connection is kept after its last byte was handed to the system, in milliseconds, unless the caller closes
+ * it: four times what 100 kB take on a link of 10 Mbit/s. Many callers leave the closing to the server, and a daemon that
+ * stops is away for so much longer.
+ */
+const LINGER_MS = 300;
+
+/** Whoever connects sends within this time, as a rule, in milliseconds; callers are within a few milliseconds. */
+const FRESH_MS = 100;
+
+/** A head of which nothing more comes is waited for so long, in milliseconds: a lost packet is sent again by then. */
+const STALLED_MS = 1_000;
+
+/** One connection. */
+export class CallerConnection {
+  /** Requests whose answers the system has not taken whole yet. */
+  private unanswered = 0;
+  private isLast = false;
+  /** Bytes that had been read when the last answer had left, or the last request had come whole. */
+  private readBytes = 0;
+  /** Bytes that had been read at the latest look, and since when they are as many. */
+  private looked: { bytes: number; sinceMs: number };
+
+  private constructor(private readonly socket: Socket, nowMs: number) {
+    this.looked = { bytes: 0, sinceMs: nowMs };
+    // The HTTP server calls this after the last answer of a connection.
+    socket.destroySoon = () => this.end();
+  }
+
+  /** Takes over a connection that has just come. */
+  static create(socket: Socket, nowMs: number): CallerConnection {
+    return new CallerConnection(socket, nowMs);
+  }
+
+  /** Whether nothing that comes from now on is answered. */
+  get isEnding(): boolean {
+    return this.isLast;
+  }
+
+  /** Bytes of answers that wait in the process. */
+  get unsentBytes(): number {
+    return this.socket.writableLength;
+  }
+
+  /** The answer that is written next is the last. */
+  announceEnd(): void {
+    this.isLast = true;
+  }
+
+  /** A request has come, and is going to be answered. */
+  noteRequest(incoming: IncomingMessage, response: ServerResponse): void {
+    const noteRead = () => {
+      this.readBytes = this.socket.bytesRead;
+    };
+    this.unanswered += 1;
+    // A response may be marked as the last while its request is taken; what comes behind it then could not be answered.
+    this.isLast = !response.shouldKeepAlive;
+    // A body may come after its answer; taken for a further request, it would keep the connection busy for good.
+    incoming.once("close", noteRead);
+    response.once("close", () => {
+      this.unanswered -= 1;
+      noteRead();
+    });
+  }
+
+  /**
+   * Whether a request, an answer or bytes are under way, also where a request has come in part or may be on its way, and
+   * where the caller has yet to close. Has to be asked again and again: it notices by that when bytes stop coming.
+   */
+  isBusy(nowMs: number): boolean {
+    return this.unanswered > 0 || this.isLast || this.unsentBytes > 0 ||
+      this.isExpected(nowMs);
+  }
+
+  /**
+   * Says that nothing more comes and leaves the closing to the caller for a while. A connection that is closed with
+   * unread bytes, as of a request sent ahead, is reset, and a reset drops what the caller has not received yet.
+   */
+  end(): void {
+    const { socket } = this;
+    this.isLast = true;
+    socket.end(() => {
+      const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+      socket.once("close", () => clearTimeout(timer));
+    });
+  }
+
+  /** The same, and what comes from now on stays unread: its caller may send it elsewhere, even if it may run once only. */
+  endUnread(): void {
+    this.socket.pause();
+    this.end();
+  }
+
+  /** Whether the rest of a request may come soon. The request of a new connection lies right behind its opening. */
+  private isExpected(nowMs: number): boolean {
+    const { bytesRead } = this.socket;
+    if (bytesRead !== this.looked.bytes) {
+      this.looked = { bytes: bytesRead, sinceMs: nowMs };
+    }
+    const quietMs = nowMs - this.looked.sinceMs;
+    return bytesRead === 0
+      ? quietMs < FRESH_MS
+      : bytesRead > this.readBytes && quietMs < STALLED_MS;
+  }
+}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -7,6 +7,7 @@
 import type { Server as ConnectionServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { ResendBudget } from "@bamboolink/admission";
+import { ServerConnections } from "@bamboolink/connections";
 import { BamboolinkError } from "@bamboolink/errors";
 import {
   GrantBook,
@@ -113,6 +114,7 @@
   private readonly ingress: Ingress;
   private readonly linkServer: LinkServer;
   private readonly peerServer: PeerServer;
+  private readonly peerConnections: ServerConnections;
   private readonly heartbeats: Server;
   private readonly readiness: Server;
   private readonly watcher: StoreWatcher;
@@ -272,6 +274,7 @@
       directory: this.directory,
       store: this.directStore,
     });
+    this.peerConnections = ServerConnections.create(this.peerServer.server);
     this.heartbeats = createHeartbeatServer({
       keeper: this.keeper,
       protocol: ports.backends,
@@ -350,12 +353,12 @@
       await sleep(TICK_MS / 2);
       this.ingress.closeIdle();
     }
-    const { activeCount: unfinished, unsentBytes } = this.ingress;
+    const left = {
+      unfinished: this.ingress.activeCount + this.linkServer.activeCount,
+      unsent_bytes: this.ingress.unsentBytes,
+    };
     await this.close();
-    this.logger.log("process_stopped", {
-      unfinished: unfinished + this.linkServer.activeCount,
-      unsent_bytes: unsentBytes,
-    });
+    this.logger.log("process_stopped", left);
   }
 
   /**
@@ -364,7 +367,8 @@
    * end.
    */
   private hasDuties(): boolean {
-    const requests = this.ingress.busyCount + this.linkServer.activeCount;
+    const requests = this.ingress.busyCount + this.linkServer.activeCount +
+      this.peerConnections.busyCount;
     return requests > 0 || this.ownership.isGivingUp;
   }
 
