Let the soak restart backend servers under their ids, and keep connections open

New faults: a restart under the same id, and series of them about a heartbeat apart, which overlap. New callers: two that send ahead on an open connection until it ends, also while the daemon stops; what is answered there must be what was asked, in order. They are drawn after the faults of before, and a seed of before plays without them (`hasRestarts`), so seed 309 is what it was.

Not covered: stops that cut answers are not counted as broken, since callers that go on after they were told are cut.

--- a/soak/src/fault_schedule.ts
+++ b/soak/src/fault_schedule.ts
@@ -22,8 +22,12 @@
   "store_relay_reset",
   "change_configuration",
 ] as const;
+/** What can be done in addition; drawn apart, so that the faults of a seed stay what they were. */
+export const LATER_FAULT_KINDS = ["restart_backend", "restart_often"] as const;
 /** What can be done to a fleet. */
-export type FaultKind = typeof FAULT_KINDS[number];
+export type FaultKind =
+  | typeof FAULT_KINDS[number]
+  | typeof LATER_FAULT_KINDS[number];
 
 /** One fault of a schedule. */
 export interface Fault {
@@ -48,13 +52,21 @@
 /** Draws faults that overlap, over a time. */
 export function drawFaults(
   draw: Draw,
-  run: { hosts: number; lengthMs: number },
+  run: { hosts: number; lengthMs: number; hasRestarts: boolean },
 ): Fault[] {
   const count = Math.max(2, Math.round(run.lengthMs / 1_500));
-  return Array.from({ length: count }, () => ({
-    kind: FAULT_KINDS[draw(0, FAULT_KINDS.length - 1)]!,
-    host: draw(0, run.hosts - 1),
-    atMs: draw(0, run.lengthMs),
-    forMs: draw(200, 3_500),
-  })).sort((left, right) => left.atMs - right.atMs);
+  const drawSeries = (kinds: readonly FaultKind[], length: number) =>
+    Array.from({ length }, () => ({
+      kind: kinds[draw(0, kinds.length - 1)]!,
+      host: draw(0, run.hosts - 1),
+      atMs: draw(0, run.lengthMs),
+      forMs: draw(200, 3_500),
+    }));
+  return [
+    ...drawSeries(FAULT_KINDS, count),
+    ...drawSeries(
+      LATER_FAULT_KINDS,
+      run.hasRestarts ? Math.round(count / 2) : 0,
+    ),
+  ].sort((left, right) => left.atMs - right.atMs);
 }
--- a/soak/src/regression_seeds.ts
+++ b/soak/src/regression_seeds.ts
@@ -8,12 +8,15 @@
 export interface RegressionSeed {
   readonly seed: number;
   readonly cause: string;
+  /** Whether it was found with restarts under the same id and callers that keep connections. */
+  readonly hasRestarts: boolean;
 }
 
 /** Seeds that broke a promise once. */
 export const REGRESSION_SEEDS: readonly RegressionSeed[] = [
   {
     seed: 309,
+    hasRestarts: false,
     cause:
       "open: the fleet once did not serve everything again within 25 s after a drain and a cut of the store",
   },
--- a/soak/src/soak_run.ts
+++ b/soak/src/soak_run.ts
@@ -5,6 +5,7 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import {
+  type AheadCaller,
   describeConfiguration,
   type FleetHost,
   PlatformFleet,
@@ -31,6 +32,10 @@
 /** After the last fault, how long the fleet may take to serve everything again, in milliseconds. */
 const RECOVER_MS = 25_000;
 const KEYS = 65_536;
+/** Pause between restarts of a series, in milliseconds: about that between two heartbeats. */
+const RESTART_PAUSE_MS = 350;
+/** Callers that send ahead on a connection until it ends. */
+const AHEAD_CALLERS = 2;
 
 /** How a run ended. */
 export interface SoakResult {
@@ -45,11 +50,13 @@
 /**
  * Runs one seed.
  *
- * @param network the second number of the loopback addresses, so that runs side by side don't meet.
+ * @param options `network`: the second number of the loopback addresses, so that runs side by side don't meet;
+ *   `hasRestarts`: whether backend servers restart under their ids and callers keep connections, which seeds of before
+ *   did not have.
  */
 export async function runSoak(
   seed: number,
-  options: { lengthMs: number; network: number },
+  options: { lengthMs: number; network: number; hasRestarts?: boolean },
 ): Promise<SoakResult> {
   const draw = createDraw(seed);
   const host = `127.${options.network}.0.2`;
@@ -62,7 +69,7 @@
   });
   const run = new SoakRun(fleet, relay, draw);
   try {
-    return await run.play(seed, options.lengthMs);
+    return await run.play(seed, { hasRestarts: true, ...options });
   } finally {
     relay.close();
     await fleet.close();
@@ -74,6 +81,8 @@
   private readonly broken = new Set<string>();
   /** What the last look at the recovery found, for the report. */
   private unserved: string[] = [];
+  /** Hosts whose backend servers are being started, since series of faults overlap. */
+  private readonly starting = new Set<FleetHost>();
   private isOver = false;
   private version = 1;
 
@@ -83,20 +92,26 @@
     private readonly draw: Draw,
   ) {}
 
-  async play(seed: number, lengthMs: number): Promise<SoakResult> {
+  async play(
+    seed: number,
+    options: { lengthMs: number; hasRestarts: boolean },
+  ): Promise<SoakResult> {
     const faults = drawFaults(this.draw, {
       hosts: this.fleet.hosts.length,
-      lengthMs,
+      ...options,
     });
     const looking = setInterval(
       () =>
         findDoubleHolds(this.fleet).forEach((found) => this.broken.add(found)),
       LOOK_MS,
     );
-    const callers = Array.from(
-      { length: CALLERS },
-      (_, index) => this.call(index),
-    );
+    const callers = [
+      ...Array.from({ length: CALLERS }, (_, index) => this.call(index)),
+      ...Array.from(
+        { length: options.hasRestarts ? AHEAD_CALLERS : 0 },
+        (_, index) => this.callAhead(index),
+      ),
+    ];
     await Promise.all(faults.map((fault) => this.inject(fault)));
     if (!await this.hasRecovered()) {
       this.broken.add(
@@ -147,6 +162,31 @@
     }
   }
 
+  /** Sends on one connection for as long as the daemon keeps it, also while that stops. */
+  private async callAhead(caller: number): Promise<void> {
+    for (let count = caller; !this.isOver; count += 1) {
+      const host = this.fleet.hosts[count % this.fleet.hosts.length]!;
+      const ahead = await this.fleet.openAhead(host).catch(() => undefined);
+      while (ahead !== undefined && !ahead.hasEnded && !this.isOver) {
+        await ahead.send(["/plain/1", "/plain/2"]);
+        await sleep(30);
+      }
+      if (ahead !== undefined) {
+        this.checkOrder(ahead);
+        ahead.close();
+      }
+      await sleep(30);
+    }
+  }
+
+  /** What was answered on one connection was asked there, each once and in order. */
+  private checkOrder({ answered, asked }: AheadCaller): void {
+    const expected = asked.slice(0, answered.length);
+    if (answered.join() !== expected.join()) {
+      this.broken.add(`${answered.join()} were answered to ${asked.join()}`);
+    }
+  }
+
   private async inject(fault: Fault): Promise<void> {
     await sleep(fault.atMs);
     const host = this.fleet.hosts[fault.host]!;
@@ -163,6 +203,16 @@
         return;
       case "crash_backend":
         return await this.replaceBackend(host, fault.forMs);
+      case "restart_backend":
+        return await this.replaceBackend(host, 20, host.backend.instance);
+      case "restart_often": {
+        const untilMs = Date.now() + fault.forMs;
+        while (Date.now() < untilMs) {
+          await this.replaceBackend(host, 20, host.backend.instance);
+          await sleep(RESTART_PAUSE_MS);
+        }
+        return;
+      }
       case "drain_backend":
         host.backend.isDraining = true;
         await sleep(fault.forMs);
@@ -227,12 +277,18 @@
   private async replaceBackend(
     host: FleetHost,
     afterMs: number,
+    instance?: string,
   ): Promise<void> {
     const { backend } = host;
     backend.crash();
     await sleep(afterMs);
-    if (host.backend === backend) {
-      await this.fleet.startBackend(host);
+    if (host.backend === backend && !this.starting.has(host)) {
+      this.starting.add(host);
+      await this.fleet.startBackend(
+        host,
+        instance === undefined ? {} : { instance },
+      );
+      this.starting.delete(host);
     }
   }
 
