Log which requests a backend server ran when it ended, named by what they ask

A server's end, a reset and a broken-off answer were all connection_lost, and nothing said that two ids ask the same. Now backend_lost stands apart from a lost link, and BL1838 names the requests by a fingerprint of method, host, path, query and body.

Ruled out: the headers of callers as part of the name.

No decision is changed.

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -473,6 +473,14 @@
     action:
       "Where the daemon itself ended it, report it with the lines of the same second.",
   },
+  backend_ended_under_requests: {
+    number: 1838,
+    severity: "warn",
+    meaning:
+      "The backend server ended while it ran requests. `requests` has their ids, `fingerprints` names them by what they ask, so that one that is sent again under another id is found in other daemons' lines.",
+    action:
+      "If a fingerprint stands in the lines of several servers' ends, that request ends them: look at it and at the version of the service.",
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- a/packages/router/src/backend_keeper.ts
+++ b/packages/router/src/backend_keeper.ts
@@ -68,10 +68,19 @@
    * be given to others now.
    */
   readonly beforeLeaving: () => Promise<boolean>;
+  /** Called when the process of an incarnation has ended. */
+  readonly onEnded: (end: BackendEnd) => void;
   /** Called before a grant is decided; it may hold the answer back for a handover. */
   readonly beforeGrant: () => Promise<void>;
 }
 
+/** The end of a backend server's process. */
+export interface BackendEnd {
+  readonly instance: string | undefined;
+  /** Nobody listens at its address, or another incarnation has taken its place. */
+  readonly proof: "refused" | "replaced";
+}
+
 /** How a heartbeat is answered. */
 export type HeartbeatAnswer =
   /** Without a grant nothing is renewed. */
@@ -201,6 +210,8 @@
       // Nobody listens at the address: the process has ended, and whatever it held with it.
       this.context.grants.noteEnded();
       this.setPhase("absent", suspicion);
+      const { instance } = this.last ?? {};
+      this.context.onEnded({ instance, proof: "refused" });
     }
   }
 
@@ -225,6 +236,8 @@
     if (succession === undefined) {
       this.instances.accept(heartbeat, nowMs);
     } else {
+      const { instance } = this.last ?? {};
+      this.context.onEnded({ instance, proof: "replaced" });
       this.instances.succeed(heartbeat, { succession, nowMs });
     }
     if (this.last !== undefined && this.last.service !== heartbeat.service) {
--- a/packages/router/src/backend_keeper_test.ts
+++ b/packages/router/src/backend_keeper_test.ts
@@ -18,6 +18,7 @@
   BackendHeartbeat,
   BackendProtocol,
 } from "./ports/backend_protocol.ts";
+import { RequestQuarantine } from "./request_quarantine.ts";
 
 const ADDRESS = "127.0.0.1:9";
 const KEYS = { from: 0, to: 99 };
@@ -44,6 +45,7 @@
       protocol,
       logger,
       grants,
+      quarantine: RequestQuarantine.create({ logger, nowMs: bootMs }),
       onSuspicion: () => undefined,
     }),
     grants,
@@ -58,6 +60,7 @@
     onFreed: () => undefined,
     beforeLeaving: () =>
       Promise.resolve((options.beforeLeaving ?? giveUpAll)()),
+    onEnded: () => undefined,
     beforeGrant: () => Promise.resolve(),
   });
 }
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -24,6 +24,7 @@
 import type { LoadReport } from "./link_codec.ts";
 import { LoadMeter } from "./load_meter.ts";
 import type { BackendProtocol } from "./ports/backend_protocol.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import {
   Destination,
   notRun,
@@ -57,6 +58,7 @@
   readonly protocol: BackendProtocol;
   readonly logger: Logger;
   readonly grants: GrantBook;
+  readonly quarantine: RequestQuarantine;
   /** Called when something contradicts what is believed of the backend server. */
   readonly onSuspicion: (suspicion: "refused" | "wrong_instance") => void;
 }
@@ -348,6 +350,7 @@
     );
     this.leaveSlot(slot.id);
     const outcome = this.judge(work, { result, connection });
+    this.tellQuarantine(work, outcome);
     this.learn(work, { outcome, tookMs: steadyMs() - startedMs });
     return outcome;
   }
@@ -399,7 +402,7 @@
       return notRun("backend_unreachable");
     }
     const isLate = work.deadlineAtMs - steadyMs() < 1;
-    return unknown(isLate ? "deadline" : "connection_lost");
+    return unknown(isLate ? "deadline" : "backend_lost");
   }
 
   private judgeAnswer(
@@ -427,6 +430,16 @@
     return notRun("not_executed", { hasArrived: true });
   }
 
+  private tellQuarantine(work: Work, outcome: Outcome): void {
+    const { quarantine } = this.context;
+    if (outcome.kind === "answer") {
+      quarantine.noteAnswered();
+    }
+    if (outcome.kind === "unknown" && outcome.reason === "backend_lost") {
+      quarantine.noteLost(work);
+    }
+  }
+
   private learn(
     work: Work,
     end: { outcome: Outcome; tookMs: number },
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -48,6 +48,7 @@
 import { probeBackend } from "./probe_backend.ts";
 import { RelayedStore } from "./relayed_store.ts";
 import { RecordInspector } from "./record_inspector.ts";
+import { RequestQuarantine } from "./request_quarantine.ts";
 import { RequestRunner } from "./request_runner.ts";
 import {
   type ReadAnswer,
@@ -103,6 +104,7 @@
   private readonly view: MemberView;
   private readonly directory: OwnershipDirectory;
   private readonly reader: SharedReader;
+  private readonly quarantine: RequestQuarantine;
   private readonly backend: LocalBackend;
   private readonly keeper: BackendKeeper;
   private readonly ownership: OwnershipKeeper;
@@ -150,11 +152,13 @@
       inspector,
       onAnswer: (owner, answer) => this.answerRead(owner, answer),
     });
+    this.quarantine = RequestQuarantine.create({ logger, nowMs: steadyMs });
     this.backend = LocalBackend.create({
       address: settings.backendAddress,
       protocol: ports.backends,
       logger,
       grants: this.grants,
+      quarantine: this.quarantine,
       onSuspicion: (suspicion) => void this.keeper.suspect(suspicion),
     });
     this.keeper = BackendKeeper.create({
@@ -177,6 +181,7 @@
       onChange: () => this.gossip.announce(),
       onFreed: (freed) => this.ownership.noteFreed(freed),
       beforeLeaving: () => this.ownership.giveUpAll(),
+      onEnded: (end) => this.quarantine.noteEnded(end),
       beforeGrant: () => this.meetHandovers(),
     });
     this.ownership = OwnershipKeeper.create({
--- a/packages/router/src/work.ts
+++ b/packages/router/src/work.ts
@@ -57,7 +57,10 @@
 /** Why it is not known whether a request has run. */
 export type UnknownReason =
   | "deadline"
+  /** The link to the daemon beside the backend server. */
   | "connection_lost"
+  /** The backend server's own connection: it has ended, or has broken off its answer. */
+  | "backend_lost"
   | "foreign_answer"
   | "cancelled";
 
--- a/scripts/check_docs.mjs
+++ b/scripts/check_docs.mjs
@@ -21,6 +21,7 @@
   "keyspace",
   "membership",
   "placement",
+  "quarantine",
   "traffic",
 ];
 /** Words that only `platform/` may know. */
