Keep requests from backend servers that end under them

What callers saw: one request, sent again under new ids at any daemon, ended each server that ran it, and for as long as its caller came again the desk served hardly anybody.

Cause: written off with each attempt. No daemon remembered under which requests a server had ended, nobody told others, and an idempotent request was sent to the next server at once, with all that had run beside it: two servers for each attempt.

Change: requests are named by what they ask. The daemon beside a server that has ended (refused, or replaced) tells all what ran there; these are suspects. A suspect runs at one daemon and alone among suspects, so that the next end has one name; that one is quarantined at all daemons for 30 s, then 2, 8, 32 minutes. An answer acquits, whatever comes late. An attempt under which two connections broke is not sent again.

Why it holds: what ends servers never gets an answer, so it can't be acquitted; sound requests get one at the first trial. Links are of format 4.

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -481,6 +481,28 @@
     action:
       "If a fingerprint stands in the lines of several servers' ends, that request ends them: look at it and at the version of the service.",
   },
+  request_suspected: {
+    number: 1839,
+    severity: "info",
+    meaning:
+      "A server ended while it ran a request, maybe because of it: until it is answered it runs alone among suspects. `peer` is the daemon that told of it; without it, it was seen here.",
+    action: NOTHING,
+  },
+  request_quarantined: {
+    number: 1840,
+    severity: "warn",
+    meaning:
+      "Servers ended under a request, the last one with no other suspect beside it: nobody runs it for `left_ms`, and up to half as long again. Its callers are told that it has not run (`quarantined`).",
+    action:
+      "Find the request by its `fingerprint` in `backend_ended_under_requests`, and mend the service: the next trial comes when the quarantine is over.",
+  },
+  request_acquitted: {
+    number: 1841,
+    severity: "info",
+    meaning:
+      "A server has answered a request that was suspected or quarantined; it runs as any other.",
+    action: NOTHING,
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -13,3 +13,4 @@
 export type { BeatDigest } from "./beat_digest.ts";
 export { MemberView } from "./member_view.ts";
 export { chooseGossipTargets } from "./gossip_targets.ts";
+export { pickSome } from "./pick_some.ts";
--- a/packages/quarantine/src/mod.ts
+++ b/packages/quarantine/src/mod.ts
@@ -3,8 +3,16 @@
  *
  * @module
  */
+export { chooseProbation } from "./choose_probation.ts";
+export { type LostRun, LostRuns } from "./lost_runs.ts";
+export { ProbationLane } from "./probation_lane.ts";
 export {
   fingerprintRequest,
   type RequestContent,
 } from "./request_fingerprint.ts";
-export { type LostRun, LostRuns } from "./lost_runs.ts";
+export {
+  type Accusation,
+  type EndVerdict,
+  type Standing,
+  SuspectBook,
+} from "./suspect_book.ts";
--- /dev/null
+++ b/packages/quarantine/src/suspect_book_test.ts
@@ -0,0 +1,220 @@
+/**
+ * Tests of which requests are kept from backend servers, by replays of servers' ends.
+ *
+ * @module
+ */
+import { expect } from "chai";
+import fc from "fast-check";
+import { chooseProbation } from "./choose_probation.ts";
+import type { LostRun } from "./lost_runs.ts";
+import { ProbationLane } from "./probation_lane.ts";
+import { SuspectBook } from "./suspect_book.ts";
+
+const SEED = 20_261_203;
+const SECOND_MS = 1_000;
+const MINUTE_MS = 60_000;
+
+const lose = (fingerprint: string, isOnProbation = false): LostRun => ({
+  requestId: `id-${fingerprint}`,
+  fingerprint,
+  isOnProbation,
+  atMs: 0,
+});
+
+/** A book that draws no delays. */
+const createBook = () => SuspectBook.create(() => 0);
+
+/** The requests that a book quarantines. */
+const quarantinedIn = (book: SuspectBook, names: string[], nowMs: number) =>
+  names.filter((name) => book.judge(name, nowMs).kind === "quarantined");
+
+describe("SuspectBook", () => {
+  describe("when one server ends", () => {
+    it("suspects all that it ran, and quarantines nothing", () => {
+      const book = createBook();
+      const verdict = book.noteEnd([lose("lethal"), lose("beside")], 0);
+      expect(verdict.accusations).to.deep.equal([
+        { fingerprint: "lethal", ends: 1, leftMs: 0 },
+        { fingerprint: "beside", ends: 1, leftMs: 0 },
+      ]);
+      expect(book.judge("lethal", 1).kind).to.equal("suspect");
+      expect(book.judge("other", 1).kind).to.equal("clear");
+    });
+  });
+
+  describe("when a further server ends under one of them alone", () => {
+    it("quarantines that one, and only suspects what ran beside it", () => {
+      const book = createBook();
+      book.noteEnd([lose("lethal"), lose("beside")], 0);
+      book.noteEnd([lose("lethal", true), lose("popular")], 100);
+      const names = ["lethal", "beside", "popular"];
+      expect(quarantinedIn(book, names, 101)).to.deep.equal(["lethal"]);
+    });
+
+    it("also if the first end is not known here yet, and counts both once", () => {
+      const book = createBook();
+      book.noteEnd([lose("lethal", true)], 100);
+      const late = { fingerprint: "lethal", ends: 1, leftMs: 0 };
+      expect(book.noteAccusation(late, 200)).to.equal("known");
+      expect(book.findQuarantines(200)).to.have.length(1);
+      expect(book.findQuarantines(200)[0]?.ends).to.equal(2);
+    });
+  });
+
+  // Servers also end in numbers, for reasons that lie elsewhere. What they ran is sent on, and was on no probation.
+  describe("when many servers end at once", () => {
+    it("quarantines nothing, however popular", () => {
+      const book = createBook();
+      Array.from({ length: 20 }, (_, index) => index).forEach((index) => {
+        book.noteEnd([lose("popular"), lose(`once-${index}`)], index);
+      });
+      expect(book.countQuarantined(30)).to.equal(0);
+    });
+  });
+
+  describe("when a suspect is answered", () => {
+    it("acquits it, whatever comes late of its accusations", () => {
+      const book = createBook();
+      book.noteEnd([lose("popular")], 0);
+      expect(book.noteAnswer("popular", 50)).to.equal(true);
+      const late = { fingerprint: "popular", ends: 3, leftMs: MINUTE_MS };
+      expect(book.noteAccusation(late, 60)).to.equal("acquitted");
+      expect(book.judge("popular", 61).kind).to.equal("clear");
+    });
+
+    it("acquits it before the end at which it was lost is known", () => {
+      const book = createBook();
+      book.noteAnswer("popular", 50);
+      const { acquitted, accusations } = book.noteEnd([lose("popular")], 200);
+      expect(acquitted).to.deep.equal(["popular"]);
+      expect(accusations).to.deep.equal([]);
+    });
+  });
+
+  describe("when a quarantine is over", () => {
+    // A quarantine that never ends would keep a request from servers that have been repaired; one that is as long each
+    // time would cost a server each time.
+    it("lets it run alone, and makes the next quarantine four times as long", () => {
+      const book = createBook();
+      const lengths: number[] = [];
+      let nowMs = 0;
+      book.noteEnd([lose("lethal", true)], nowMs);
+      for (let trial = 0; trial < 4; trial += 1) {
+        const standing = book.judge("lethal", nowMs);
+        expect(standing.kind).to.equal("quarantined");
+        const leftMs = standing.kind === "quarantined" ? standing.leftMs : 0;
+        lengths.push(leftMs);
+        nowMs += leftMs + SECOND_MS;
+        expect(book.judge("lethal", nowMs).kind).to.equal("suspect");
+        book.noteEnd([lose("lethal", true)], nowMs);
+      }
+      expect(lengths).to.deep.equal([30_000, 120_000, 480_000, 1_920_000]);
+    });
+
+    it("ends it at different times at different daemons", () => {
+      const draws = [0, 0.5, 0.99];
+      const accusation = { fingerprint: "lethal", ends: 2, leftMs: 30_000 };
+      const over = draws.map((draw) => {
+        const book = SuspectBook.create(() => draw);
+        book.noteAccusation(accusation, 0);
+        const standing = book.judge("lethal", 0);
+        return standing.kind === "quarantined" ? standing.leftMs : 0;
+      });
+      expect(over).to.deep.equal([30_000, 37_500, 44_850]);
+    });
+  });
+
+  describe("told the same again and again", () => {
+    it("ends the quarantine no later for that", () => {
+      const book = createBook();
+      book.noteEnd([lose("lethal", true)], 0);
+      const told = { fingerprint: "lethal", ends: 2, leftMs: 30_000 };
+      Array.from({ length: 29 }, (_, index) => (index + 1) * SECOND_MS)
+        .forEach((nowMs) => book.noteAccusation(told, nowMs));
+      expect(book.judge("lethal", 30_001).kind).to.equal("suspect");
+    });
+  });
+
+  describe("after a time in which nothing came", () => {
+    it("is empty again", () => {
+      const book = createBook();
+      book.noteEnd([lose("beside")], 0);
+      book.noteEnd([lose("lethal", true)], 0);
+      book.prune(2 * MINUTE_MS);
+      expect(book.judge("lethal", 2 * MINUTE_MS).kind).to.equal("suspect");
+      expect(book.judge("beside", 2 * MINUTE_MS).kind).to.equal("clear");
+      book.prune(10 * MINUTE_MS);
+      expect(book.isEmpty).to.equal(true);
+    });
+  });
+
+  describe("given news in any order", () => {
+    it("agrees among daemons: an answer wins, else the most ends count", () => {
+      const anyNews = fc.array(
+        fc.oneof(
+          fc.record({ ends: fc.integer({ min: 1, max: 5 }) }),
+          fc.constant("answer" as const),
+        ),
+        { minLength: 1, maxLength: 8 },
+      );
+      fc.assert(
+        fc.property(anyNews, fc.infiniteStream(fc.nat()), (news, order) => {
+          const keys = news.map(() => order.next().value);
+          const shuffled = news.map((item, index) => ({ item, index }))
+            .sort((left, right) => keys[left.index]! - keys[right.index]!)
+            .map(({ item }) => item);
+          const [one, other] = [news, shuffled].map((sequence) => {
+            const book = createBook();
+            sequence.forEach((item) =>
+              item === "answer" ? book.noteAnswer("x", 0) : book.noteAccusation(
+                { fingerprint: "x", ends: item.ends, leftMs: 1_000 },
+                0,
+              )
+            );
+            return book;
+          });
+          expect(one!.judge("x", 1).kind).to.equal(other!.judge("x", 1).kind);
+          expect(one!.findQuarantines(1)).to.deep.equal(
+            other!.findQuarantines(1),
+          );
+        }),
+        { seed: SEED },
+      );
+    });
+  });
+});
+
+describe("ProbationLane", () => {
+  it("lets one run at a time, in the order in which they came", () => {
+    const lane = ProbationLane.create();
+    expect(lane.enter(1)).to.equal(true);
+    expect(lane.enter(2)).to.equal(false);
+    expect(lane.enter(3)).to.equal(false);
+    expect(lane.leave(2)).to.equal(undefined);
+    expect(lane.leave(1)).to.equal(3);
+    expect(lane.leave(3)).to.equal(undefined);
+    expect(lane.length).to.equal(0);
+  });
+});
+
+describe("chooseProbation", () => {
+  const addresses = ["10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"];
+
+  it("chooses the same daemon in any order of them", () => {
+    const backwards = [...addresses].reverse();
+    expect(chooseProbation("lethal", addresses))
+      .to.equal(chooseProbation("lethal", backwards));
+  });
+
+  it("uses all daemons for different requests", () => {
+    const chosen = Array.from(
+      { length: 60 },
+      (_, index) => chooseProbation(`request-${index}`, addresses),
+    );
+    expect(new Set(chosen).size).to.equal(addresses.length);
+  });
+
+  it("chooses nobody where there is nobody", () => {
+    expect(chooseProbation("lethal", [])).to.equal(undefined);
+  });
+});
--- a/packages/router/src/attempt_history.ts
+++ b/packages/router/src/attempt_history.ts
@@ -17,6 +17,7 @@
 export class AttemptHistory {
   private readonly triedDaemons = new Set<string>();
   private arrived = 0;
+  private lost = 0;
   private last: Outcome = notRun("no_backend");
   /** The latest outcome of an attempt that may have run. */
   private mayHaveRun: Outcome | undefined;
@@ -40,6 +41,11 @@
     return this.arrived;
   }
 
+  /** How many connections to backend servers broke under the request. */
+  get lostRuns(): number {
+    return this.lost;
+  }
+
   /** Notes an attempt and its outcome. */
   note(daemon: string, outcome: Outcome): void {
     this.attempts += 1;
@@ -52,6 +58,9 @@
     if (outcome.kind !== "not_run" || outcome.hasArrived) {
       this.arrived += 1;
     }
+    if (outcome.kind === "unknown" && outcome.reason === "backend_lost") {
+      this.lost += 1;
+    }
   }
 
   /**
--- a/packages/router/src/backend_keeper.ts
+++ b/packages/router/src/backend_keeper.ts
@@ -16,7 +16,7 @@
 import type { Logger } from "@bamboolink/logger";
 import type { MemberPhase } from "@bamboolink/membership";
 import { bootMs, steadyMs } from "./clock.ts";
-import type { LocalBackend } from "./local_backend.ts";
+import type { BackendSuspicion, LocalBackend } from "./local_backend.ts";
 import type {
   BackendDeparture,
   BackendHeartbeat,
@@ -94,6 +94,8 @@
   private last: BackendHeartbeat | undefined;
   private current: MemberPhase = "absent";
   private drainingSinceMs = Infinity;
+  /** Whether somebody is asking at the address already: all that ran there is lost together. */
+  private isAsking = false;
 
   private constructor(private readonly context: BackendKeeperContext) {}
 
@@ -195,7 +197,7 @@
   }
 
   /** Requests contradict what is believed. */
-  async suspect(suspicion: "refused" | "wrong_instance"): Promise<void> {
+  async suspect(suspicion: BackendSuspicion): Promise<void> {
     if (this.current === "absent") {
       return;
     }
@@ -204,6 +206,16 @@
       this.setPhase("absent", suspicion);
       return;
     }
+    if (this.isAsking) {
+      return;
+    }
+    this.isAsking = true;
+    await this.askWhetherEnded(suspicion).finally(() => {
+      this.isAsking = false;
+    });
+  }
+
+  private async askWhetherEnded(suspicion: BackendSuspicion): Promise<void> {
     await new Promise((resolve) => setTimeout(resolve, REFUSED_MS));
     const found = await this.context.probe(this.last?.service ?? "");
     if (found.kind === "refused") {
--- a/packages/router/src/datagram_codec.ts
+++ b/packages/router/src/datagram_codec.ts
@@ -82,7 +82,29 @@
   revision: z.int().min(0),
 });
 
+/** Names a request by what it asks. */
+const Fingerprint = z.string().min(1).max(64);
+
+/** Servers ended under these requests. */
+const RequestsAccused = z.object({
+  kind: z.literal("accused"),
+  sender: z.string(),
+  /** Each with the number of ends, and for how long nobody may run it, in milliseconds. */
+  accused: z.array(
+    z.tuple([Fingerprint, z.int().min(1).max(64), z.int().min(0)]),
+  ),
+});
+
+/** These requests were answered: no server ends under them. */
+const RequestsAcquitted = z.object({
+  kind: z.literal("acquitted"),
+  sender: z.string(),
+  fingerprints: z.array(Fingerprint),
+});
+
 const Datagram = z.discriminatedUnion("kind", [
+  RequestsAccused,
+  RequestsAcquitted,
   SharedReadQuestion,
   SharedReadAnswer,
   ReportQuestion,
--- a/packages/router/src/gossip_node.ts
+++ b/packages/router/src/gossip_node.ts
@@ -13,6 +13,7 @@
   encodeGossip,
   type MemberReport,
   type MemberView,
+  pickSome,
 } from "@bamboolink/membership";
 import { steadyMs } from "./clock.ts";
 import {
@@ -26,6 +27,8 @@
 export const ROUND_MS = 500;
 /** Time between two questions for reports that are lacking, in milliseconds. */
 const ASK_MS = 200;
+/** So many daemons are told of what nearly all know: each hears it about as often from others. */
+const SOME = 2;
 const LARGEST_PORT = 65_535;
 
 /** What the node needs. */
@@ -98,6 +101,14 @@
       .forEach(({ address }) => this.send(bytes, address));
   }
 
+  /** Sends a datagram beside gossip to a few living daemons, others each time. */
+  spreadToSome(datagram: Datagram): void {
+    const { view, random } = this.context;
+    const alive = view.alive(steadyMs());
+    pickSome(alive, { count: SOME, random })
+      .forEach(({ address }) => this.sendDatagram(datagram, address));
+  }
+
   /** Stops. */
   close(): void {
     this.socket.close();
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -14,6 +14,7 @@
 import { ServerConnections } from "@bamboolink/connections";
 import type { Logger } from "@bamboolink/logger";
 import type { Metrics } from "@bamboolink/metrics";
+import { fingerprintRequest } from "@bamboolink/quarantine";
 import { ConnectionOrder, TrafficSplit } from "@bamboolink/traffic";
 import type { CallerLimits, TrafficRoute } from "@bamboolink/types";
 import type { Ending } from "./attempt_history.ts";
@@ -332,6 +333,7 @@
       latestStartMs: arrivedMs +
         (route.objectiveMs - waitedMs) * (1 - USUAL_SERVICE_SHARE),
       deadlineAtMs: arrivedMs + patienceMs,
+      lostRuns: 0,
       mayEndLate: !this.order.isFollowed(incoming.socket, route.name),
       callerLeavesAtMs: arrivedMs + (request.deadlineMs ?? route.timeoutMs),
       method: incoming.method ?? "GET",
@@ -385,7 +387,9 @@
     const { logger } = this.context;
     const request = { id: work.id };
     if (outcome.kind === "not_run") {
-      const retryAfterMs = this.spread({
+      const isQuarantined = outcome.reason === "quarantined";
+      // Nobody runs it before its quarantine is over, so a caller that comes back sooner comes in vain.
+      const retryAfterMs = isQuarantined ? outcome.waitMs : this.spread({
         waitMs: outcome.waitMs,
         usefulMs: work.latestStartMs - steadyMs(),
         leftMs: work.callerLeavesAtMs - steadyMs(),
@@ -397,6 +401,7 @@
         service: work.service,
         key: work.key,
         reason: outcome.reason,
+        fingerprint: isQuarantined ? fingerprintRequest(work) : undefined,
         peer,
         attempts,
         wait_ms: Math.round(outcome.waitMs),
--- a/packages/router/src/link_codec.ts
+++ b/packages/router/src/link_codec.ts
@@ -29,7 +29,7 @@
 } as const;
 
 /** Grows when the meaning of a frame changes; links of another format are refused. */
-export const LINK_FORMAT = 3;
+export const LINK_FORMAT = 4;
 /** Length of the length itself, in bytes. */
 const LENGTH_BYTES = 4;
 /** Kind, number and length of the head, in bytes. */
@@ -62,6 +62,7 @@
   z.int().describe("time left to the objective, in milliseconds"),
   z.int().describe("time left to the deadline, in milliseconds"),
   z.boolean().describe("whether it may be served late"),
+  z.int().min(0).describe("connections that broke under it before"),
   z.string().describe("method"),
   z.string().describe("target"),
   z.array(z.string()).describe("names and values of headers in turn"),
@@ -206,6 +207,7 @@
     Math.round(work.objectiveAtMs - nowMs),
     Math.round(work.deadlineAtMs - nowMs),
     work.mayEndLate,
+    work.lostRuns,
     work.method,
     work.target,
     work.headers,
@@ -237,10 +239,11 @@
     objectiveAtMs: nowMs + fields[7],
     deadlineAtMs: nowMs + fields[8],
     mayEndLate: fields[9],
-    method: fields[10],
-    target: fields[11],
-    headers: fields[12],
-    body: fields[13] ? frame.body : undefined,
+    lostRuns: fields[10],
+    method: fields[11],
+    target: fields[12],
+    headers: fields[13],
+    body: fields[14] ? frame.body : undefined,
   };
 }
 
--- a/packages/router/src/link_test.ts
+++ b/packages/router/src/link_test.ts
@@ -47,6 +47,7 @@
   objectiveAtMs: fc.integer({ min: -5_000, max: 5_000 }),
   deadlineAtMs: fc.integer({ min: 0, max: 60_000 }),
   mayEndLate: fc.boolean(),
+  lostRuns: fc.nat(3),
   method: fc.constantFrom("GET", "POST"),
   target: fc.string({ unit: "binary" }),
   headers: fc.array(fc.tuple(fc.string(), fc.string({ unit: "binary" })))
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -24,6 +24,7 @@
 import type { LoadReport } from "./link_codec.ts";
 import { LoadMeter } from "./load_meter.ts";
 import type { BackendProtocol } from "./ports/backend_protocol.ts";
+import { Probation } from "./probation.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import {
   Destination,
@@ -52,6 +53,15 @@
  */
 const WAIT_FRESH_MS = 5;
 
+/** What contradicts that a backend server is there as it is believed to be. */
+export type BackendSuspicion =
+  /** It refuses connections. */
+  | "refused"
+  /** Its connections break, all of those on which something ran. */
+  | "lost"
+  /** Another one answers. */
+  | "wrong_instance";
+
 /** What the local backend needs. */
 export interface LocalBackendContext {
   readonly address: string;
@@ -60,7 +70,7 @@
   readonly grants: GrantBook;
   readonly quarantine: RequestQuarantine;
   /** Called when something contradicts what is believed of the backend server. */
-  readonly onSuspicion: (suspicion: "refused" | "wrong_instance") => void;
+  readonly onSuspicion: (suspicion: BackendSuspicion) => void;
 }
 
 /** What is known of the backend server that requests need. */
@@ -86,6 +96,7 @@
   private readonly meter = LoadMeter.create();
   private readonly waiting = new Map<number, Waiting>();
   private readonly grantWaits = new Set<() => void>();
+  private readonly probation = Probation.create();
   private connections: ConnectionPool;
   private identity: BackendIdentity | undefined;
   private lastId = 0;
@@ -202,16 +213,43 @@
     work: Work,
     cancellation: Cancellation,
   ): Promise<Outcome> {
-    const refused = this.checkService(work) ??
+    const { quarantine } = this.context;
+    const refused = this.checkService(work) ?? this.checkQuarantine(work) ??
       await this.awaitKey(work, cancellation);
     if (refused !== undefined) {
       return refused;
     }
+    const estimateMs = this.estimate(work);
+    if (quarantine.judge(work).kind !== "suspect") {
+      return await this.runAdmitted(work, { cancellation, estimateMs });
+    }
+    return await this.probation.run(work, { cancellation, estimateMs }, () => {
+      const changed = this.checkService(work);
+      const isOnProbation = true;
+      return changed === undefined
+        ? this.runAdmitted(work, { cancellation, estimateMs, isOnProbation })
+        : Promise.resolve(changed);
+    });
+  }
+
+  private estimate(work: Work): number {
     const nowMs = steadyMs();
-    const estimateMs = this.times.estimate(work.route, {
+    return this.times.estimate(work.route, {
       objectiveMs: work.objectiveAtMs - nowMs,
       deadlineMs: work.deadlineAtMs - nowMs,
     });
+  }
+
+  /** Runs a request when a slot is free for it. */
+  private async runAdmitted(
+    work: Work,
+    entry: {
+      cancellation: Cancellation;
+      estimateMs: number;
+      isOnProbation?: boolean;
+    },
+  ): Promise<Outcome> {
+    const { cancellation, estimateMs, isOnProbation = false } = entry;
     this.meter.noteOffered(estimateMs);
     this.totals.offered += 1;
     if (work.key !== undefined) {
@@ -225,7 +263,7 @@
       cancellation,
     });
     return admitted === "run"
-      ? await this.handOver(work, { id, cancellation })
+      ? await this.handOver(work, { id, cancellation, isOnProbation })
       : admitted;
   }
 
@@ -240,6 +278,13 @@
     return this.isTaking(identity) ? undefined : notRun("draining");
   }
 
+  private checkQuarantine(work: Work): Outcome | undefined {
+    const standing = this.context.quarantine.judge(work);
+    return standing.kind === "quarantined"
+      ? notRun("quarantined", { waitMs: standing.leftMs })
+      : undefined;
+  }
+
   /** One that leaves is handed requests for a while longer only for keys, which nobody else can serve. */
   private isTaking({ phase, isKeyed, handOverUntilMs }: BackendIdentity) {
     return phase === "ready" || isKeyed && steadyMs() <= handOverUntilMs;
@@ -332,7 +377,7 @@
   /** From here on bytes may reach the backend server. */
   private async handOver(
     work: Work,
-    slot: { id: number; cancellation: Cancellation },
+    slot: { id: number; cancellation: Cancellation; isOnProbation: boolean },
   ): Promise<Outcome> {
     const startedMs = steadyMs();
     const refused = this.checkAgain(work);
@@ -350,14 +395,18 @@
     );
     this.leaveSlot(slot.id);
     const outcome = this.judge(work, { result, connection });
-    this.tellQuarantine(work, outcome);
+    this.tellQuarantine(work, { outcome, isOnProbation: slot.isOnProbation });
     this.learn(work, { outcome, tookMs: steadyMs() - startedMs });
     return outcome;
   }
 
-  /** While a request waited, the key may have gone, the server may leave, or the time may be up. */
+  /** While a request waited, the key may have gone, the server may leave, or servers may have ended under it. */
   private checkAgain(work: Work): Outcome | undefined {
     const { grants } = this.context;
+    const quarantined = this.checkQuarantine(work);
+    if (quarantined !== undefined) {
+      return quarantined;
+    }
     const key = work.key;
     if (this.identity?.isKeyed === true && key !== undefined) {
       if (!grants.isOwn(key) || !grants.holds(key, bootMs())) {
@@ -430,13 +479,21 @@
     return notRun("not_executed", { hasArrived: true });
   }
 
-  private tellQuarantine(work: Work, outcome: Outcome): void {
-    const { quarantine } = this.context;
+  private tellQuarantine(
+    work: Work,
+    end: { outcome: Outcome; isOnProbation: boolean },
+  ): void {
+    const { outcome, isOnProbation } = end;
+    const { quarantine, onSuspicion } = this.context;
     if (outcome.kind === "answer") {
-      quarantine.noteAnswered();
+      quarantine.noteAnswered(work);
     }
     if (outcome.kind === "unknown" && outcome.reason === "backend_lost") {
-      quarantine.noteLost(work);
+      quarantine.noteLost(work, isOnProbation);
+      // While others run on, only this connection has broken.
+      if (this.queue.runningCount === 0) {
+        onSuspicion("lost");
+      }
     }
   }
 
--- a/packages/router/src/request_runner.ts
+++ b/packages/router/src/request_runner.ts
@@ -19,7 +19,8 @@
 import type { Forwarder } from "./forwarder.ts";
 import type { LocalBackend } from "./local_backend.ts";
 import type { OwnershipDirectory } from "./ownership_directory.ts";
-import type { Outcome, RefusalReason, Work } from "./work.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
+import { notRun, type Outcome, type RefusalReason, type Work } from "./work.ts";
 
 /** Attempts for one request, refused ones included; each refusal costs a way there and back. */
 const MAXIMUM_ROUNDS = 4;
@@ -29,6 +30,11 @@
 const OWNER_POLL_MS = 15;
 /** A resend must have this share of the time of a usual request left, or it would be wasted. */
 const USEFUL_TIME_SHARE = 0.8;
+/**
+ * A request under which so many connections to backend servers broke is not sent to another one: by then it is more
+ * likely to have ended the servers than to have been there by chance.
+ */
+const LARGEST_LOST_RUNS = 2;
 /** Statuses of a backend server's own that say that the request failed there. */
 const FIRST_FAILURE_STATUS = 500;
 
@@ -53,6 +59,7 @@
   readonly directory: OwnershipDirectory;
   readonly backend: LocalBackend;
   readonly forwarder: Forwarder;
+  readonly quarantine: RequestQuarantine;
   readonly budget: ResendBudget;
   readonly random: () => number;
 }
@@ -73,16 +80,28 @@
   ): Promise<Ending> {
     const { cancellation, maximumAttempts } = options;
     const history = AttemptHistory.create();
+    const standing = this.context.quarantine.judge(work);
+    if (standing.kind === "quarantined") {
+      const outcome = notRun("quarantined", { waitMs: standing.leftMs });
+      return { outcome, peer: undefined, attempts: 0 };
+    }
     this.context.budget.noteRequest(work.service, steadyMs());
     for (let round = 0; round < MAXIMUM_ROUNDS; round += 1) {
-      const target = await this.findTarget(work, history.tried, cancellation);
+      const current = history.lostRuns === 0
+        ? work
+        : { ...work, lostRuns: history.lostRuns };
+      const target = await this.findTarget(
+        current,
+        history.tried,
+        cancellation,
+      );
       if (target === undefined) {
         return history.end();
       }
-      if (!this.mayAttempt(work, history.arrivals, maximumAttempts)) {
+      if (!this.mayAttempt(current, history.arrivals, maximumAttempts)) {
         return history.end();
       }
-      const outcome = await this.attempt(work, {
+      const outcome = await this.attempt(current, {
         target,
         cancellation,
         mayGiveUp: () =>
@@ -173,7 +192,8 @@
       case "answer":
         return outcome.status < FIRST_FAILURE_STATUS || !work.isIdempotent;
       case "not_run":
-        return outcome.reason === "cancelled";
+        return outcome.reason === "cancelled" ||
+          outcome.reason === "quarantined";
       case "unknown":
         return !work.isIdempotent || outcome.reason === "cancelled" ||
           outcome.reason === "deadline";
@@ -188,7 +208,7 @@
     const { budget, view, board } = this.context;
     const nowMs = steadyMs();
     const usualMs = board.typicalMs(work.route);
-    return arrivals < maximumAttempts &&
+    return arrivals < maximumAttempts && work.lostRuns < LARGEST_LOST_RUNS &&
       work.deadlineAtMs - nowMs > usualMs * USEFUL_TIME_SHARE &&
       budget.allows(work.service, {
         nowMs,
@@ -219,6 +239,10 @@
     const reachable = untried.filter(({ address }) =>
       !board.isAvoided(address, nowMs)
     );
+    const open = reachable.length > 0 ? reachable : untried;
+    if (this.context.quarantine.judge(work).kind === "suspect") {
+      return this.chooseProbation(work, open);
+    }
     const place = {
       daemon: own.address,
       availabilityZone: own.availabilityZone,
@@ -228,10 +252,9 @@
     this.noteOwnLoad(work.route, nowMs);
     const isNear = ({ availabilityZone }: MemberReport) =>
       availabilityZone === own.availabilityZone;
-    const described = sampleBackends(
-      reachable.length > 0 ? reachable : untried,
-      { isNear, random },
-    ).map((report) => board.describe(report, place));
+    const described = sampleBackends(open, { isNear, random }).map((report) =>
+      board.describe(report, place)
+    );
     const candidates = tried.size === 0
       ? described
       : described.filter((candidate) => this.hasRoom(candidate, work));
@@ -239,6 +262,16 @@
     return chosen === undefined ? undefined : view.find(chosen.daemon);
   }
 
+  private chooseProbation(
+    work: Work,
+    open: readonly MemberReport[],
+  ): MemberReport | undefined {
+    const { quarantine, view } = this.context;
+    const addresses = open.map(({ address }) => address);
+    const chosen = quarantine.chooseProbation(work, addresses);
+    return chosen === undefined ? undefined : view.find(chosen);
+  }
+
   /**
    * Nobody reports the own backend server's load to its own daemon. Without this it would look idle and fast
    * for ever, and requests that arrive here would all go to it, however full it is.
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -152,7 +152,14 @@
       inspector,
       onAnswer: (owner, answer) => this.answerRead(owner, answer),
     });
-    this.quarantine = RequestQuarantine.create({ logger, nowMs: steadyMs });
+    this.quarantine = RequestQuarantine.create({
+      address: settings.gossipAddress,
+      logger,
+      random,
+      nowMs: steadyMs,
+      tellAll: (news) => this.gossip.spread(news),
+      tellSome: (news) => this.gossip.spreadToSome(news),
+    });
     this.backend = LocalBackend.create({
       address: settings.backendAddress,
       protocol: ports.backends,
@@ -250,6 +257,7 @@
       directory: this.directory,
       backend: this.backend,
       forwarder: this.forwarder,
+      quarantine: this.quarantine,
       budget: this.budget,
       random,
     });
@@ -404,6 +412,7 @@
     this.ownership.tick();
     this.linkServer.tick();
     this.forwarder.tick();
+    this.quarantine.tick();
   }
 
   private describe(): Partial<MemberReport> {
@@ -465,6 +474,10 @@
       case "read":
         this.ownership.noteShared(datagram);
         return;
+      case "accused":
+      case "acquitted":
+        this.quarantine.take(datagram);
+        return;
       case "promise":
         if (datagram.service === this.keeper.service) {
           this.tenure.notePromise(datagram.sender, datagram.askedAtMs);
@@ -630,6 +643,7 @@
       bamboolink_requests_queued: () => this.backend.counts.waiting,
       bamboolink_configuration_version: () => this.configuration.version,
       bamboolink_members_alive: () => this.view.alive(steadyMs()).length,
+      bamboolink_requests_quarantined: () => this.quarantine.count,
       bamboolink_owned_keys: () => this.grants.ownCount,
       bamboolink_tenure_left_ms: () =>
         Math.max(0, this.tenure.untilMs - bootMs()),
--- a/packages/router/src/testing/work.ts
+++ b/packages/router/src/testing/work.ts
@@ -17,6 +17,7 @@
   objectiveAtMs: 300,
   deadlineAtMs: 800,
   mayEndLate: true,
+  lostRuns: 0,
   method: "GET",
   target: "/rooms/7",
   headers: ["host", "rooms.example"],
--- a/packages/router/src/work.ts
+++ b/packages/router/src/work.ts
@@ -21,6 +21,8 @@
   readonly deadlineAtMs: number;
   /** Whether it may be served late; not if others wait behind it on its caller's connection. */
   readonly mayEndLate: boolean;
+  /** How many connections to backend servers broke under it before, in this attempt of its caller. */
+  readonly lostRuns: number;
   readonly method: string;
   readonly target: string;
   /** Headers to pass on, names and values in turn. */
@@ -52,6 +54,8 @@
   | "backend_unreachable"
   /** The backend server said that it has not run it. */
   | "not_executed"
+  /** Backend servers ended under it, and it is kept from them for now. */
+  | "quarantined"
   | "cancelled";
 
 /** Why it is not known whether a request has run. */
