Blame a server's end on nothing that its process had answered, and try a suspect at one server

Cause, by a further test: ten callers that send the request at once have three servers end before the first end is known, and none of these runs was on probation. With the first mend the next trials cost three more servers within 30 ms (1,539, 1,555, 1,560 ms): an attempt went on from the server that was gone to the next.

Change: a process that had answered a request did not end under it, so popular requests are no suspects at all; a request that alone was at three ends is quarantined without a trial; ends have names and count once; an attempt of a suspect does not go on from a server that is gone.

Failed try, not kept: three ends as evidence by themselves. A popular request that begins with the lethal one is at all three, too, and was quarantined for 30 s (0 served).

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -485,14 +485,14 @@
     number: 1839,
     severity: "info",
     meaning:
-      "A server ended while it ran a request, maybe because of it: until it is answered it runs alone among suspects. `peer` is the daemon that told of it; without it, it was seen here.",
+      "A server ended while it ran a request, maybe because of it: until it is answered it runs alone among suspects. `ends` names the servers' ends that were told. `peer` is the daemon that told of it; without it, it was seen here.",
     action: NOTHING,
   },
   request_quarantined: {
     number: 1840,
     severity: "warn",
     meaning:
-      "Servers ended under a request, the last one with no other suspect beside it: nobody runs it for `left_ms`, and up to half as long again. Its callers are told that it has not run (`quarantined`).",
+      "Servers ended under a request: three, or two of which the last ran no other suspect. This daemon does not run it for `left_ms`. Its callers are told that it has not run (`quarantined`).",
     action:
       "Find the request by its `fingerprint` in `backend_ended_under_requests`, and mend the service: the next trial comes when the quarantine is over.",
   },
--- a/packages/quarantine/src/mod.ts
+++ b/packages/quarantine/src/mod.ts
@@ -6,6 +6,7 @@
 export { chooseProbation } from "./choose_probation.ts";
 export { type LostRun, LostRuns } from "./lost_runs.ts";
 export { ProbationLane } from "./probation_lane.ts";
+export { RecentAnswers } from "./recent_answers.ts";
 export {
   fingerprintRequest,
   type RequestContent,
@@ -13,6 +14,7 @@
 export {
   type Accusation,
   type EndVerdict,
+  type ServerEnd,
   type Standing,
   SuspectBook,
 } from "./suspect_book.ts";
--- a/packages/quarantine/src/suspect_book.ts
+++ b/packages/quarantine/src/suspect_book.ts
@@ -3,11 +3,12 @@
  *
  * The load it answers: a request that ends each server that begins to run it comes again and again, under other ids, at
  * any daemon. Without this one caller takes a whole service from all others. It is as bad to keep sound requests from
- * servers, and at each end a server ran sound requests beside the one that ended it; popular ones are there at every
- * end, and servers end in numbers for other reasons.
+ * servers: at each end a server ran sound requests beside the one that ended it, and servers end in numbers for other
+ * reasons.
  *
- * So a request that ran when a server ended is only a suspect: until it is answered it runs alone among suspects. One
- * that was alone when a further server ended is quarantined. An answer acquits: what ends servers never gets one.
+ * So a request that ran when a server ended is only a suspect: until it is answered it runs alone among suspects. It is
+ * quarantined if a further server ends under it while it is the only one there, or if it alone was there at several
+ * ends, as when many copies come at once. An answer acquits: what ends servers never gets one.
  *
  * @module
  */
@@ -26,12 +27,22 @@
 export interface Accusation {
   /** Names the request by what it asks. */
   readonly fingerprint: string;
-  /** How many servers are known to have ended under it, one after the other. */
-  readonly ends: number;
+  /** Names of the servers' ends. */
+  readonly ends: readonly number[];
+  /** How often the request was quarantined. */
+  readonly quarantines: number;
   /** For how long nobody may run it, in milliseconds; 0 for a suspect. */
   readonly leftMs: number;
 }
 
+/** The end of the server beside a daemon. */
+export interface ServerEnd {
+  /** Names the end among all daemons, so that each counts once however often it is told. */
+  readonly name: number;
+  /** What the server ran then. */
+  readonly runs: readonly LostRun[];
+}
+
 /** What follows from the end of a server. */
 export interface EndVerdict {
   /** For all daemons to know. */
@@ -40,14 +51,19 @@
   readonly acquitted: readonly string[];
 }
 
-/** Ends under one request, the later ones with no other suspect beside it, that make a quarantine. */
-const EVIDENCE = 2;
+/**
+ * Ends at which one request and no other was each time that make a quarantine. Sound requests that are sent on from one
+ * server to the next are there at two ends at most.
+ */
+const EVIDENCE = 3;
+/** The most ends that are remembered of one request. */
+const LARGEST_ENDS = 16;
 /**
  * The first quarantine, in milliseconds: longer than servers take to come back and become warm, so that callers have a
  * whole service before the next trial can cost a server.
  */
 const FIRST_QUARANTINE_MS = 30_000;
-/** Each further end makes the quarantine so many times longer: a lethal request gets few trials in all. */
+/** Each further quarantine is so many times longer: a lethal request gets few trials in all. */
 const GROWTH = 4;
 /** The longest quarantine, in milliseconds. */
 const LONGEST_QUARANTINE_MS = 86_400_000;
@@ -64,7 +80,8 @@
 const LARGEST_COUNT = 1_024;
 
 interface Entry {
-  readonly ends: number;
+  readonly ends: ReadonlySet<number>;
+  readonly quarantines: number;
   /** Until when nobody may run it. */
   readonly untilMs: number;
   /** How much longer this daemon waits. */
@@ -106,8 +123,8 @@
 
   /** How a request may be run. */
   judge(fingerprint: string, nowMs: number): Standing {
-    const entry = this.entries.get(fingerprint);
-    if (entry === undefined || entry.forgetAtMs <= nowMs) {
+    const entry = this.find(fingerprint, nowMs);
+    if (entry === undefined) {
       return CLEAR;
     }
     const leftMs = entry.untilMs + entry.delayMs - nowMs;
@@ -120,53 +137,53 @@
   }
 
   /** Notes the end of the server beside this daemon. */
-  noteEnd(runs: readonly LostRun[], nowMs: number): EndVerdict {
+  noteEnd({ name, runs }: ServerEnd, nowMs: number): EndVerdict {
     const suspects = runs.filter(({ fingerprint }) =>
       !this.isAcquitted(fingerprint, nowMs)
     );
-    const fingerprints = unique(suspects);
     const onProbation = new Set(
       suspects.filter(({ isOnProbation }) => isOnProbation)
         .map(({ fingerprint }) => fingerprint),
     );
-    fingerprints.forEach((fingerprint) => {
-      const known = this.entries.get(fingerprint)?.ends ?? 0;
-      const ends = onProbation.has(fingerprint)
-        ? Math.max(known, 1) + 1
-        : Math.max(known, 1);
-      if (ends > known) {
-        this.enter(fingerprint, {
-          ends,
-          leftMs: quarantineMs(ends),
-          nowMs,
-        });
-      }
-    });
+    const accused = unique(suspects);
+    accused.forEach((fingerprint) => this.addEnds(fingerprint, [name], nowMs));
+    accused.filter((fingerprint) =>
+      onProbation.has(fingerprint) || this.isAloneAtEnds(fingerprint)
+    ).forEach((fingerprint) => this.quarantine(fingerprint, nowMs));
     return {
-      accusations: fingerprints.flatMap((name) => this.accuse(name, nowMs)),
-      acquitted: unique(runs).filter((name) => this.isAcquitted(name, nowMs)),
+      accusations: accused.flatMap((fingerprint) =>
+        this.describe(fingerprint, nowMs)
+      ).map((accusation) => ({ ...accusation, ends: [name] })),
+      acquitted: unique(runs).filter((fingerprint) =>
+        this.isAcquitted(fingerprint, nowMs)
+      ),
     };
   }
 
   /**
-   * Takes what another daemon tells; returns what it means here.
+   * Takes what another daemon tells of one end, or retells; returns which of it is news, and what was answered meanwhile.
    *
-   * Of the same number of ends only the first word counts: each retelling takes time on its way, and would make the
-   * quarantine longer.
+   * Of one quarantine only the first word counts: each retelling takes time on its way, and would make it longer.
    */
-  noteAccusation(
-    { fingerprint, ends, leftMs }: Accusation,
+  noteAccusations(
+    accusations: readonly Accusation[],
     nowMs: number,
-  ): "news" | "known" | "acquitted" {
-    if (this.isAcquitted(fingerprint, nowMs)) {
-      return "acquitted";
-    }
-    const known = this.entries.get(fingerprint)?.ends ?? 0;
-    if (ends <= known) {
-      return "known";
-    }
-    this.enter(fingerprint, { ends, leftMs, nowMs });
-    return "news";
+  ): { news: readonly Accusation[]; acquitted: readonly string[] } {
+    const [acquitted, standing] = [true, false].map((isAcquitted) =>
+      accusations.filter(({ fingerprint }) =>
+        this.isAcquitted(fingerprint, nowMs) === isAcquitted
+      )
+    );
+    const news = standing!.filter((accusation) =>
+      this.addAccusation(accusation, nowMs)
+    );
+    news.map(({ fingerprint }) => fingerprint)
+      .filter((fingerprint) => this.isAloneAtEnds(fingerprint))
+      .forEach((fingerprint) => this.quarantine(fingerprint, nowMs));
+    return {
+      news,
+      acquitted: acquitted!.map(({ fingerprint }) => fingerprint),
+    };
   }
 
   /** Notes that a server has answered a request; returns whether other daemons suspect it. */
@@ -178,8 +195,8 @@
   /** What a daemon should be told that has just started: quarantines, also those that are over. */
   findQuarantines(nowMs: number): Accusation[] {
     return [...this.entries.keys()]
-      .flatMap((fingerprint) => this.accuse(fingerprint, nowMs))
-      .filter(({ ends }) => ends >= EVIDENCE);
+      .flatMap((fingerprint) => this.describe(fingerprint, nowMs))
+      .filter(({ quarantines }) => quarantines > 0);
   }
 
   /** Forgets what is long past. */
@@ -196,26 +213,87 @@
     });
   }
 
+  /** Returns whether it is news. */
+  private addAccusation(accusation: Accusation, nowMs: number): boolean {
+    const { fingerprint, ends, quarantines, leftMs } = accusation;
+    const known = this.find(fingerprint, nowMs);
+    const isNewQuarantine = quarantines > (known?.quarantines ?? 0);
+    const hasNewEnd = ends.some((end) => known?.ends.has(end) !== true);
+    this.addEnds(fingerprint, ends, nowMs);
+    if (isNewQuarantine) {
+      const untilMs = nowMs + Math.min(leftMs, LONGEST_QUARANTINE_MS);
+      this.enter(fingerprint, { quarantines, untilMs });
+    }
+    return isNewQuarantine || hasNewEnd;
+  }
+
+  private addEnds(
+    fingerprint: string,
+    added: readonly number[],
+    nowMs: number,
+  ): void {
+    const known = this.find(fingerprint, nowMs);
+    if (known === undefined) {
+      this.entries.delete(fingerprint);
+      this.enter(fingerprint, { quarantines: 0, untilMs: nowMs });
+    }
+    const entry = this.entries.get(fingerprint)!;
+    const ends = [...new Set([...entry.ends, ...added])].slice(-LARGEST_ENDS);
+    this.entries.set(fingerprint, { ...entry, ends: new Set(ends) });
+  }
+
+  /** Whether a request was there at enough ends, and no other one was at as many of these. */
+  private isAloneAtEnds(fingerprint: string): boolean {
+    const ends = this.entries.get(fingerprint)?.ends ?? new Set();
+    const countShared = (other: ReadonlySet<number>) =>
+      [...ends].filter((end) => other.has(end as number)).length;
+    return ends.size >= EVIDENCE &&
+      ![...this.entries].some(([name, other]) =>
+        name !== fingerprint && countShared(other.ends) >= EVIDENCE
+      );
+  }
+
+  /** Quarantines a request, unless it is already: a run that began before may still end a server. */
+  private quarantine(fingerprint: string, nowMs: number): void {
+    const entry = this.entries.get(fingerprint);
+    if (entry !== undefined && entry.untilMs <= nowMs) {
+      const quarantines = entry.quarantines + 1;
+      const untilMs = nowMs + quarantineMs(quarantines);
+      this.enter(fingerprint, { quarantines, untilMs });
+    }
+  }
+
   private enter(
     fingerprint: string,
-    told: { ends: number; leftMs: number; nowMs: number },
+    verdict: { quarantines: number; untilMs: number },
   ): void {
-    const { ends, leftMs, nowMs } = told;
-    const untilMs = nowMs + Math.min(leftMs, LONGEST_QUARANTINE_MS);
+    const { quarantines, untilMs } = verdict;
+    const ends = this.entries.get(fingerprint)?.ends ?? new Set();
+    const delayMs = quarantineMs(quarantines) * LARGEST_DELAY_SHARE *
+      this.random();
+    // One that comes back only now and then must still find its ends counted.
+    const forgetAtMs = untilMs + SUSPECT_MS +
+      (quarantines === 0 ? 0 : quarantineMs(quarantines + 1));
     this.remember(this.entries, fingerprint, {
       ends,
+      quarantines,
       untilMs,
-      delayMs: quarantineMs(ends) * LARGEST_DELAY_SHARE * this.random(),
-      // One that comes back only now and then must still find its ends counted.
-      forgetAtMs: untilMs + Math.max(SUSPECT_MS, quarantineMs(ends + 1)),
+      delayMs,
+      forgetAtMs,
     });
   }
 
-  private accuse(fingerprint: string, nowMs: number): Accusation[] {
+  private find(fingerprint: string, nowMs: number): Entry | undefined {
     const entry = this.entries.get(fingerprint);
-    return entry === undefined || entry.forgetAtMs <= nowMs ? [] : [{
+    return entry === undefined || entry.forgetAtMs <= nowMs ? undefined : entry;
+  }
+
+  private describe(fingerprint: string, nowMs: number): Accusation[] {
+    const entry = this.find(fingerprint, nowMs);
+    return entry === undefined ? [] : [{
       fingerprint,
-      ends: entry.ends,
+      ends: [...entry.ends],
+      quarantines: entry.quarantines,
       leftMs: Math.max(0, Math.round(entry.untilMs - nowMs)),
     }];
   }
@@ -231,12 +309,12 @@
   }
 }
 
-/** How long nobody may run a request under which so many servers ended, in milliseconds. */
-function quarantineMs(ends: number): number {
-  if (ends < EVIDENCE) {
+/** How long the first, second, ... quarantine of a request lasts, in milliseconds. */
+function quarantineMs(ordinal: number): number {
+  if (ordinal === 0) {
     return 0;
   }
-  const lengthMs = FIRST_QUARANTINE_MS * GROWTH ** (ends - EVIDENCE);
+  const lengthMs = FIRST_QUARANTINE_MS * GROWTH ** (ordinal - 1);
   return Math.min(LONGEST_QUARANTINE_MS, lengthMs);
 }
 
--- a/packages/quarantine/src/suspect_book_test.ts
+++ b/packages/quarantine/src/suspect_book_test.ts
@@ -21,6 +21,13 @@
   atMs: 0,
 });
 
+/** The end of a server, with a name of its own. */
+let lastEnd = 0;
+function endOf(...runs: LostRun[]) {
+  lastEnd += 1;
+  return { name: lastEnd, runs };
+}
+
 /** A book that draws no delays. */
 const createBook = () => SuspectBook.create(() => 0);
 
@@ -32,10 +39,12 @@
   describe("when one server ends", () => {
     it("suspects all that it ran, and quarantines nothing", () => {
       const book = createBook();
-      const verdict = book.noteEnd([lose("lethal"), lose("beside")], 0);
-      expect(verdict.accusations).to.deep.equal([
-        { fingerprint: "lethal", ends: 1, leftMs: 0 },
-        { fingerprint: "beside", ends: 1, leftMs: 0 },
+      const end = endOf(lose("lethal"), lose("beside"));
+      const { accusations } = book.noteEnd(end, 0);
+      const told = { ends: [end.name], quarantines: 0, leftMs: 0 };
+      expect(accusations).to.deep.equal([
+        { fingerprint: "lethal", ...told },
+        { fingerprint: "beside", ...told },
       ]);
       expect(book.judge("lethal", 1).kind).to.equal("suspect");
       expect(book.judge("other", 1).kind).to.equal("clear");
@@ -45,47 +54,97 @@
   describe("when a further server ends under one of them alone", () => {
     it("quarantines that one, and only suspects what ran beside it", () => {
       const book = createBook();
-      book.noteEnd([lose("lethal"), lose("beside")], 0);
-      book.noteEnd([lose("lethal", true), lose("popular")], 100);
-      const names = ["lethal", "beside", "popular"];
+      book.noteEnd(endOf(lose("lethal"), lose("beside")), 0);
+      book.noteEnd(endOf(lose("lethal", true), lose("later")), 100);
+      const names = ["lethal", "beside", "later"];
       expect(quarantinedIn(book, names, 101)).to.deep.equal(["lethal"]);
     });
 
-    it("also if the first end is not known here yet, and counts both once", () => {
+    it("also if the first end is told later, without a second quarantine", () => {
       const book = createBook();
-      book.noteEnd([lose("lethal", true)], 100);
-      const late = { fingerprint: "lethal", ends: 1, leftMs: 0 };
-      expect(book.noteAccusation(late, 200)).to.equal("known");
-      expect(book.findQuarantines(200)).to.have.length(1);
-      expect(book.findQuarantines(200)[0]?.ends).to.equal(2);
+      book.noteEnd(endOf(lose("lethal", true)), 100);
+      const late = {
+        fingerprint: "lethal",
+        ends: [lastEnd + 1],
+        quarantines: 0,
+        leftMs: 0,
+      };
+      expect(book.noteAccusations([late], 200).news).to.have.length(1);
+      expect(book.findQuarantines(200)[0]?.quarantines).to.equal(1);
+      expect(book.noteAccusations([late], 300).news).to.have.length(0);
     });
   });
 
-  // Servers also end in numbers, for reasons that lie elsewhere. What they ran is sent on, and was on no probation.
+  // Many copies of a lethal request may come before the first end is known. None of them was on probation.
+  describe("when three servers have ended under one request", () => {
+    it("quarantines it, whoever tells of the ends", () => {
+      const book = createBook();
+      book.noteEnd(endOf(lose("lethal"), lose("a")), 0);
+      const told = { fingerprint: "lethal", quarantines: 0, leftMs: 0 };
+      book.noteAccusations([{ ...told, ends: [101] }], 1);
+      expect(quarantinedIn(book, ["lethal"], 1)).to.deep.equal([]);
+      book.noteAccusations([{ ...told, ends: [101] }], 2);
+      expect(quarantinedIn(book, ["lethal"], 2)).to.deep.equal([]);
+      book.noteAccusations([{ ...told, ends: [102] }], 3);
+      expect(quarantinedIn(book, ["lethal", "a"], 3))
+        .to.deep.equal(["lethal"]);
+    });
+
+    // A popular request may be there each time, too, before any server has answered it.
+    it("quarantines neither of two that were there each time", () => {
+      const book = createBook();
+      const names = ["lethal", "popular"];
+      const tell = (end: number) =>
+        names.map((fingerprint) => ({
+          fingerprint,
+          ends: [end],
+          quarantines: 0,
+          leftMs: 0,
+        }));
+      [101, 102, 103].forEach((end) => book.noteAccusations(tell(end), 0));
+      expect(quarantinedIn(book, names, 1)).to.deep.equal([]);
+      book.noteAnswer("popular", 2);
+      book.noteEnd(endOf(lose("lethal", true)), 3);
+      expect(quarantinedIn(book, names, 4)).to.deep.equal(["lethal"]);
+    });
+  });
+
+  // Servers also end in numbers, for reasons that lie elsewhere. What they ran is sent on, once for each attempt.
   describe("when many servers end at once", () => {
-    it("quarantines nothing, however popular", () => {
+    it("quarantines nothing that was there once or twice", () => {
       const book = createBook();
-      Array.from({ length: 20 }, (_, index) => index).forEach((index) => {
-        book.noteEnd([lose("popular"), lose(`once-${index}`)], index);
+      const names = Array.from({ length: 60 }, (_, index) => `once-${index}`);
+      names.forEach((name, index) => {
+        const sentOn = names[index - 3] ?? "none";
+        book.noteEnd(endOf(lose(name), lose(sentOn)), index);
       });
-      expect(book.countQuarantined(30)).to.equal(0);
+      expect(quarantinedIn(book, names, 60)).to.deep.equal([]);
     });
   });
 
   describe("when a suspect is answered", () => {
     it("acquits it, whatever comes late of its accusations", () => {
       const book = createBook();
-      book.noteEnd([lose("popular")], 0);
+      book.noteEnd(endOf(lose("popular")), 0);
       expect(book.noteAnswer("popular", 50)).to.equal(true);
-      const late = { fingerprint: "popular", ends: 3, leftMs: MINUTE_MS };
-      expect(book.noteAccusation(late, 60)).to.equal("acquitted");
+      const late = {
+        fingerprint: "popular",
+        ends: [101, 102, 103],
+        quarantines: 1,
+        leftMs: MINUTE_MS,
+      };
+      expect(book.noteAccusations([late], 60)).to.deep.equal({
+        news: [],
+        acquitted: ["popular"],
+      });
       expect(book.judge("popular", 61).kind).to.equal("clear");
     });
 
     it("acquits it before the end at which it was lost is known", () => {
       const book = createBook();
       book.noteAnswer("popular", 50);
-      const { acquitted, accusations } = book.noteEnd([lose("popular")], 200);
+      const end = endOf(lose("popular"));
+      const { acquitted, accusations } = book.noteEnd(end, 200);
       expect(acquitted).to.deep.equal(["popular"]);
       expect(accusations).to.deep.equal([]);
     });
@@ -98,7 +157,7 @@
       const book = createBook();
       const lengths: number[] = [];
       let nowMs = 0;
-      book.noteEnd([lose("lethal", true)], nowMs);
+      book.noteEnd(endOf(lose("lethal", true)), nowMs);
       for (let trial = 0; trial < 4; trial += 1) {
         const standing = book.judge("lethal", nowMs);
         expect(standing.kind).to.equal("quarantined");
@@ -106,17 +165,22 @@
         lengths.push(leftMs);
         nowMs += leftMs + SECOND_MS;
         expect(book.judge("lethal", nowMs).kind).to.equal("suspect");
-        book.noteEnd([lose("lethal", true)], nowMs);
+        book.noteEnd(endOf(lose("lethal", true)), nowMs);
       }
       expect(lengths).to.deep.equal([30_000, 120_000, 480_000, 1_920_000]);
     });
 
     it("ends it at different times at different daemons", () => {
       const draws = [0, 0.5, 0.99];
-      const accusation = { fingerprint: "lethal", ends: 2, leftMs: 30_000 };
+      const accusation = {
+        fingerprint: "lethal",
+        ends: [101, 102],
+        quarantines: 1,
+        leftMs: 30_000,
+      };
       const over = draws.map((draw) => {
         const book = SuspectBook.create(() => draw);
-        book.noteAccusation(accusation, 0);
+        book.noteAccusations([accusation], 0);
         const standing = book.judge("lethal", 0);
         return standing.kind === "quarantined" ? standing.leftMs : 0;
       });
@@ -127,10 +191,15 @@
   describe("told the same again and again", () => {
     it("ends the quarantine no later for that", () => {
       const book = createBook();
-      book.noteEnd([lose("lethal", true)], 0);
-      const told = { fingerprint: "lethal", ends: 2, leftMs: 30_000 };
+      book.noteEnd(endOf(lose("lethal", true)), 0);
+      const told = {
+        fingerprint: "lethal",
+        ends: [lastEnd],
+        quarantines: 1,
+        leftMs: 30_000,
+      };
       Array.from({ length: 29 }, (_, index) => (index + 1) * SECOND_MS)
-        .forEach((nowMs) => book.noteAccusation(told, nowMs));
+        .forEach((nowMs) => book.noteAccusations([told], nowMs));
       expect(book.judge("lethal", 30_001).kind).to.equal("suspect");
     });
   });
@@ -138,8 +207,8 @@
   describe("after a time in which nothing came", () => {
     it("is empty again", () => {
       const book = createBook();
-      book.noteEnd([lose("beside")], 0);
-      book.noteEnd([lose("lethal", true)], 0);
+      book.noteEnd(endOf(lose("beside")), 0);
+      book.noteEnd(endOf(lose("lethal", true)), 0);
       book.prune(2 * MINUTE_MS);
       expect(book.judge("lethal", 2 * MINUTE_MS).kind).to.equal("suspect");
       expect(book.judge("beside", 2 * MINUTE_MS).kind).to.equal("clear");
@@ -149,10 +218,17 @@
   });
 
   describe("given news in any order", () => {
-    it("agrees among daemons: an answer wins, else the most ends count", () => {
+    it("agrees among daemons: an answer wins, else ends add up and the latest quarantine counts", () => {
       const anyNews = fc.array(
         fc.oneof(
-          fc.record({ ends: fc.integer({ min: 1, max: 5 }) }),
+          fc.record({
+            ends: fc.array(fc.nat(5), { minLength: 1, maxLength: 2 }),
+            quarantines: fc.constant(0),
+          }),
+          fc.record({
+            ends: fc.constant([0, 1, 2]),
+            quarantines: fc.integer({ min: 1, max: 3 }),
+          }),
           fc.constant("answer" as const),
         ),
         { minLength: 1, maxLength: 8 },
@@ -166,17 +242,24 @@
           const [one, other] = [news, shuffled].map((sequence) => {
             const book = createBook();
             sequence.forEach((item) =>
-              item === "answer" ? book.noteAnswer("x", 0) : book.noteAccusation(
-                { fingerprint: "x", ends: item.ends, leftMs: 1_000 },
-                0,
-              )
+              item === "answer"
+                ? book.noteAnswer("x", 0)
+                : book.noteAccusations(
+                  [{ fingerprint: "x", leftMs: 30_000, ...item }],
+                  0,
+                )
             );
             return book;
           });
           expect(one!.judge("x", 1).kind).to.equal(other!.judge("x", 1).kind);
-          expect(one!.findQuarantines(1)).to.deep.equal(
-            other!.findQuarantines(1),
+          const [mine, theirs] = [one!, other!].map((book) =>
+            book.findQuarantines(1).map(({ ends, quarantines, leftMs }) => ({
+              ends: [...ends].sort(),
+              quarantines,
+              leftMs,
+            }))
           );
+          expect(mine).to.deep.equal(theirs);
         }),
         { seed: SEED },
       );
--- a/packages/router/src/datagram_codec.ts
+++ b/packages/router/src/datagram_codec.ts
@@ -89,9 +89,14 @@
 const RequestsAccused = z.object({
   kind: z.literal("accused"),
   sender: z.string(),
-  /** Each with the number of ends, and for how long nobody may run it, in milliseconds. */
+  /** Each with the names of the ends, the number of quarantines, and what is left of the last, in milliseconds. */
   accused: z.array(
-    z.tuple([Fingerprint, z.int().min(1).max(64), z.int().min(0)]),
+    z.tuple([
+      Fingerprint,
+      z.array(z.int().min(0)).min(1).max(64),
+      z.int().min(0).max(64),
+      z.int().min(0),
+    ]),
   ),
 });
 
--- a/packages/router/src/request_quarantine.ts
+++ b/packages/router/src/request_quarantine.ts
@@ -9,6 +9,7 @@
   chooseProbation,
   fingerprintRequest,
   LostRuns,
+  RecentAnswers,
   type Standing,
   SuspectBook,
 } from "@bamboolink/quarantine";
@@ -19,7 +20,11 @@
 /** Time between two retellings of what is quarantined, in milliseconds: a daemon that starts knows soon. */
 const RETELL_MS = 1_000;
 /** The most requests that one datagram tells of, so that it travels in one piece. */
-const LARGEST_NEWS = 24;
+const LARGEST_NEWS = 16;
+/** A request under which so many connections broke in one attempt is a suspect whether a server's end is known or not. */
+const LARGEST_LOST_RUNS = 2;
+/** Ends are named by a draw among so many names: two of them don't get one by chance. */
+const END_NAMES = 2 ** 32;
 
 /** What one daemon tells others of requests under which servers ended. */
 export type QuarantineNews = Extract<
@@ -46,6 +51,7 @@
 /** One daemon's knowledge of requests under which backend servers end. */
 export class RequestQuarantine {
   private readonly lost = LostRuns.create();
+  private readonly answers = RecentAnswers.create();
   private readonly book: SuspectBook;
   private retoldAtMs = -Infinity;
 
@@ -76,6 +82,19 @@
     return isSuspect ? SUSPECT : standing;
   }
 
+  /**
+   * Whether a request may be sent on from a server that is gone. A suspect is not: the server may have ended under
+   * another copy of it a moment ago, and the next one would.
+   *
+   * @param lostRuns how many connections to backend servers broke under it in this attempt.
+   */
+  maySendOn(work: Work, lostRuns: number): boolean {
+    const isSuspect = !this.book.isEmpty &&
+      this.book.judge(fingerprintRequest(work), this.context.nowMs()).kind !==
+        "clear";
+    return lostRuns < LARGEST_LOST_RUNS && !isSuspect;
+  }
+
   /** Chooses the daemon beside whose backend server a suspect runs. */
   chooseProbation(
     work: Work,
@@ -88,6 +107,7 @@
   noteAnswered(work: Work): void {
     const { address: sender, nowMs, tellAll, logger } = this.context;
     this.lost.noteAnswered(nowMs());
+    this.answers.note(work);
     if (!this.isOfInterest(work)) {
       return;
     }
@@ -114,8 +134,10 @@
 
   /** Notes that the process of the backend server here has ended. */
   noteEnded({ instance, proof }: BackendEnd): void {
-    const { logger, nowMs } = this.context;
-    const runs = this.lost.takeEnded(nowMs());
+    const { logger, nowMs, random } = this.context;
+    const answered = this.answers.takeAll();
+    const runs = this.lost.takeEnded(nowMs())
+      .filter(({ fingerprint }) => !answered.has(fingerprint));
     if (runs.length === 0) {
       return;
     }
@@ -126,7 +148,10 @@
       fingerprints: runs.map(({ fingerprint }) => fingerprint),
       on_probation: runs.map(({ isOnProbation }) => isOnProbation),
     });
-    const { accusations, acquitted } = this.book.noteEnd(runs, nowMs());
+    const { accusations, acquitted } = this.book.noteEnd(
+      { name: Math.floor(random() * END_NAMES), runs },
+      nowMs(),
+    );
     accusations.forEach((accusation) => this.logAccusation(accusation));
     this.tellAccusations(accusations, this.context.tellAll);
     this.tellAcquitted(acquitted);
@@ -144,19 +169,15 @@
       });
       return;
     }
-    const told = news.accused.map(([fingerprint, ends, leftMs]) => {
-      const accusation = { fingerprint, ends, leftMs };
-      return {
-        accusation,
-        meaning: this.book.noteAccusation(accusation, nowMs),
-      };
+    const accusations = news.accused.map((row): Accusation => {
+      const [fingerprint, ends, quarantines, leftMs] = row;
+      return { fingerprint, ends, quarantines, leftMs };
     });
-    told.filter(({ meaning }) => meaning === "news")
-      .forEach(({ accusation }) => this.logAccusation(accusation, news.sender));
-    this.tellAcquitted(
-      told.filter(({ meaning }) => meaning === "acquitted")
-        .map(({ accusation }) => accusation.fingerprint),
+    const found = this.book.noteAccusations(accusations, nowMs);
+    found.news.forEach((accusation) =>
+      this.logAccusation(accusation, news.sender)
     );
+    this.tellAcquitted(found.acquitted);
   }
 
   /** Retells what is quarantined, for those who were not there when it was told, and forgets what is long past. */
@@ -186,9 +207,10 @@
       tell({
         kind: "accused",
         sender,
-        accused: piece.map(({ fingerprint, ends, leftMs }) => [
+        accused: piece.map(({ fingerprint, ends, quarantines, leftMs }) => [
           fingerprint,
-          ends,
+          [...ends],
+          quarantines,
           leftMs,
         ]),
       })
@@ -202,15 +224,17 @@
     );
   }
 
+  /** Logs what is believed of a request now. */
   private logAccusation(accusation: Accusation, peer?: string): void {
-    const { fingerprint, ends, leftMs } = accusation;
-    const name = leftMs > 0 ? "request_quarantined" : "request_suspected";
-    this.context.logger.log(name, {
-      fingerprint,
-      ends,
-      left_ms: leftMs,
-      peer,
-    });
+    const { logger, nowMs } = this.context;
+    const { fingerprint, ends } = accusation;
+    const standing = this.book.judge(fingerprint, nowMs());
+    if (standing.kind === "quarantined") {
+      const left_ms = Math.round(standing.leftMs);
+      logger.log("request_quarantined", { fingerprint, ends, left_ms, peer });
+      return;
+    }
+    logger.log("request_suspected", { fingerprint, ends, peer });
   }
 }
 
--- a/packages/router/src/request_runner.ts
+++ b/packages/router/src/request_runner.ts
@@ -30,11 +30,6 @@
 const OWNER_POLL_MS = 15;
 /** A resend must have this share of the time of a usual request left, or it would be wasted. */
 const USEFUL_TIME_SHARE = 0.8;
-/**
- * A request under which so many connections to backend servers broke is not sent to another one: by then it is more
- * likely to have ended the servers than to have been there by chance.
- */
-const LARGEST_LOST_RUNS = 2;
 /** Statuses of a backend server's own that say that the request failed there. */
 const FIRST_FAILURE_STATUS = 500;
 
@@ -111,7 +106,9 @@
       this.noteSize(work, outcome);
       if (
         cancellation.isCancelled || this.isFinal(work, outcome) ||
-        this.isOwnersLastWord(work, outcome)
+        this.isOwnersLastWord(work, outcome) ||
+        this.isServerGone(outcome) &&
+          !this.context.quarantine.maySendOn(work, history.lostRuns)
       ) {
         return history.end();
       }
@@ -187,6 +184,12 @@
       OWNERS_LAST_WORD.has(outcome.reason);
   }
 
+  /** Whether a request found a server that has ended, or may have ended one. */
+  private isServerGone(outcome: Outcome): boolean {
+    return outcome.kind === "unknown" && outcome.reason === "backend_lost" ||
+      outcome.kind === "not_run" && outcome.reason === "backend_unreachable";
+  }
+
   private isFinal(work: Work, outcome: Outcome): boolean {
     switch (outcome.kind) {
       case "answer":
@@ -208,7 +211,7 @@
     const { budget, view, board } = this.context;
     const nowMs = steadyMs();
     const usualMs = board.typicalMs(work.route);
-    return arrivals < maximumAttempts && work.lostRuns < LARGEST_LOST_RUNS &&
+    return arrivals < maximumAttempts &&
       work.deadlineAtMs - nowMs > usualMs * USEFUL_TIME_SHARE &&
       budget.allows(work.service, {
         nowMs,
