Bear a store that comes back from an older copy

Cause: a record counted as newer if its revision was higher, and the store gives its revisions out again. Changes after the return were taken for old, writes lost every race.

Change: revisions count within the store's eras, translated at the client's edge; each record says in which era it was written and one of a former era is not in force; the leading daemon puts the newest known record back after 0.7 s; until it is settled, 10.3 s later, owners go on and nobody is given keys by it; the leading daemon writes lost addresses again.

Tried and left out, since no schedule failed without them: counting seals and offices anew, forbidding changes while restored.

--- a/packages/keyspace/src/grant_book.ts
+++ b/packages/keyspace/src/grant_book.ts
@@ -110,6 +110,10 @@
         this.releasing.delete(range);
         this.holdsUntil.delete(range);
       });
+    if (record.isRestored) {
+      // Whoever had the other ranges by what the store has lost may still hold them.
+      return;
+    }
     const token = own.revision * INCARNATIONS_PER_REVISION + this.incarnations;
     mine.segments.forEach((segment) =>
       this.tokens.gaps(segment).forEach((range) =>
--- a/packages/keyspace/src/mod.ts
+++ b/packages/keyspace/src/mod.ts
@@ -45,6 +45,7 @@
 } from "./plan_assignment.ts";
 export { PromiseBook, type PromiseQuestion } from "./promise_book.ts";
 export { RepairWait } from "./repair_wait.ts";
+export { RestoreWait } from "./restore_wait.ts";
 export { LoadProfile } from "./load_profile.ts";
 export type { OwnerLoad } from "./balance_loads.ts";
 export { CONFIRM_MS, ConfirmTurns, gatherForMs } from "./confirm_turns.ts";
--- a/packages/keyspace/src/ownership_record.ts
+++ b/packages/keyspace/src/ownership_record.ts
@@ -68,6 +68,10 @@
   ranges: z.array(StoredRange),
   /** Daemon and name of the appointment. */
   arbiters: z.array(z.tuple([z.string(), z.int().min(0)])).default([]),
+  /** How often the store had gone back when this was written; another figure than the store's says that it is old. */
+  era: z.int().min(0).default(0),
+  /** Whether this was put back after the store had lost it, and others may still hold keys by a later one. */
+  restored: z.boolean().default(false),
 });
 
 /** Bounds how many daemons are sealed in one write; far above the size of any fleet. */
@@ -79,19 +83,55 @@
   readonly handover: string;
 }
 
+/** What a record says. */
+interface Content {
+  readonly revision: number;
+  readonly owners: RangeMap<Owner>;
+  readonly arbiters: readonly Arbiter[];
+  readonly era: number;
+  readonly isRestored: boolean;
+}
+
 /** One revision of the ownership of a service. It is never changed; changes make a new one. */
 export class OwnershipRecord {
-  private constructor(
-    /** The store's revision of this record; 0 where there is none in the store yet. */
-    readonly revision: number,
-    private readonly owners: RangeMap<Owner>,
-    /** Those who may take owners over after the short tenure. */
-    readonly arbiters: readonly Arbiter[],
-  ) {}
+  private constructor(private readonly content: Content) {}
 
   /** A record in which no key has an owner. */
   static create(): OwnershipRecord {
-    return new OwnershipRecord(0, createOwners(), []);
+    return new OwnershipRecord({
+      revision: 0,
+      owners: createOwners(),
+      arbiters: [],
+      era: 0,
+      isRestored: false,
+    });
+  }
+
+  /** The store's revision of this record, in the order over all eras; 0 where there is none in the store yet. */
+  get revision(): number {
+    return this.content.revision;
+  }
+
+  /** Those who may take owners over after the short tenure. */
+  get arbiters(): readonly Arbiter[] {
+    return this.content.arbiters;
+  }
+
+  /** The era of the store in which the record was written. */
+  get era(): number {
+    return this.content.era;
+  }
+
+  /**
+   * Whether the record was put back after the store had lost what came after it. Owners go on with what they hold;
+   * nobody is given keys by it, since those who had them by what was lost may still hold them.
+   */
+  get isRestored(): boolean {
+    return this.content.isRestored;
+  }
+
+  private get owners(): RangeMap<Owner> {
+    return this.content.owners;
   }
 
   /** Decodes a record of the store. */
@@ -107,7 +147,13 @@
     });
     return parsed.andThen((stored) =>
       toOwners(stored).map((owners) =>
-        new OwnershipRecord(revision, owners, toArbiters(stored))
+        new OwnershipRecord({
+          revision,
+          owners,
+          arbiters: toArbiters(stored),
+          era: stored.era,
+          isRestored: stored.restored,
+        })
       )
     );
   }
@@ -128,7 +174,8 @@
     const arbiters = this.arbiters.map((
       { daemon, office },
     ) => [daemon, office]);
-    return JSON.stringify({ daemons, ranges, arbiters });
+    const { era, isRestored: restored } = this;
+    return JSON.stringify({ daemons, ranges, arbiters, era, restored });
   }
 
   /** All ranges that have an owner. */
@@ -222,7 +269,7 @@
       this.arbiters.find((arbiter) => arbiter.daemon === daemon) ??
         { daemon, office: this.revision + 1 }
     );
-    return new OwnershipRecord(this.revision, this.owners, arbiters);
+    return new OwnershipRecord({ ...this.content, arbiters });
   }
 
   /** The office of a daemon, if it is an arbiter. */
@@ -232,13 +279,28 @@
 
   /** The same content under the revision that the store gave it. */
   withRevision(revision: number): OwnershipRecord {
-    return new OwnershipRecord(revision, this.owners, this.arbiters);
+    return new OwnershipRecord({ ...this.content, revision });
+  }
+
+  /** The same content as it is written in an era of the store. */
+  writtenIn(era: number): OwnershipRecord {
+    return new OwnershipRecord({ ...this.content, era });
+  }
+
+  /** The same content as it is put back in a new era of the store. */
+  restoredIn(era: number): OwnershipRecord {
+    return new OwnershipRecord({ ...this.content, era, isRestored: true });
+  }
+
+  /** Nobody holds keys by what the store has lost any more: the record is in force like any other. */
+  settle(): OwnershipRecord {
+    return new OwnershipRecord({ ...this.content, isRestored: false });
   }
 
   private change(apply: (owners: RangeMap<Owner>) => void): OwnershipRecord {
     const owners = RangeMap.createFrom(this.owners.segments, isSameOwner);
     apply(owners);
-    return new OwnershipRecord(this.revision, owners, this.arbiters);
+    return new OwnershipRecord({ ...this.content, owners });
   }
 }
 
--- a/packages/keyspace/src/tenure.ts
+++ b/packages/keyspace/src/tenure.ts
@@ -109,6 +109,18 @@
     return Math.max(this.untilMs, graceUntilMs) < nowMs;
   }
 
+  /**
+   * Whether a read of a record may confirm the tenure of a daemon that it names as an owner. One that was put back
+   * because the store had lost a later one confirms only those who were owners all along: a takeover of another may
+   * be among what was lost.
+   */
+  mayConfirm(
+    record: Pick<OwnershipRecord, "isRestored">,
+    nowMs: number,
+  ): boolean {
+    return !record.isRestored || this.untilMs >= nowMs;
+  }
+
   /** Revision of the record by the latest read that confirmed the tenure. */
   get confirmedRevision(): number {
     return this.revision;
--- a/packages/keyspace/src/tenure_safety_test.ts
+++ b/packages/keyspace/src/tenure_safety_test.ts
@@ -383,6 +383,117 @@
   exactly("advance", 0, 20),
 ]);
 
+/** The copies that a host knows of are put back as early as may be, and settled as early as may be. */
+function restoreBy(host: number): Step[] {
+  return [
+    exactly("confirm", host),
+    exactly("advance", 0, 180),
+    exactly("restore", host, 1, 1),
+    exactly("advance", 0, 2),
+    exactly("confirm", host),
+    exactly("advance", 0, 3),
+  ];
+}
+
+/** One host alone reads, and is heard. */
+function hear(host: number): Step[] {
+  return [
+    exactly("confirm", host),
+    exactly("advance", 0, 3),
+    exactly("heartbeat", host),
+    exactly("advance", 0, 5),
+  ];
+}
+
+/** All read, and are heard. */
+function hearAll(): Step[] {
+  return [
+    ...[0, 1, 2, 3].map((host) => exactly("confirm", host)),
+    exactly("advance", 0, 3),
+    ...[0, 1, 2, 3].map((host) => exactly("heartbeat", host)),
+    exactly("advance", 0, 20),
+  ];
+}
+
+/** Keys move, and the store loses that; a host that has missed it puts back what it knows. */
+const lostMove = fc.tuple(
+  fc.nat(2),
+  fc.nat(40),
+  fc.integer({ min: 1, max: 2_700 }),
+  anything,
+).map(([by, more, wait, between]) => [
+  exactly("heartbeat", 0),
+  exactly("advance", 0, 2),
+  exactly("release", 0),
+  exactly("heartbeat", 0),
+  exactly("advance", 0, 2),
+  exactly("heartbeat", 0),
+  exactly("advance", 0, 2),
+  exactly("publish", 0, 1, 0),
+  exactly("advance", 0, 3),
+  ...hear(1),
+  exactly("go_back", 0, 0),
+  ...restoreBy(by),
+  exactly("settle", by),
+  exactly("advance", 0, 3),
+  ...hear(0),
+  exactly("heartbeat", 1),
+  exactly("advance", 0, more),
+  ...hearAll(),
+  ...between,
+  exactly("advance", 0, wait),
+  exactly("settle", by),
+  exactly("advance", 0, 3),
+  ...hearAll(),
+]);
+
+/** An owner is taken over and the store loses that; the owner, which was suspended, wakes after the return. */
+const lostTakeover = fc.tuple(
+  fc.nat(2),
+  fc.nat(3),
+  fc.integer({ min: 1, max: 2_700 }),
+  anything,
+).map(([by, lost, wait, between]) => [
+  exactly("confirm", 1),
+  exactly("advance", 0, 1),
+  exactly("suspend", 1, 560),
+  exactly("seal", 0),
+  exactly("advance", 0, 2_600),
+  ...TAKEN_OVER,
+  exactly("confirm", 0),
+  exactly("advance", 0, 3),
+  exactly("heartbeat", 0),
+  exactly("advance", 0, 2),
+  exactly("go_back", 0, lost),
+  exactly("restart_daemon", by),
+  exactly("advance", 0, 3),
+  ...restoreBy(by),
+  exactly("advance", 0, 120),
+  ...hear(1),
+  ...hearAll(),
+  ...between,
+  exactly("advance", 0, wait),
+  exactly("settle", by),
+  exactly("advance", 0, 3),
+  ...hearAll(),
+]);
+
+/** An office is given to another arbiter, and the store loses that; the former arbiter has missed it. */
+const lostOffice = quickMoments.map((late) => [
+  exactly("appoint", 0, 0, 1),
+  exactly("advance", 0, 2),
+  ...live(11),
+  exactly("appoint", 2, 2, 0),
+  exactly("advance", 0, 2),
+  exactly("confirm", 1),
+  exactly("advance", 0, 2),
+  exactly("go_back", 0, 0),
+  ...restoreBy(0),
+  exactly("seal", 0),
+  exactly("advance", 0, 1),
+  ...quickTakeover(late).slice(4),
+]);
+
 const schedule = fc.record({
   size: fc.integer({ min: 2, max: 4 }),
   steps: fc.array(
@@ -405,6 +516,9 @@
       { weight: 1, arbitrary: latePromise },
       { weight: 1, arbitrary: formerArbiter },
       { weight: 1, arbitrary: spoiled },
+      { weight: 1, arbitrary: lostMove },
+      { weight: 1, arbitrary: lostTakeover },
+      { weight: 1, arbitrary: lostOffice },
     ),
     { maxLength: 25 },
   ).map((parts) => parts.flat()),
@@ -507,6 +621,27 @@
     });
   });
 
+  describe("when the store comes back from an older copy", () => {
+    const returned = (settles: readonly Step[]) => [
+      ...live(2),
+      exactly("go_back", 0, 0),
+      ...restoreBy(2),
+      ...live(11),
+      ...settles,
+      ...live(2),
+    ];
+
+    it("keeps all keys held meanwhile, and once the record is settled", () => {
+      const settled = [exactly("settle", 2), exactly("advance", 0, 2)];
+      [[], settled].forEach((settles) => {
+        const world = TenureWorld.create(3);
+        world.play(returned(settles));
+        expect(world.heldKeys).to.equal(65_536);
+        expect(world.violations).to.deep.equal([]);
+      });
+    });
+  });
+
   describe("with a broken rule", () => {
     const faults: Fault[] = [
       "tenure_from_answer",
@@ -528,6 +663,11 @@
       "promise_after_restart",
       "id_names_process",
       "repair_at_once",
+      "order_without_era",
+      "copy_in_force",
+      "restored_in_force",
+      "restored_confirms_all",
+      "settle_at_once",
     ];
     faults.forEach((fault) => {
       it(`notices ${fault}`, function () {
--- a/packages/keyspace/src/testing/tenure_world.ts
+++ b/packages/keyspace/src/testing/tenure_world.ts
@@ -22,10 +22,12 @@
   type PromiseQuestion,
   RangeMap,
   RepairWait,
+  RestoreWait,
   TAKEOVER_WAIT_MS,
   TakeoverWaits,
   Tenure,
 } from "../mod.ts";
+import { orderRevision } from "@bamboolink/types";
 
 /** A broken variant of one rule. */
 export type Fault =
@@ -66,7 +68,17 @@
   /** A backend server that starts again under its id is taken for the former process. */
   | "id_names_process"
   /** A record that can't be read is replaced by the last known one at once. */
-  | "repair_at_once";
+  | "repair_at_once"
+  /** Records are told apart by the store's own revisions, and tokens made of them. */
+  | "order_without_era"
+  /** What the store holds after it went back is taken for in force. */
+  | "copy_in_force"
+  /** A record that was put back gives keys like any other. */
+  | "restored_in_force"
+  /** It confirms also those who were no owners just before. */
+  | "restored_confirms_all"
+  /** It is in force like any other at once. */
+  | "settle_at_once";
 
 /** One step of a schedule. */
 export interface Step {
@@ -99,6 +111,9 @@
   "ask",
   "spoil",
   "repair",
+  "go_back",
+  "restore",
+  "settle",
 ] as const;
 /** The kind of a step. */
 export type StepKind = typeof STEP_KINDS[number];
@@ -111,6 +126,10 @@
 const OVERDUE_MS = 1_300;
 /** And a server that nobody finds is gone after so long, in milliseconds. */
 const SILENT_MS = 2_500;
+/** The most changes that the store loses when it goes back. */
+const LARGEST_LOSS = 6;
+/** The first revision of the era after the first one, in the order over all eras. */
+const FIRST_OF_NEXT_ERA = orderRevision({ era: 1, revision: 1 }) - 1;
 /** Clock rates of the daemons. */
 const DAEMON_RATES = [1.009, 0.991, 1, 1.005];
 /** The steps after which somebody may have begun to hold keys are looked at this often, in ms. */
@@ -139,6 +158,9 @@
   promises: PromiseBook;
   instances: InstanceBook;
   repair: RepairWait;
+  restore: RestoreWait;
+  /** The store's era, as far as the daemon knows. */
+  era: number;
   record: OwnershipRecord;
   registration: number;
   suspendedUntilMs: number;
@@ -147,6 +169,20 @@
   life: number;
 }
 
+/** What the store held at a moment. */
+interface Copy {
+  readonly stored: OwnershipRecord;
+  readonly spoiledAs: number | undefined;
+  readonly revision: number;
+}
+
+/** What a read of the store has found. */
+interface Found {
+  readonly stored: OwnershipRecord;
+  readonly spoiledAs: number | undefined;
+  readonly era: number;
+}
+
 interface Event {
   readonly atMs: number;
   readonly act: () => void;
@@ -164,6 +200,8 @@
   /** Revision of what another writer has put in the record's place, 0 for nothing. */
   private spoiledAs: number | undefined;
   private revision = 1;
+  private era = 0;
+  private copies: Copy[] = [];
   private instances = 0;
   private readonly highest = RangeMap.create<
     { token: number; holder: string }
@@ -260,13 +298,53 @@
         return this.ask(host, { thereMs: a % 50, backMs: b * 5 });
       case "spoil":
         this.revision += 1;
-        this.spoiledAs = b % 2 === 0 ? this.revision : 0;
+        this.spoiledAs = b % 2 === 0 ? this.order() : 0;
+        this.copy();
         return;
       case "repair":
         return this.repair(host, b % 3 === 0 ? a * 5 : 2);
+      case "go_back":
+        return this.goBack(a);
+      case "restore":
+        return this.restore(host, b % 3 === 0 ? a * 5 : 2);
+      case "settle":
+        return this.settle(host);
     }
   }
 
+  /** The present revision in the order over all eras. */
+  private order(): number {
+    const era = this.fault === "order_without_era" ? 0 : this.era;
+    return orderRevision({ era, revision: this.revision });
+  }
+
+  private copy(): void {
+    const { stored, spoiledAs, revision } = this;
+    this.copies.push({ stored, spoiledAs, revision });
+  }
+
+  /** The store comes back from an older copy, and gives out its revisions again. */
+  private goBack(choice: number): void {
+    const lost = 1 + choice % LARGEST_LOSS;
+    const kept = Math.max(1, this.copies.length - lost);
+    this.copies = this.copies.slice(0, kept);
+    const copy = this.copies.at(-1)!;
+    this.era += 1;
+    this.revision = copy.revision;
+    this.spoiledAs = copy.spoiledAs === undefined
+      ? undefined
+      : this.reorder(copy.spoiledAs);
+    this.stored = copy.stored.withRevision(
+      this.reorder(copy.stored.revision),
+    );
+  }
+
+  /** The place of a revision of a former era in the order of the present one. */
+  private reorder(order: number): number {
+    const era = this.fault === "order_without_era" ? 0 : this.era;
+    return orderRevision({ era, revision: bareOf(order) });
+  }
+
   private createHost(index: number): Host {
     return {
       name: `host-${index}`,
@@ -280,6 +358,8 @@
       promises: PromiseBook.create(-Infinity),
       instances: InstanceBook.create(),
       repair: RepairWait.create(),
+      restore: RestoreWait.create(),
+      era: 0,
       record: OwnershipRecord.create(),
       registration: 1,
       suspendedUntilMs: 0,
@@ -501,17 +581,11 @@
       if (this.nowMs < this.outageUntilMs) {
         return;
       }
-      const { stored, spoiledAs } = this;
+      const { stored, spoiledAs, era } = this;
+      const found = { stored, spoiledAs, era };
       this.later(delays.backMs, () => {
         if (host.life === life) {
-          this.at(
-            host,
-            0,
-            () =>
-              spoiledAs === undefined
-                ? this.noteRead(host, stored, sentAtMs)
-                : this.noteSpoiled(host, spoiledAs),
-          );
+          this.at(host, 0, () => this.noteFound(host, found, sentAtMs));
         }
       });
     });
@@ -611,6 +685,24 @@
     promised.forEach((name) => host.tenure.notePromise(name, countedMs));
   }
 
+  private noteFound(host: Host, found: Found, sentAtMs: number): void {
+    const { stored, spoiledAs, era } = found;
+    if (era < host.era) {
+      // It was under way when the store went back, and a later answer has overtaken it.
+      return;
+    }
+    host.era = era;
+    if (spoiledAs !== undefined) {
+      this.noteSpoiled(host, spoiledAs);
+      return;
+    }
+    if (stored.era !== era && this.fault !== "copy_in_force") {
+      host.restore.noteFormer(stored.revision, this.clockOf(host));
+      return;
+    }
+    this.noteRead(host, stored, sentAtMs);
+  }
+
   private noteRead(
     host: Host,
     found: OwnershipRecord,
@@ -618,7 +710,9 @@
   ): void {
     host.repair.noteReadable();
     this.noteRecord(host, found);
-    if (!found.isSealed(host.name)) {
+    const mayConfirm = this.fault === "restored_confirms_all" ||
+      host.tenure.mayConfirm(found, this.clockOf(host));
+    if (!found.isSealed(host.name) && mayConfirm) {
       if (this.fault !== "tokens_outlive_tenure") {
         const hasLapsed = host.tenure.hasLapsed(this.clockOf(host));
         host.grants.noteConfirmed({ revision: found.revision, hasLapsed });
@@ -648,15 +742,42 @@
     const { record } = host;
     this.later(lateMs, () => {
       if (this.nowMs >= this.outageUntilMs && this.spoiledAs === due) {
-        this.commit(record);
+        this.commit(record.writtenIn(this.era));
+      }
+    });
+  }
+
+  /** Puts back the newest record that the host knows after the store has gone back; the copy where it knows none. */
+  private restore(host: Host, lateMs: number): void {
+    const due = host.restore.findDue(this.clockOf(host));
+    if (due === undefined || !this.isAwake(host)) {
+      return;
+    }
+    const { era } = host;
+    const known = host.record.revision > 0 ? host.record : this.stored;
+    this.later(lateMs, () => {
+      const isInForce = this.spoiledAs === undefined &&
+        bareOf(this.stored.revision) === bareOf(due);
+      if (this.nowMs >= this.outageUntilMs && isInForce) {
+        this.commit(known.restoredIn(era));
       }
     });
   }
 
+  /** Puts a record that was put back in force, once nobody holds keys by a lost one. */
+  private settle(host: Host): void {
+    const isSettled = this.fault === "settle_at_once" ||
+      host.restore.isSettled(this.clockOf(host));
+    if (host.record.isRestored && isSettled) {
+      this.write(host, (record) => record.settle(), 2);
+    }
+  }
+
   private noteRecord(host: Host, record: OwnershipRecord): void {
     if (record.revision < host.record.revision) {
       return;
     }
+    host.restore.noteCurrent(record, this.clockOf(host));
     host.record = record;
     const sealedOwners = this.fault === "nameless_seal"
       ? record.sealedOwners.map(({ daemon }) => ({
@@ -672,7 +793,10 @@
     const revision = this.fault === "tokens_from_record"
       ? record.revision
       : Math.max(record.revision, host.registration);
-    host.grants.noteOwnership(record, { daemon: host.name, revision });
+    const inForce = this.fault === "restored_in_force"
+      ? record.settle()
+      : record;
+    host.grants.noteOwnership(inForce, { daemon: host.name, revision });
   }
 
   private publish(
@@ -767,26 +891,32 @@
       return;
     }
     const known = host.record;
-    const changed = change(known);
-    if (changed === undefined) {
+    const { era } = host;
+    const changed = change(known)?.writtenIn(era);
+    const isOfFormerEra = known.era !== era &&
+      this.fault !== "order_without_era" && this.fault !== "copy_in_force";
+    if (changed === undefined || isOfFormerEra) {
       return;
     }
     this.later(lateMs, () => {
       const isDown = this.nowMs < this.outageUntilMs;
+      // The store knows its own revisions only, and may have given this one out again.
       const isInForce = this.spoiledAs === undefined &&
-        this.stored.revision === known.revision;
+        bareOf(this.stored.revision) === bareOf(known.revision);
       if (!isDown && isInForce) {
         this.commit(changed);
         const written = this.stored;
-        this.at(host, 2, () => this.noteRecord(host, written));
+        const isOfEra = era === this.era;
+        this.at(host, 2, () => isOfEra && this.noteRecord(host, written));
       }
     });
   }
 
   private commit(record: OwnershipRecord): void {
     this.revision += 1;
-    this.stored = record.withRevision(this.revision);
+    this.stored = record.withRevision(this.order());
     this.spoiledAs = undefined;
+    this.copy();
   }
 
   private replaceServer(host: Host, server: Server): void {
@@ -813,11 +943,14 @@
     );
     host.instances = InstanceBook.create();
     host.repair = RepairWait.create();
+    host.restore = RestoreWait.create();
     host.record = OwnershipRecord.create();
     host.handovers = [];
     this.revision += 1;
-    host.registration = this.revision;
-    host.promises.noteStart(this.revision);
+    host.era = this.era;
+    host.registration = this.order();
+    host.promises.noteStart(host.registration);
+    this.copy();
     this.confirm(host, { thereMs: 2, backMs: 2 });
   }
 
@@ -846,3 +979,8 @@
     );
   }
 }
+
+/** The store's own revision of a place in the order over all eras. */
+function bareOf(order: number): number {
+  return order % FIRST_OF_NEXT_ERA;
+}
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -503,6 +503,28 @@
       "A server has answered a request that was suspected or quarantined; it runs as any other.",
     action: NOTHING,
   },
+  store_era_changed: {
+    number: 1844,
+    severity: "error",
+    meaning:
+      "The store came back from an older copy: what was written there since is gone, and its revisions are given out again. What the daemons know of it is put back.",
+    action: "Find out why, and apply again what operators wrote since.",
+  },
+  ownership_of_former_era: {
+    number: 1842,
+    severity: "warn",
+    meaning:
+      "The store came back from an older copy (`store_era`): its record of ownership was written before (`era`) and is not in force. Owners go on with what they hold; the leading daemon puts the newest known record back within a second or two.",
+    action:
+      "If no `ownership_restored` follows within 10 s, look at the store.",
+  },
+  ownership_restored: {
+    number: 1843,
+    severity: "warn",
+    meaning:
+      "The newest known record of ownership was put back after the store had lost it. For 10.3 s nobody is given keys by it, since others may hold them by what was lost; an `ownership_written` with `purpose` settle ends that.",
+    action: "Find out why the store came back from a copy.",
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- a/packages/router/src/member_directory.ts
+++ b/packages/router/src/member_directory.ts
@@ -5,7 +5,7 @@
  */
 import type { BamboolinkError } from "@bamboolink/errors";
 import type { Logger } from "@bamboolink/logger";
-import type { MemberView } from "@bamboolink/membership";
+import type { MemberReport, MemberView } from "@bamboolink/membership";
 import type { Store, StoredRecord } from "@bamboolink/store";
 import type { Result, ResultAsync } from "neverthrow";
 import { isAddress } from "./gossip_node.ts";
@@ -51,6 +51,33 @@
     clearTimeout(this.timer);
   }
 
+  /**
+   * Writes the addresses of living daemons again that a store has lost which came back from an older copy. Without them a
+   * daemon that starts would not find those, and they would not find each other once all have started again.
+   */
+  async restoreLost(nowMs: number): Promise<void> {
+    const { store, view } = this.context;
+    const listing = await store.list(MEMBER_PREFIX);
+    if (listing.isErr()) {
+      this.logFailure("members.restore", listing.error);
+      this.later(() => this.restoreLost(nowMs));
+      return;
+    }
+    const present = new Set(listing.value.records.map(({ key }) => key));
+    const lost = [view.ownReport, ...view.alive(nowMs)]
+      .filter(({ address }) => !present.has(MEMBER_PREFIX + address));
+    const written = await Promise.all(
+      lost.map((report) =>
+        this.write(0, report).mapErr((cause) =>
+          this.logFailure("members.restore", cause)
+        )
+      ),
+    );
+    if (written.some((result) => result.isErr())) {
+      this.later(() => this.restoreLost(nowMs));
+    }
+  }
+
   /**
    * Reads what others have left. Daemons register before they read, so of two that start together one
    * finds the other; from then on they hear of each other by gossip, and the store is not watched.
@@ -130,11 +157,10 @@
 
   private write(
     expectedRevision: number,
+    { address, availabilityZone }: MemberReport = this.context.view.ownReport,
   ): ResultAsync<number, BamboolinkError> {
-    const { store, view } = this.context;
-    const { availabilityZone } = view.ownReport;
-    return store.compareAndSwap({
-      key: this.ownKey,
+    return this.context.store.compareAndSwap({
+      key: MEMBER_PREFIX + address,
       value: JSON.stringify({ availability_zone: availabilityZone }),
       expectedRevision,
     });
--- a/packages/router/src/ownership_directory.ts
+++ b/packages/router/src/ownership_directory.ts
@@ -95,11 +95,22 @@
     this.listener(service, record);
   }
 
-  /** Takes over a record as the store holds it. */
-  noteStored(key: string, stored: { value: string; revision: number }): void {
+  /**
+   * Takes over a record as the store holds it.
+   *
+   * @param stored `era`: the era of the store in which it was read; one that was written in another is not in force.
+   */
+  noteStored(
+    key: string,
+    stored: { value: string; revision: number; era?: number },
+  ): void {
     const service = key.slice(OWNERSHIP_PREFIX.length);
     OwnershipRecord.decode(stored.value, stored.revision).match(
-      (record) => this.note(service, record),
+      (record) => {
+        if (stored.era === undefined || stored.era === record.era) {
+          this.note(service, record);
+        }
+      },
       (cause) => this.logger.log("ownership_unreadable", { service, cause }),
     );
   }
--- a/packages/router/src/ownership_keeper.ts
+++ b/packages/router/src/ownership_keeper.ts
@@ -171,6 +171,11 @@
     return this.leader.mayPromise(service, question);
   }
 
+  /** Whether this daemon reads the store for all owners. */
+  get isReader(): boolean {
+    return this.leader.findReader() === this.own;
+  }
+
   /** Work that the own keys bring for each slot. */
   get utilization(): number {
     return this.shedder.utilization;
--- a/packages/router/src/ownership_leader.ts
+++ b/packages/router/src/ownership_leader.ts
@@ -119,14 +119,19 @@
 
   private leadService(service: string): void {
     const { inspector, writer } = this.context;
-    if (inspector.isSpoiled(service)) {
-      const due = inspector.findDue(service);
-      if (due !== undefined) {
-        void writer.repair(service, due);
-      }
+    if (inspector.hasNoneInForce(service)) {
+      this.replaceRecord(service);
       return;
     }
     const known = this.context.directory.record(service);
+    if (known?.isRestored === true && inspector.isSettled(service)) {
+      void writer.write(
+        service,
+        "settle",
+        (record) => record.isRestored ? record.settle() : undefined,
+      );
+      return;
+    }
     if (known === undefined || known.revision === 0) {
       this.assignFirst(service);
       return;
@@ -136,6 +141,20 @@
     }
   }
 
+  /** Puts a record in the place of one that can't be read, or is of a former era of the store. */
+  private replaceRecord(service: string): void {
+    const { inspector, writer } = this.context;
+    const former = inspector.findFormer(service);
+    if (former !== undefined) {
+      void writer.restore(service, former);
+      return;
+    }
+    const spoiled = inspector.findSpoiled(service);
+    if (spoiled !== undefined) {
+      void writer.repair(service, spoiled);
+    }
+  }
+
   /** Assigns keys without an owner, and those of owners whose tenure has ended; returns whether there are any. */
   private assignNeedy(service: string): boolean {
     const known = this.context.directory.record(service);
--- a/packages/router/src/peer_questions.ts
+++ b/packages/router/src/peer_questions.ts
@@ -41,15 +41,30 @@
     key: z.string(),
     value: z.string(),
     revision: z.int(),
+    era: z.int(),
   }).nullable(),
+  /** The store's era as the peer knows it. */
+  era: z.int(),
 });
 const WriteAnswer = z.union([
-  z.object({ revision: z.int() }),
+  z.object({ revision: z.int(), era: z.int() }),
   z.object({
     code: z.enum(["conflict", "refused", "unreachable", "unknown_effect"]),
   }),
 ]);
 
+/** What a peer has found for a key. */
+export interface FoundRecord {
+  readonly record: StoredRecord | undefined;
+  readonly era: number;
+}
+
+/** What a peer has written. */
+export interface WrittenRecord {
+  readonly revision: number;
+  readonly era: number;
+}
+
 /** Asks other daemons. */
 export class PeerQuestions {
   private constructor() {}
@@ -79,24 +94,24 @@
   askRecord(
     peer: string,
     key: string,
-  ): ResultAsync<StoredRecord | undefined, BamboolinkError> {
+  ): ResultAsync<FoundRecord, BamboolinkError> {
     const body = JSON.stringify({ key });
     return ask(peer, { target: STORE_GET_PATH, body })
       .andThen((text) => check(GetAnswer, text, peer))
-      .map(({ record }) => record ?? undefined);
+      .map(({ record, era }) => ({ record: record ?? undefined, era }));
   }
 
   /** Asks a peer for a conditional write; no answer means that it may have taken effect. */
   askWrite(
     peer: string,
     request: CasRequest,
-  ): ResultAsync<number, BamboolinkError> {
+  ): ResultAsync<WrittenRecord, BamboolinkError> {
     const { key, value, expectedRevision } = request;
     const body = JSON.stringify({ key, value, expectedRevision });
     return ask(peer, { target: STORE_WRITE_PATH, body })
       .andThen((text) => check(WriteAnswer, text, peer))
       .andThen((answer) =>
-        "revision" in answer ? okAsync(answer.revision) : errAsync(
+        "revision" in answer ? okAsync(answer) : errAsync(
           BamboolinkError.create(answer.code, "the peer could not write", {
             step: "peer.write",
             peer,
--- a/packages/router/src/peer_server.ts
+++ b/packages/router/src/peer_server.ts
@@ -97,7 +97,8 @@
         const { key } = GetQuestion.parse(readJson(body));
         const found = await store.get(key);
         return found.match(
-          (record) => JSON.stringify({ record: record ?? null }),
+          (record) =>
+            JSON.stringify({ record: record ?? null, era: store.era }),
           () => undefined,
         );
       }
@@ -108,7 +109,7 @@
           value: question.value,
         });
         return written.match(
-          (revision) => JSON.stringify({ revision }),
+          (revision) => JSON.stringify({ revision, era: store.era }),
           ({ code }) => JSON.stringify({ code }),
         );
       }
--- a/packages/router/src/record_inspector.ts
+++ b/packages/router/src/record_inspector.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
-import { OwnershipRecord, RepairWait } from "@bamboolink/keyspace";
+import { OwnershipRecord, RepairWait, RestoreWait } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
+import type { StoredRecord } from "@bamboolink/store";
 import { bootMs } from "./clock.ts";
 import type { OwnershipDirectory } from "./ownership_directory.ts";
 
@@ -12,16 +13,38 @@
 export interface RecordInspectorContext {
   readonly logger: Logger;
   readonly directory: OwnershipDirectory;
+  /** The era of the store as far as its answers have told. */
+  readonly era: () => number;
+}
+
+/** What the store holds under a record's key. */
+type Stored = Pick<StoredRecord, "value" | "revision"> | undefined;
+
+/** A record of a former era that is to be replaced. */
+export interface FormerRecord {
+  /** The store's revision of what is there; 0 where there is none. */
+  readonly revision: number;
+  /** What is there; `undefined` where it can't be read. */
+  readonly record: OwnershipRecord | undefined;
+}
+
+/** What is known of one service's record in the store. */
+interface Watched {
+  readonly repair: RepairWait;
+  readonly restore: RestoreWait;
+  former: OwnershipRecord | undefined;
 }
 
 /**
- * Tells records from what another writer has left in their place, and for how long that has been there.
+ * Tells records from what another writer has left in their place, or what a store that went back has, and for how long
+ * that has been there.
  *
  * What goes wrong without it: nobody confirms a tenure by a record that can't be read, and nobody can write one, since
- * writes expect the last one that was read. No key of the service would be served again until somebody deletes it.
+ * writes expect the last one that was read. No key of the service would be served again until somebody deletes it. A
+ * record of a former era names owners that may have been replaced since: by it two servers would hold the same keys.
  */
 export class RecordInspector {
-  private readonly waits = new Map<string, RepairWait>();
+  private readonly watched = new Map<string, Watched>();
 
   private constructor(private readonly context: RecordInspectorContext) {}
 
@@ -33,22 +56,27 @@
   /**
    * Looks at what a read has found.
    *
-   * @returns the record; `undefined` where there is none that can be read, although there was one.
+   * @returns the record; `undefined` where there is none in force, although there was one.
    */
-  inspect(
-    service: string,
-    stored: { value: string; revision: number } | undefined,
-  ): OwnershipRecord | undefined {
-    const wait = this.waits.get(service) ?? RepairWait.create();
-    this.waits.set(service, wait);
-    const known = this.context.directory.record(service);
-    const record = readRecord(stored, known);
-    if (record !== undefined) {
-      wait.noteReadable();
-      return record;
+  inspect(service: string, stored: Stored): OwnershipRecord | undefined {
+    const { directory, era } = this.context;
+    const known = directory.record(service);
+    const watched = this.watch(service);
+    const found = readRecord(stored, known);
+    const isFormer = found === undefined
+      ? known !== undefined && known.era < era()
+      : found.revision > 0 && found.era !== era();
+    if (isFormer) {
+      this.noteFormer(service, { stored, found });
+      return undefined;
+    }
+    if (found !== undefined) {
+      watched.repair.noteReadable();
+      watched.restore.noteCurrent(found, bootMs());
+      return found;
     }
     // Told once for each revision: owners look at it every second or two.
-    if (wait.noteSpoiled(stored?.revision ?? 0, bootMs())) {
+    if (watched.repair.noteSpoiled(stored?.revision ?? 0, bootMs())) {
       this.context.logger.log("ownership_unreadable", {
         service,
         known_revision: known?.revision,
@@ -58,24 +86,75 @@
     return undefined;
   }
 
-  /** Notes that a record was written. */
-  noteWritten(service: string): void {
-    this.waits.get(service)?.noteReadable();
+  /** Notes a record that is in force. */
+  noteInForce(service: string, record: OwnershipRecord): void {
+    if (record.era === this.context.era()) {
+      const { repair, restore } = this.watch(service);
+      repair.noteReadable();
+      restore.noteCurrent(record, bootMs());
+    }
   }
 
-  /** Whether the record was spoiled when it was last looked at. */
-  isSpoiled(service: string): boolean {
-    return this.waits.get(service)?.isSpoiled === true;
+  /** Whether no record was in force when the store was last looked at, although there was one. */
+  hasNoneInForce(service: string): boolean {
+    const { repair, restore } = this.watch(service);
+    return repair.isSpoiled || restore.isFormer;
   }
 
   /** The revision of a spoiled record that may be replaced now, if there is one. */
-  findDue(service: string): number | undefined {
-    return this.waits.get(service)?.findDue(bootMs());
+  findSpoiled(service: string): number | undefined {
+    return this.watch(service).repair.findDue(bootMs());
+  }
+
+  /** The record of a former era that may be replaced now, if there is one. */
+  findFormer(service: string): FormerRecord | undefined {
+    const { restore, former: record } = this.watch(service);
+    const revision = restore.findDue(bootMs());
+    return revision === undefined ? undefined : { revision, record };
+  }
+
+  /** Whether a record that was put back may be settled now. */
+  isSettled(service: string): boolean {
+    return this.watch(service).restore.isSettled(bootMs());
+  }
+
+  private noteFormer(
+    service: string,
+    read: { stored: Stored; found: OwnershipRecord | undefined },
+  ): void {
+    const { logger, directory, era } = this.context;
+    const watched = this.watch(service);
+    const revision = read.stored?.revision ?? 0;
+    watched.repair.noteReadable();
+    watched.former = read.found;
+    if (watched.restore.noteFormer(revision, bootMs())) {
+      logger.log("ownership_of_former_era", {
+        service,
+        revision,
+        era: read.found?.era,
+        store_era: era(),
+        known_revision: directory.record(service)?.revision,
+      });
+    }
+  }
+
+  private watch(service: string): Watched {
+    const known = this.watched.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const watched = {
+      repair: RepairWait.create(),
+      restore: RestoreWait.create(),
+      former: undefined,
+    };
+    this.watched.set(service, watched);
+    return watched;
   }
 }
 
 function readRecord(
-  stored: { value: string; revision: number } | undefined,
+  stored: Stored,
   known: OwnershipRecord | undefined,
 ): OwnershipRecord | undefined {
   if (stored === undefined) {
--- a/packages/router/src/record_writer.ts
+++ b/packages/router/src/record_writer.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import type { BamboolinkError } from "@bamboolink/errors";
+import { BamboolinkError } from "@bamboolink/errors";
 import { OwnershipRecord, WriteTurns } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import { type Store, writeSettled } from "@bamboolink/store";
@@ -13,7 +13,7 @@
   OWNERSHIP_PREFIX,
   type OwnershipDirectory,
 } from "./ownership_directory.ts";
-import type { RecordInspector } from "./record_inspector.ts";
+import type { FormerRecord, RecordInspector } from "./record_inspector.ts";
 
 /**
  * Pause after a write that failed for another reason than another writer, in milliseconds: while the store
@@ -95,6 +95,33 @@
     });
   }
 
+  /**
+   * Puts a record back in the place of one of a former era, after the store has gone back: the newest that is known, or
+   * what the store has where none is.
+   */
+  async restore(service: string, former: FormerRecord): Promise<void> {
+    const known = this.context.directory.record(service) ?? former.record ??
+      OwnershipRecord.create();
+    await this.alone(service, async () => {
+      const error = await this.put(service, {
+        purpose: "restore",
+        record: known.restoredIn(this.context.store.era),
+        expectedRevision: former.revision,
+      });
+      if (error === undefined) {
+        this.context.logger.log("ownership_restored", {
+          service,
+          era: this.context.store.era,
+          known_revision: known.revision,
+          former_revision: former.revision,
+        });
+        return;
+      }
+      this.pause(service);
+      await this.reread(service);
+    });
+  }
+
   /** Does something with a record unless something else is under way, or has just failed. */
   private async alone(
     service: string,
@@ -142,7 +169,7 @@
         return;
       }
       await this.learnOther(service, known.revision);
-      if (this.context.inspector.isSpoiled(service)) {
+      if (this.context.inspector.hasNoneInForce(service)) {
         // No write succeeds until the record is replaced.
         this.pause(service);
         return;
@@ -160,7 +187,8 @@
     },
   ): Promise<BamboolinkError | undefined> {
     const { store, directory, inspector, logger, onWritten } = this.context;
-    const { purpose, record, expectedRevision } = write;
+    const { purpose, expectedRevision } = write;
+    const record = write.record.writtenIn(store.era);
     const told = { service, purpose, from_revision: expectedRevision };
     const written = await writeSettled(store, {
       key: OWNERSHIP_PREFIX + service,
@@ -172,8 +200,14 @@
       return written.error;
     }
     logger.log("ownership_written", { ...told, revision: written.value });
+    if (record.era !== store.era) {
+      // The store went back meanwhile: what was written there counts for a record of before.
+      return BamboolinkError.create("conflict", "the store went back", {
+        step: "record_writer.put",
+      });
+    }
     const inForce = record.withRevision(written.value);
-    inspector.noteWritten(service);
+    inspector.noteInForce(service, inForce);
     directory.note(service, inForce);
     onWritten(service, inForce);
     return undefined;
--- a/packages/router/src/record_writer_test.ts
+++ b/packages/router/src/record_writer_test.ts
@@ -51,7 +51,7 @@
     store: store as unknown as Store,
     logger,
     directory,
-    inspector: RecordInspector.create({ logger, directory }),
+    inspector: RecordInspector.create({ logger, directory, era: () => 0 }),
     random: () => 0,
     onWritten: () => undefined,
   });
--- a/packages/router/src/relayed_store.ts
+++ b/packages/router/src/relayed_store.ts
@@ -27,6 +27,8 @@
   readonly logger: Logger;
   /** Address of a daemon that reaches the store, if one is known. */
   readonly findHelper: () => string | undefined;
+  /** Called when the store has come back from an older copy. */
+  readonly onWentBack: () => void;
 }
 
 /**
@@ -38,6 +40,9 @@
 export class RelayedStore extends Store {
   private failedAtMs = -Infinity;
   private hasSucceeded = false;
+  /** The newest era that other daemons have told of. */
+  private toldEra = 0;
+  private seenEra: number | undefined;
 
   private constructor(private readonly context: RelayedStoreContext) {
     super();
@@ -56,36 +61,59 @@
   override get(
     key: string,
   ): ResultAsync<StoredRecord | undefined, BamboolinkError> {
-    const { direct, questions } = this.context;
-    const ask = () => this.direct(direct.get(key));
+    const ask = () => this.direct(this.context.direct.get(key));
     const helper = this.helperFirst();
     if (helper !== undefined) {
-      return questions.askRecord(helper, key).orElse(ask);
+      return this.askRecord(helper, key).orElse(ask);
     }
     return ask().orElse((error) => {
       const other = this.context.findHelper();
-      return other === undefined
-        ? errAsync(error)
-        : questions.askRecord(other, key);
+      return other === undefined ? errAsync(error) : this.askRecord(other, key);
     });
   }
 
   override compareAndSwap(
     request: CasRequest,
   ): ResultAsync<number, BamboolinkError> {
-    const { direct, questions } = this.context;
     const helper = this.helperFirst();
     if (helper !== undefined) {
-      return questions.askWrite(helper, request);
+      return this.askWrite(helper, request);
     }
+    const { direct } = this.context;
     return this.direct(direct.compareAndSwap(request)).orElse((error) => {
       const other = this.context.findHelper();
       return other === undefined || !isSurelyUndone(error)
         ? errAsync(error)
-        : questions.askWrite(other, request);
+        : this.askWrite(other, request);
     });
   }
 
+  override get era(): number {
+    return Math.max(this.context.direct.era, this.toldEra);
+  }
+
+  private askRecord(
+    helper: string,
+    key: string,
+  ): ResultAsync<StoredRecord | undefined, BamboolinkError> {
+    return this.context.questions.askRecord(helper, key)
+      .map(({ record, era }) => {
+        this.toldEra = Math.max(this.toldEra, era);
+        return record;
+      });
+  }
+
+  private askWrite(
+    helper: string,
+    request: CasRequest,
+  ): ResultAsync<number, BamboolinkError> {
+    return this.context.questions.askWrite(helper, request)
+      .map(({ revision, era }) => {
+        this.toldEra = Math.max(this.toldEra, era);
+        return revision;
+      });
+  }
+
   override list(prefix: string): ResultAsync<Listing, BamboolinkError> {
     return this.direct(this.context.direct.list(prefix));
   }
@@ -145,7 +173,21 @@
       });
   }
 
+  /** An answer of a first start tells an era, too, and nothing of a going back. */
+  private noteEra(): void {
+    const { era } = this.context.direct;
+    const { seenEra } = this;
+    this.seenEra = era;
+    if (seenEra !== undefined && era > seenEra) {
+      this.context.logger.log("store_era_changed", { from: seenEra, to: era });
+      this.context.onWentBack();
+    }
+  }
+
   private noteReached(isReached: boolean): void {
+    if (isReached) {
+      this.noteEra();
+    }
     const was = this.isReached;
     this.hasSucceeded ||= isReached;
     this.failedAtMs = isReached ? -Infinity : bootMs();
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -140,11 +140,13 @@
       questions: this.questions,
       logger,
       findHelper: () => this.findHelper(),
+      onWentBack: () => this.restoreMembers(),
     });
     this.directory = OwnershipDirectory.create(logger);
     const inspector = RecordInspector.create({
       logger,
       directory: this.directory,
+      era: () => this.store.era,
     });
     this.reader = SharedReader.create({
       store: this.directStore,
@@ -577,6 +579,13 @@
     await this.desk.awaitKeys(steadyMs);
   }
 
+  /** The daemon that reads for all sees first that the store went back. */
+  private restoreMembers(): void {
+    if (this.ownership.isReader) {
+      void this.members.restoreLost(steadyMs());
+    }
+  }
+
   /** A living daemon that reaches the store, any one. */
   private findHelper(): string | undefined {
     const helpers = this.view.alive(steadyMs())
@@ -647,6 +656,7 @@
       bamboolink_owned_keys: () => this.grants.ownCount,
       bamboolink_tenure_left_ms: () =>
         Math.max(0, this.tenure.untilMs - bootMs()),
+      bamboolink_store_era: () => this.store.era,
       bamboolink_store_reached: () => this.store.isReached ? 1 : 0,
     };
     Object.entries(gauges).forEach(([name, read]) =>
--- a/packages/router/src/shared_reader_test.ts
+++ b/packages/router/src/shared_reader_test.ts
@@ -35,7 +35,7 @@
   const reader = SharedReader.create({
     store,
     logger,
-    inspector: RecordInspector.create({ logger, directory }),
+    inspector: RecordInspector.create({ logger, directory, era: () => 0 }),
     onAnswer: (owner, answer) => answers.push({ owner, ...answer }),
   });
   return { reader, answers };
--- a/packages/router/src/store_watcher.ts
+++ b/packages/router/src/store_watcher.ts
@@ -17,7 +17,7 @@
   readonly logger: Logger;
   readonly prefix: string;
   readonly random: () => number;
-  readonly onRecord: (record: StoredRecord) => void;
+  readonly onRecord: (record: Pick<StoredRecord, "key" | "value">) => void;
 }
 
 /** Follows one prefix. */
@@ -67,9 +67,9 @@
       fromRevision: listing.value.revision + 1,
       handler: {
         onChanges: (changes) =>
-          changes.forEach(({ key, value, revision }) => {
+          changes.forEach(({ key, value }) => {
             if (value !== undefined) {
-              onRecord({ key, value, revision });
+              onRecord({ key, value });
             }
           }),
         onEnd: (cause) => {
--- a/packages/router/src/tenure_keeper.ts
+++ b/packages/router/src/tenure_keeper.ts
@@ -133,7 +133,15 @@
 
   /** Whether a move that begins now can be written, as far as that is known. */
   isMovable(): boolean {
-    return this.context.tenure.confirmedForMs(bootMs()) < MOVABLE_MS;
+    return this.context.tenure.confirmedForMs(bootMs()) < MOVABLE_MS &&
+      !this.isRestored;
+  }
+
+  /** Whether nobody is given keys for now, since the store has lost who else may hold them. */
+  private get isRestored(): boolean {
+    const service = this.context.ownService();
+    return service !== undefined &&
+      this.context.directory.record(service)?.isRestored === true;
   }
 
   /**
@@ -148,7 +156,8 @@
     }
     const read = this.read(service, sentAtMs);
     await Promise.race([read, sleep(PROBE_MS, undefined, { ref: false })]);
-    return this.context.tenure.confirmedForMs(sentAtMs) <= 0;
+    return this.context.tenure.confirmedForMs(sentAtMs) <= 0 &&
+      !this.isRestored;
   }
 
   /** Reads the record to prove that no takeover of this daemon can have finished. */
@@ -213,6 +222,9 @@
       return;
     }
     if (!record.isSealed(own())) {
+      if (!tenure.mayConfirm(record, bootMs())) {
+        return;
+      }
       grants.noteConfirmed({
         revision: record.revision,
         hasLapsed: tenure.hasLapsed(bootMs()),
--- a/packages/router/src/tenure_keeper_test.ts
+++ b/packages/router/src/tenure_keeper_test.ts
@@ -30,7 +30,7 @@
     store: { get: () => okAsync(found) } as unknown as Store,
     logger,
     directory,
-    inspector: RecordInspector.create({ logger, directory }),
+    inspector: RecordInspector.create({ logger, directory, era: () => 0 }),
     tenure,
     grants: GrantBook.create(bootMs()),
     random: Math.random,
--- a/packages/store/src/etcd_store.ts
+++ b/packages/store/src/etcd_store.ts
@@ -95,6 +95,11 @@
     return new EtcdStore(options, agent, budget, OutageGate.create());
   }
 
+  /** This service replicates its writes and does not go back. */
+  override get era(): number {
+    return 0;
+  }
+
   override list(prefix: string): ResultAsync<Listing, BamboolinkError> {
     const body = {
       key: encode(prefix),
@@ -383,6 +388,7 @@
     key: decode(kv.key),
     value: decode(kv.value),
     revision: kv.mod_revision,
+    era: 0,
   };
 }
 
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -10,8 +10,10 @@
 export interface StoredRecord {
   readonly key: string;
   readonly value: string;
-  /** The store's revision of the record's last write. */
+  /** The store's revision of the record's last write, in the order over all its eras. */
   readonly revision: number;
+  /** The era of the store in which the record was read. */
+  readonly era: number;
 }
 
 /** All records below a prefix at one revision of the store. */
@@ -52,12 +54,16 @@
 }
 
 /**
- * The platform's key-value service.
+ * The platform's key-value service. Its revisions rise also when it comes back from an older copy, since they count
+ * within eras (`orderRevision`).
  *
  * Errors tell three cases apart: `refused` and `conflict` (surely without effect), `unreachable`
  * (no byte can have arrived) and `unknown_effect` (a write may have taken effect or may still do so).
  */
 export abstract class Store {
+  /** How often the store has come back from an older copy, as far as its answers have told; 0 where it never does. */
+  abstract get era(): number;
+
   /** Lists the records below a prefix. */
   abstract list(prefix: string): ResultAsync<Listing, BamboolinkError>;
 
--- a/packages/store/src/write_settled_test.ts
+++ b/packages/store/src/write_settled_test.ts
@@ -28,6 +28,7 @@
 /** One record, and a fate for each call in turn. */
 class FakeStore extends Store {
   value: string | undefined = "before";
+  readonly era = 0;
   revision = 5;
 
   private constructor(private readonly fates: Fate[]) {
@@ -64,9 +65,12 @@
   ): ResultAsync<StoredRecord | undefined, BamboolinkError> {
     const fate = this.fates.shift() ?? "answers";
     const lost = fate === "lost_before" || fate === "never_connects";
-    return lost
-      ? errAsync(this.fail("unreachable"))
-      : okAsync({ key, value: this.value ?? "", revision: this.revision });
+    return lost ? errAsync(this.fail("unreachable")) : okAsync({
+      key,
+      value: this.value ?? "",
+      revision: this.revision,
+      era: 0,
+    });
   }
 
   private write(value: string | undefined): void {
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -11,3 +11,4 @@
 export * from "./session.ts";
 export * from "./table.ts";
 export * from "./traffic.ts";
+export * from "./store_position.ts";
