Keep a suspect at its one server also where it has no room, and log a write that the store's return has voided

Read in the diff: a burst that fills the lane of suspects at one server went on to the next one, each of which would end; and a write that took effect in a store that went back meanwhile was reported as a conflict without a line.

--- /dev/null
+++ b/packages/router/src/metrics_server.ts
@@ -0,0 +1,34 @@
+/**
+ * Serves the metrics of a daemon.
+ *
+ * @module
+ */
+import { createServer } from "node:http";
+import type { Logger } from "@bamboolink/logger";
+import type { Metrics } from "@bamboolink/metrics";
+import { splitAddress } from "./gossip_node.ts";
+
+/** Starts to serve metrics, if there is an address for them; the process does not stay for it. */
+export function startMetricsServer(context: {
+  address: string | undefined;
+  metrics: Metrics;
+  logger: Logger;
+}): void {
+  const { address, metrics, logger } = context;
+  if (address === undefined) {
+    return;
+  }
+  const server = createServer((_incoming, response) => {
+    void metrics.write().then((text) => {
+      response.writeHead(200, { "content-type": "text/plain" });
+      response.end(text);
+    });
+  });
+  server.on(
+    "error",
+    (cause) => logger.log("metrics_unavailable", { peer: address, cause }),
+  );
+  const { host, port } = splitAddress(address);
+  server.listen(port, host);
+  server.unref();
+}
--- a/packages/router/src/record_writer.ts
+++ b/packages/router/src/record_writer.ts
@@ -8,6 +8,7 @@
 import { OwnershipRecord, WriteTurns } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import { type Store, writeSettled } from "@bamboolink/store";
+import { err, ok } from "neverthrow";
 import { steadyMs } from "./clock.ts";
 import {
   OWNERSHIP_PREFIX,
@@ -195,18 +196,17 @@
       value: record.encode(),
       expectedRevision,
     });
-    if (written.isErr()) {
-      logger.log("ownership_write_failed", { ...told, cause: written.error });
-      return written.error;
+    // What was written while the store went back counts for a record of before.
+    const settled = written.andThen((revision) =>
+      record.era === store.era ? ok(revision) : err(wentBack())
+    );
+    if (settled.isErr()) {
+      logger.log("ownership_write_failed", { ...told, cause: settled.error });
+      return settled.error;
     }
-    logger.log("ownership_written", { ...told, revision: written.value });
-    if (record.era !== store.era) {
-      // The store went back meanwhile: what was written there counts for a record of before.
-      return BamboolinkError.create("conflict", "the store went back", {
-        step: "record_writer.put",
-      });
-    }
-    const inForce = record.withRevision(written.value);
+    const { value: revision } = settled;
+    logger.log("ownership_written", { ...told, revision });
+    const inForce = record.withRevision(revision);
     inspector.noteInForce(service, inForce);
     directory.note(service, inForce);
     onWritten(service, inForce);
@@ -233,3 +233,9 @@
     }
   }
 }
+
+function wentBack(): BamboolinkError {
+  return BamboolinkError.create("conflict", "the store went back", {
+    step: "record_writer.put",
+  });
+}
--- a/packages/router/src/request_quarantine.ts
+++ b/packages/router/src/request_quarantine.ts
@@ -83,8 +83,8 @@
   }
 
   /**
-   * Whether a request may be sent on from a server that is gone. A suspect is not: the server may have ended under
-   * another copy of it a moment ago, and the next one would.
+   * Whether a request may be sent on from a server that is gone or has no room. A suspect is not: the server may have
+   * ended under another copy of it a moment ago, and the next one would.
    *
    * @param lostRuns how many connections to backend servers broke under it in this attempt.
    */
--- a/packages/router/src/request_runner.ts
+++ b/packages/router/src/request_runner.ts
@@ -46,6 +46,14 @@
   "too_late",
 ]);
 
+/** Refusals after which a suspect is not sent to another server. */
+const PROBATION_ENDS: ReadonlySet<RefusalReason> = new Set([
+  "backend_unreachable",
+  "overloaded",
+  "queue_full",
+  "too_late",
+]);
+
 /** What the runner needs. */
 export interface RequestRunnerContext {
   readonly logger: Logger;
@@ -107,7 +115,7 @@
       if (
         cancellation.isCancelled || this.isFinal(work, outcome) ||
         this.isOwnersLastWord(work, outcome) ||
-        this.isServerGone(outcome) &&
+        endsProbation(outcome) &&
           !this.context.quarantine.maySendOn(work, history.lostRuns)
       ) {
         return history.end();
@@ -184,12 +192,6 @@
       OWNERS_LAST_WORD.has(outcome.reason);
   }
 
-  /** Whether a request found a server that has ended, or may have ended one. */
-  private isServerGone(outcome: Outcome): boolean {
-    return outcome.kind === "unknown" && outcome.reason === "backend_lost" ||
-      outcome.kind === "not_run" && outcome.reason === "backend_unreachable";
-  }
-
   private isFinal(work: Work, outcome: Outcome): boolean {
     switch (outcome.kind) {
       case "answer":
@@ -350,3 +352,12 @@
     });
   }
 }
+
+/**
+ * Whether a suspect has had its turn: its server is gone, or has no room for it soon. Sent on from there, copies that
+ * come at the same time would each end a server.
+ */
+function endsProbation(outcome: Outcome): boolean {
+  return outcome.kind === "unknown" && outcome.reason === "backend_lost" ||
+    outcome.kind === "not_run" && PROBATION_ENDS.has(outcome.reason);
+}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { createServer, type Server } from "node:http";
+import type { Server } from "node:http";
 import type { Server as ConnectionServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { ResendBudget } from "@bamboolink/admission";
@@ -33,6 +33,7 @@
 import { LinkServer } from "./link_server.ts";
 import { LocalBackend } from "./local_backend.ts";
 import { LoopLag } from "./loop_lag.ts";
+import { startMetricsServer } from "./metrics_server.ts";
 import { MemberDirectory } from "./member_directory.ts";
 import { OwnershipDirectory } from "./ownership_directory.ts";
 import { OwnershipKeeper } from "./ownership_keeper.ts";
@@ -46,6 +47,7 @@
   SettingsSource,
 } from "./ports/router_settings.ts";
 import { probeBackend } from "./probe_backend.ts";
+import { createReadinessServer } from "./readiness_server.ts";
 import { RelayedStore } from "./relayed_store.ts";
 import { RecordInspector } from "./record_inspector.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
@@ -295,7 +297,11 @@
       protocol: ports.backends,
       logger,
     });
-    this.readiness = this.createReadiness();
+    this.readiness = createReadinessServer({
+      callers: ports.callers,
+      isReady: () =>
+        !this.isLeaving && this.configuration.inForce !== undefined,
+    });
     this.watcher = this.createWatcher();
     this.createGauges();
   }
@@ -322,7 +328,11 @@
       listen(this.readiness, settings.readinessAddress),
       listen(this.ingress.server, settings.callerAddress),
     ]);
-    this.startMetrics();
+    startMetricsServer({
+      address: settings.metricsAddress,
+      metrics: this.metrics,
+      logger: this.logger,
+    });
     this.timers.push(
       setInterval(() => this.tick(), TICK_MS),
       setInterval(() => this.gossip.round(), ROUND_MS),
@@ -609,43 +619,6 @@
     });
   }
 
-  private createReadiness(): Server {
-    return createServer((incoming, response) => {
-      const { callers } = this.ports;
-      const isCheck = callers.isReadinessCheck(
-        incoming.method ?? "",
-        incoming.url ?? "",
-      );
-      const isReady = !this.isLeaving &&
-        this.configuration.inForce !== undefined;
-      response.writeHead(!isCheck ? 404 : isReady ? 200 : 503, {
-        "content-length": "0",
-      });
-      response.end();
-    });
-  }
-
-  private startMetrics(): void {
-    const { metricsAddress } = this.settings;
-    if (metricsAddress === undefined) {
-      return;
-    }
-    const server = createServer((_incoming, response) => {
-      void this.metrics.write().then((text) => {
-        response.writeHead(200, { "content-type": "text/plain" });
-        response.end(text);
-      });
-    });
-    server.on(
-      "error",
-      (cause) =>
-        this.logger.log("metrics_unavailable", { peer: metricsAddress, cause }),
-    );
-    const { host, port } = splitAddress(metricsAddress);
-    server.listen(port, host);
-    server.unref();
-  }
-
   private createGauges(): void {
     const gauges: Record<string, () => number> = {
       bamboolink_requests_running: () => this.backend.counts.running,
