--- a/soak/src/fault_schedule.ts
+++ b/soak/src/fault_schedule.ts
@@ -24,10 +24,16 @@
 ] as const;
 /** What can be done in addition; drawn apart, so that the faults of a seed stay what they were. */
 export const LATER_FAULT_KINDS = ["restart_backend", "restart_often"] as const;
+/** The same, drawn apart from both. */
+export const LATEST_FAULT_KINDS = [
+  "store_goes_back",
+  "lethal_request",
+] as const;
 /** What can be done to a fleet. */
 export type FaultKind =
   | typeof FAULT_KINDS[number]
-  | typeof LATER_FAULT_KINDS[number];
+  | typeof LATER_FAULT_KINDS[number]
+  | typeof LATEST_FAULT_KINDS[number];
 
 /** One fault of a schedule. */
 export interface Fault {
@@ -52,7 +58,12 @@
 /** Draws faults that overlap, over a time. */
 export function drawFaults(
   draw: Draw,
-  run: { hosts: number; lengthMs: number; hasRestarts: boolean },
+  run: {
+    hosts: number;
+    lengthMs: number;
+    hasRestarts: boolean;
+    hasReturns: boolean;
+  },
 ): Fault[] {
   const count = Math.max(2, Math.round(run.lengthMs / 1_500));
   const drawSeries = (kinds: readonly FaultKind[], length: number) =>
@@ -68,5 +79,9 @@
       LATER_FAULT_KINDS,
       run.hasRestarts ? Math.round(count / 2) : 0,
     ),
+    ...drawSeries(
+      LATEST_FAULT_KINDS,
+      run.hasReturns ? Math.round(count / 4) : 0,
+    ),
   ].sort((left, right) => left.atMs - right.atMs);
 }
--- a/soak/src/regression_seeds.ts
+++ b/soak/src/regression_seeds.ts
@@ -10,6 +10,8 @@
   readonly cause: string;
   /** Whether it was found with restarts under the same id and callers that keep connections. */
   readonly hasRestarts: boolean;
+  /** Whether with a store that comes back from an older copy, and requests that end servers. */
+  readonly hasReturns: boolean;
 }
 
 /** Seeds that broke a promise once. */
@@ -17,6 +19,7 @@
   {
     seed: 309,
     hasRestarts: false,
+    hasReturns: false,
     cause:
       "open: the fleet once did not serve everything again within 25 s after a drain and a cut of the store",
   },
--- a/soak/src/soak_run.ts
+++ b/soak/src/soak_run.ts
@@ -34,6 +34,15 @@
 const KEYS = 65_536;
 /** Pause between restarts of a series, in milliseconds: about that between two heartbeats. */
 const RESTART_PAUSE_MS = 350;
+/** What the copy lacks from which the store comes back, in milliseconds before it was away. */
+const LOST_MS = 5_000;
+/** A request for this ends each backend server without keys that runs it. */
+const LETHAL_PATH = "/plain/lethal";
+/** So often such a request is sent, and the pause between, in milliseconds. */
+const LETHAL_COUNT = 6;
+const LETHAL_PAUSE_MS = 250;
+/** How long a server is away after its end, in milliseconds. */
+const LETHAL_AWAY_MS = 500;
 /** Callers that send ahead on a connection until it ends. */
 const AHEAD_CALLERS = 2;
 
@@ -52,11 +61,16 @@
  *
  * @param options `network`: the second number of the loopback addresses, so that runs side by side don't meet;
  *   `hasRestarts`: whether backend servers restart under their ids and callers keep connections, which seeds of before
- *   did not have.
+ *   did not have; `hasReturns`: the same of a store that comes back from an older copy and of requests that end servers.
  */
 export async function runSoak(
   seed: number,
-  options: { lengthMs: number; network: number; hasRestarts?: boolean },
+  options: {
+    lengthMs: number;
+    network: number;
+    hasRestarts?: boolean;
+    hasReturns?: boolean;
+  },
 ): Promise<SoakResult> {
   const draw = createDraw(seed);
   const host = `127.${options.network}.0.2`;
@@ -69,7 +83,11 @@
   });
   const run = new SoakRun(fleet, relay, draw);
   try {
-    return await run.play(seed, { hasRestarts: true, ...options });
+    return await run.play(seed, {
+      hasRestarts: true,
+      hasReturns: true,
+      ...options,
+    });
   } finally {
     relay.close();
     await fleet.close();
@@ -94,7 +112,7 @@
 
   async play(
     seed: number,
-    options: { lengthMs: number; hasRestarts: boolean },
+    options: { lengthMs: number; hasRestarts: boolean; hasReturns: boolean },
   ): Promise<SoakResult> {
     const faults = drawFaults(this.draw, {
       hosts: this.fleet.hosts.length,
@@ -231,6 +249,12 @@
         return await this.relayDuring(fault, "one_way");
       case "store_relay_reset":
         return await this.relayDuring(fault, "reset");
+      case "store_goes_back":
+        await this.during(fault, (on) => faults.isDown = on);
+        this.fleet.store.goBack(fault.forMs + LOST_MS);
+        return;
+      case "lethal_request":
+        return await this.sendLethal();
       case "change_configuration":
         this.version += 1;
         this.fleet.store.write(
@@ -240,6 +264,20 @@
     }
   }
 
+  /** Has a request end each backend server that runs it, and sends it at one host after the other. */
+  private async sendLethal(): Promise<void> {
+    for (let count = 0; count < LETHAL_COUNT; count += 1) {
+      this.fleet.hosts.forEach((host) => {
+        host.backend.lethalTarget = LETHAL_PATH;
+        host.backend.onLethal = () =>
+          void this.replaceBackend(host, LETHAL_AWAY_MS);
+      });
+      const host = this.fleet.hosts[count % this.fleet.hosts.length]!;
+      await this.fleet.send(host, { path: LETHAL_PATH });
+      await sleep(LETHAL_PAUSE_MS);
+    }
+  }
+
   private async during(
     fault: Fault,
     set: (isOn: boolean) => void,
--- a/soak/src/soak_test.ts
+++ b/soak/src/soak_test.ts
@@ -25,10 +25,10 @@
   });
 
   describe("with a seed that broke a promise once", () => {
-    REGRESSION_SEEDS.forEach(({ seed, cause, hasRestarts }) => {
+    REGRESSION_SEEDS.forEach(({ seed, cause, ...parts }) => {
       it(`keeps all promises with ${seed}: ${cause}`, async () => {
         const result = await runSoak(seed, {
-          hasRestarts,
+          ...parts,
           lengthMs: LENGTH_MS,
           network: 58,
         });
