Count an end that is told late only until the first quarantine, and name each request once

Read in the diff: a daemon that learnt of an end of before after the quarantine was over quarantined the request anew, four times as long, and told the others. The test fails on the code of before. Names are kept with requests that are under way: judging one that is suspected hashed it up to four times.

--- a/packages/quarantine/src/suspect_book.ts
+++ b/packages/quarantine/src/suspect_book.ts
@@ -242,11 +242,18 @@
     this.entries.set(fingerprint, { ...entry, ends: new Set(ends) });
   }
 
-  /** Whether a request was there at enough ends, and no other one was at as many of these. */
+  /**
+   * Whether a request that was never quarantined was there at enough ends, and no other one was at as many of these.
+   * Ends of before a quarantine may be told after it; they are no reason for another one.
+   */
   private isAloneAtEnds(fingerprint: string): boolean {
-    const ends = this.entries.get(fingerprint)?.ends ?? new Set();
+    const entry = this.entries.get(fingerprint);
+    if (entry === undefined || entry.quarantines > 0) {
+      return false;
+    }
+    const { ends } = entry;
     const countShared = (other: ReadonlySet<number>) =>
-      [...ends].filter((end) => other.has(end as number)).length;
+      [...ends].filter((end) => other.has(end)).length;
     return ends.size >= EVIDENCE &&
       ![...this.entries].some(([name, other]) =>
         name !== fingerprint && countShared(other.ends) >= EVIDENCE
@@ -268,7 +275,7 @@
     verdict: { quarantines: number; untilMs: number },
   ): void {
     const { quarantines, untilMs } = verdict;
-    const ends = this.entries.get(fingerprint)?.ends ?? new Set();
+    const ends = this.entries.get(fingerprint)?.ends ?? new Set<number>();
     const delayMs = quarantineMs(quarantines) * LARGEST_DELAY_SHARE *
       this.random();
     // One that comes back only now and then must still find its ends counted.
--- a/packages/quarantine/src/suspect_book_test.ts
+++ b/packages/quarantine/src/suspect_book_test.ts
@@ -90,6 +90,16 @@
         .to.deep.equal(["lethal"]);
     });
 
+    // News of an end may come after the quarantine that it led to is over.
+    it("is not quarantined again for an end of before that is told late", () => {
+      const book = createBook();
+      const told = { fingerprint: "lethal", quarantines: 1, leftMs: SECOND_MS };
+      book.noteAccusations([{ ...told, ends: [101, 102] }], 0);
+      const late = { ...told, quarantines: 0, leftMs: 0, ends: [100] };
+      book.noteAccusations([late], 2 * SECOND_MS);
+      expect(book.judge("lethal", 2 * SECOND_MS).kind).to.equal("suspect");
+    });
+
     // A popular request may be there each time, too, before any server has answered it.
     it("quarantines neither of two that were there each time", () => {
       const book = createBook();
--- a/packages/router/src/request_quarantine.ts
+++ b/packages/router/src/request_quarantine.ts
@@ -53,6 +53,8 @@
   private readonly lost = LostRuns.create();
   private readonly answers = RecentAnswers.create();
   private readonly book: SuspectBook;
+  /** Names of requests that are under way: each is judged several times. */
+  private readonly names = new WeakMap<Work, string>();
   private retoldAtMs = -Infinity;
 
   private constructor(private readonly context: RequestQuarantineContext) {
@@ -75,7 +77,7 @@
       return CLEAR;
     }
     const nowMs = this.context.nowMs();
-    const fingerprint = fingerprintRequest(work);
+    const fingerprint = this.nameOf(work);
     const standing = this.book.judge(fingerprint, nowMs);
     const isSuspect = standing.kind === "clear" && work.lostRuns > 0 &&
       !this.book.isAcquitted(fingerprint, nowMs);
@@ -90,7 +92,7 @@
    */
   maySendOn(work: Work, lostRuns: number): boolean {
     const isSuspect = !this.book.isEmpty &&
-      this.book.judge(fingerprintRequest(work), this.context.nowMs()).kind !==
+      this.book.judge(this.nameOf(work), this.context.nowMs()).kind !==
         "clear";
     return lostRuns < LARGEST_LOST_RUNS && !isSuspect;
   }
@@ -100,7 +102,7 @@
     work: Work,
     addresses: readonly string[],
   ): string | undefined {
-    return chooseProbation(fingerprintRequest(work), addresses);
+    return chooseProbation(this.nameOf(work), addresses);
   }
 
   /** Notes that the backend server here has answered a request. */
@@ -111,7 +113,7 @@
     if (!this.isOfInterest(work)) {
       return;
     }
-    const fingerprint = fingerprintRequest(work);
+    const fingerprint = this.nameOf(work);
     if (this.book.noteAnswer(fingerprint, nowMs())) {
       logger.log("request_acquitted", { request_id: work.id, fingerprint });
       tellAll({ kind: "acquitted", sender, fingerprints: [fingerprint] });
@@ -126,7 +128,7 @@
   noteLost(work: Work, isOnProbation: boolean): void {
     this.lost.noteLost({
       requestId: work.id,
-      fingerprint: fingerprintRequest(work),
+      fingerprint: this.nameOf(work),
       isOnProbation,
       atMs: this.context.nowMs(),
     });
@@ -194,6 +196,16 @@
     );
   }
 
+  private nameOf(work: Work): string {
+    const known = this.names.get(work);
+    if (known !== undefined) {
+      return known;
+    }
+    const name = fingerprintRequest(work);
+    this.names.set(work, name);
+    return name;
+  }
+
   private isOfInterest(work: Work): boolean {
     return work.lostRuns > 0 || !this.book.isEmpty;
   }
