Blame nothing for a connection that breaks after its server is known to have ended

A request sent on a connection of a server that was gone already was blamed with that server's end, told a second time as the next process came, and with no answers of the ended one known. The unit test fails on the code of before.

--- a/packages/router/src/request_quarantine.ts
+++ b/packages/router/src/request_quarantine.ts
@@ -55,6 +55,8 @@
   private readonly book: SuspectBook;
   /** Names of requests that are under way: each is judged several times. */
   private readonly names = new WeakMap<Work, string>();
+  /** Whether the process of the backend server has ended and no other one is known yet. */
+  private hasEnded = false;
   private retoldAtMs = -Infinity;
 
   private constructor(private readonly context: RequestQuarantineContext) {
@@ -108,6 +110,8 @@
   /** Notes that the backend server here has answered a request. */
   noteAnswered(work: Work): void {
     const { address: sender, nowMs, tellAll, logger } = this.context;
+    // A process that refused connections for a moment may be the same that answers now.
+    this.hasEnded = false;
     this.lost.noteAnswered(nowMs());
     this.answers.note(work);
     if (!this.isOfInterest(work)) {
@@ -126,6 +130,10 @@
    * @param isOnProbation whether it ran as the only suspect there.
    */
   noteLost(work: Work, isOnProbation: boolean): void {
+    if (this.hasEnded) {
+      // The process is gone already, and did not end under what comes too late for it.
+      return;
+    }
     this.lost.noteLost({
       requestId: work.id,
       fingerprint: this.nameOf(work),
@@ -137,6 +145,8 @@
   /** Notes that the process of the backend server here has ended. */
   noteEnded({ instance, proof }: BackendEnd): void {
     const { logger, nowMs, random } = this.context;
+    // The next process is there, or its first heartbeat comes when it is.
+    this.hasEnded = proof === "refused";
     const answered = this.answers.takeAll();
     const runs = this.lost.takeEnded(nowMs())
       .filter(({ fingerprint }) => !answered.has(fingerprint));
--- a/packages/router/src/request_quarantine_test.ts
+++ b/packages/router/src/request_quarantine_test.ts
@@ -128,6 +128,23 @@
     });
   });
 
+  // A popular request was quarantined, and its callers refused for half a minute. It was sent to a server that was gone
+  // already, on a connection that had not been found closed; the one end was told twice, when nobody listened any more
+  // and when the next process came, and the second time nothing was known of what the ended one had answered.
+  describe("when a connection to a server breaks that is known to have ended", () => {
+    it("blames nothing for it, and the next process's end on what it runs", () => {
+      fleet.at(0).noteAnswered(ask("/popular"));
+      fleet.end(0, [ask("/lethal")]);
+      fleet.at(0).noteLost(ask("/popular", 1), true);
+      fleet.at(0).noteEnded({ instance: "i-1", proof: "replaced" });
+      fleet.deliver();
+      expect(fleet.judge(ask("/popular"))).to.deep.equal(ALL("clear"));
+      fleet.end(0, [ask("/other")]);
+      fleet.deliver();
+      expect(fleet.judge(ask("/other"))).to.deep.equal(ALL("suspect"));
+    });
+  });
+
   describe("before anybody knows of an end", () => {
     it("runs alone what has lost a connection, until it is answered", () => {
       const sentOn = ask("/beside", 1);
