--- a/packages/router/src/request_quarantine.ts
+++ b/packages/router/src/request_quarantine.ts
@@ -145,7 +145,7 @@
   /** Notes that the process of the backend server here has ended. */
   noteEnded({ instance, proof }: BackendEnd): void {
     const { logger, nowMs, random } = this.context;
-    // The next process is there, or its first heartbeat comes when it is.
+    // Refused: nobody listens until the next process comes. Replaced: it is there.
     this.hasEnded = proof === "refused";
     const answered = this.answers.takeAll();
     const runs = this.lost.takeEnded(nowMs())
