Pace requests to a cold backend server

Callers saw servers end again and again after they had come back: what a server says of its being cold was read and thrown away, so it was given all that fits its slots, crashed under it, and came back cold.

Cause: nothing limited how many requests a cold server gets in a second. All requests of a server pass the daemon beside it, so that daemon alone can. The bound counts arrivals in any second at the server, so the pacer keeps the latest starts themselves, those at a warm server too: one that turns cold without a restart has had its full traffic until then. A daemon that starts again counts the window as full at its start. The time until a start is part of the wait that others are told, and the used share of the window of the utilization, so placement needs nothing new.

Ruled out: a token bucket for each sending daemon (80 of them share 21 requests a second); a limit on slots (a short call leaves its slot at once).

--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -30,6 +30,7 @@
   type WorkVerdict,
 } from "./work_queue.ts";
 export type { WorkRequest } from "./work_request.ts";
+export { ColdStartPacer } from "./cold_start_pacer.ts";
 export { ServiceTimes } from "./service_times.ts";
 export { ResendBudget, type ResendLimits } from "./resend_budget.ts";
 export { createAnswerSpread } from "./answer_spread.ts";
--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -11,6 +11,7 @@
  *
  * @module
  */
+import { ColdStartPacer } from "./cold_start_pacer.ts";
 import { LateLane } from "./late_lane.ts";
 import type { WorkRequest } from "./work_request.ts";
 
@@ -70,11 +71,15 @@
   private readonly late = LateLane.create();
   private slots = 0;
 
-  private constructor() {}
+  private constructor(private readonly pacer: ColdStartPacer) {}
 
-  /** Creates a queue without slots: everything waits. */
-  static create(): WorkQueue {
-    return new WorkQueue();
+  /**
+   * Creates a queue without slots: everything waits.
+   *
+   * @param pacer limits starts while the backend server is cold.
+   */
+  static create(pacer: ColdStartPacer = ColdStartPacer.create(0)): WorkQueue {
+    return new WorkQueue(pacer);
   }
 
   /** Sets how many requests may run at a time. */
@@ -96,7 +101,7 @@
   /** Decides about a request that has just arrived. */
   offer(arrived: WorkRequest, nowMs: number): WorkVerdict {
     const request = this.paced(arrived, nowMs);
-    if (this.running.size < this.slots && this.waitingCount === 0) {
+    if (this.mayStart(nowMs) && this.waitingCount === 0) {
       this.start(arrived, nowMs);
       return { kind: "run" };
     }
@@ -138,7 +143,7 @@
     const hopeless = this.dropHopeless(nowMs);
     const overtaken = this.moveOvertaken(nowMs);
     const run: number[] = [];
-    while (this.running.size < this.slots && this.waitingCount > 0) {
+    while (this.mayStart(nowMs) && this.waitingCount > 0) {
       const next = this.takeNext();
       this.start(next, nowMs);
       run.push(next.id);
@@ -151,6 +156,12 @@
     return this.waitBehind(this.inTime, nowMs);
   }
 
+  /** Whether a slot is free, and the server bears another request. */
+  private mayStart(nowMs: number): boolean {
+    return this.running.size < this.slots &&
+      this.pacer.delayMs(0, nowMs) === 0;
+  }
+
   private takeNext(): WorkRequest {
     return this.inTime.shift() ?? this.late.take();
   }
@@ -162,8 +173,15 @@
     return this.waitBehind(ahead, nowMs);
   }
 
-  /** Plays the slots forward: each request ahead takes the slot that is free first. */
   private waitBehind(ahead: readonly WorkRequest[], nowMs: number): number {
+    return Math.max(
+      this.slotWaitMs(ahead, nowMs),
+      this.pacer.delayMs(ahead.length, nowMs),
+    );
+  }
+
+  /** Plays the slots forward: each request ahead takes the slot that is free first. */
+  private slotWaitMs(ahead: readonly WorkRequest[], nowMs: number): number {
     if (this.slots === 0) {
       return Infinity;
     }
@@ -220,6 +238,7 @@
   }
 
   private start(request: WorkRequest, nowMs: number): void {
+    this.pacer.noteStart(nowMs);
     this.running.set(request.id, {
       rank: request.rank,
       startedAtMs: nowMs,
--- a/packages/router/src/backend_keeper.ts
+++ b/packages/router/src/backend_keeper.ts
@@ -33,6 +33,8 @@
 const LEAST_HOLD_MS = 1_200;
 /** A backend server that refuses connections for so long is gone, in milliseconds. */
 const REFUSED_MS = 150;
+/** Each heartbeat says anew how long the server stays cold, so longer times are not believed, in milliseconds. */
+const LONGEST_COLD_MS = 60_000;
 
 /**
  * Share of the drain's bound in which requests that wait already are still handed over; the rest is for
@@ -53,6 +55,8 @@
   readonly isKeyed: (service: string) => boolean;
   /** Whether the configuration in force names a service; `undefined` while none is in force. */
   readonly isNamed: (service: string) => boolean | undefined;
+  /** Most requests in one second that a cold backend server of a service may get; 0 where that is not known. */
+  readonly coldLimit: (service: string) => number;
   /** Usual pause between two heartbeats, in milliseconds. */
   readonly heartbeatMs: () => number;
   /** Whether keys may be granted: the daemon has seen who owns what. */
@@ -94,6 +98,8 @@
   private last: BackendHeartbeat | undefined;
   private current: MemberPhase = "absent";
   private drainingSinceMs = Infinity;
+  /** Until when the backend server said that it is cold, on the steady clock. */
+  private coldUntilMs = -Infinity;
   /** Whether somebody is asking at the address already: all that ran there is lost together. */
   private isAsking = false;
 
@@ -257,6 +263,8 @@
       tenure.forget();
     }
     this.last = heartbeat;
+    this.coldUntilMs = steadyMs() +
+      Math.min(heartbeat.coldMs, LONGEST_COLD_MS);
     const keyed = isKeyed(heartbeat.service);
     if (succession === undefined) {
       grants.adoptHeld(heartbeat.holds, nowMs);
@@ -310,6 +318,8 @@
         phase,
         isKeyed: isKeyed(last.service),
         handOverUntilMs: this.handOverUntilMs,
+        coldUntilMs: this.coldUntilMs,
+        coldLimit: this.context.coldLimit(last.service),
       },
     );
     if (phase !== this.current) {
--- a/packages/router/src/backend_keeper_test.ts
+++ b/packages/router/src/backend_keeper_test.ts
@@ -60,6 +60,7 @@
     drainMs: () => 2_000,
     isKeyed: () => true,
     isNamed: (service) => service === "rooms",
+    coldLimit: () => 0,
     heartbeatMs: () => options.heartbeatMs ?? 1_000,
     probe: options.probe ?? (() => Promise.resolve({ kind: "silent" })),
     mayGrant: () => true,
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+  ColdStartPacer,
   ServiceTimes,
   type WorkChanges,
   WorkQueue,
@@ -53,6 +54,9 @@
  */
 const WAIT_FRESH_MS = 5;
 
+/** When this process started, on the steady clock. */
+const PROCESS_START_MS = 0;
+
 /** What contradicts that a backend server is there as it is believed to be. */
 export type BackendSuspicion =
   /** It refuses connections. */
@@ -81,6 +85,10 @@
   readonly isKeyed: boolean;
   /** After this nothing is handed over any more, on the steady clock; infinite while it takes work. */
   readonly handOverUntilMs: number;
+  /** Until when it is cold, on the steady clock. */
+  readonly coldUntilMs: number;
+  /** Most requests in one second while it is cold; 0 where that is not known. */
+  readonly coldLimit: number;
 }
 
 interface Waiting {
@@ -91,7 +99,8 @@
 export class LocalBackend extends Destination {
   /** How much work its keys bring. */
   readonly profile = LoadProfile.create();
-  private readonly queue = WorkQueue.create();
+  private readonly pacer = ColdStartPacer.create(PROCESS_START_MS);
+  private readonly queue = WorkQueue.create(this.pacer);
   private readonly times = ServiceTimes.create();
   private readonly meter = LoadMeter.create();
   private readonly waiting = new Map<number, Waiting>();
@@ -122,6 +131,10 @@
       this.times.clear();
     }
     this.identity = identity;
+    if (identity !== undefined) {
+      this.pacer.setLimit(identity.coldLimit);
+      this.pacer.setColdUntil(identity.coldUntilMs);
+    }
     this.queue.setSlots(identity?.slots ?? 0);
     this.apply(this.queue.advance(steadyMs()));
   }
@@ -160,10 +173,13 @@
     return this.meter.failureShare;
   }
 
-  /** Work offered for each slot; 1 keeps all busy. */
+  /** Work offered for each slot, or what a cold server's rate is used, whichever is more; 1 leaves no room. */
   get utilization(): number {
     const slots = this.identity?.slots ?? 0;
-    return slots === 0 ? 0 : this.meter.offeredPerSecondMs / (slots * 1_000);
+    return slots === 0 ? 0 : Math.max(
+      this.meter.offeredPerSecondMs / (slots * 1_000),
+      this.pacer.utilization(steadyMs()),
+    );
   }
 
   /** How many requests run and wait. */
@@ -183,6 +199,7 @@
       offered,
       finished,
       slots: this.identity?.slots ?? 0,
+      is_cold: this.pacer.isPacing(steadyMs()) ? 1 : 0,
       wait_ms: Math.round(this.waitMs),
       service_ms: Math.round(this.times.averageMs),
       utilization: Math.round(this.utilization * 100) / 100,
--- a/packages/router/src/ports/router_settings.ts
+++ b/packages/router/src/ports/router_settings.ts
@@ -45,6 +45,10 @@
     /** Resends beyond the ratio in one window, over the fleet. */
     resendExtra: z.number().min(0),
     resendWindowMs: z.number().positive(),
+    /** Most requests in one second at a cold backend server, for each that it bears. */
+    coldRatio: z.number().min(0),
+    /** Requests in one second at a cold backend server beyond the ratio. */
+    coldExtra: z.number().min(0),
   }),
 });
 /** What a router must know to run. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -187,6 +187,7 @@
         }),
       isKeyed: (service) => this.directory.isKeyed(service),
       isNamed: (service) => this.configuration.inForce?.services.has(service),
+      coldLimit: (service) => this.coldLimitOf(service),
       heartbeatMs: () => this.settings.heartbeatMs,
       mayGrant: (service) => this.ownership.mayGrant(service),
       onChange: () => this.gossip.announce(),
@@ -589,6 +590,16 @@
     await this.desk.awaitKeys(steadyMs);
   }
 
+  /** Most requests in one second that a cold backend server of a service may get; 0 where that is not known. */
+  private coldLimitOf(service: string): number {
+    const { coldRatio, coldExtra } = this.settings.bounds;
+    const perSecond = this.configuration.inForce?.services.get(service)
+      ?.coldRequestsPerSecond;
+    return perSecond === undefined
+      ? 0
+      : Math.max(1, Math.floor(perSecond * coldRatio + coldExtra));
+  }
+
   /** The daemon that reads for all sees first that the store went back. */
   private restoreMembers(): void {
     if (this.ownership.isReader) {
--- a/packages/types/src/traffic.ts
+++ b/packages/types/src/traffic.ts
@@ -46,6 +46,8 @@
   maximumConnections: z.int().min(1),
   /** Path of the health check. */
   healthPath: z.string().startsWith("/"),
+  /** Requests a second that a cold backend server bears; not known without it. */
+  coldRequestsPerSecond: z.number().min(0).optional(),
 });
 /** A service as the router sees it. */
 export type TrafficService = z.infer<typeof TrafficService>;
