Keep everything from the backend servers of an evacuated zone

The watch of the configuration now follows all that operators write, so this costs no further call. All requests of a server pass the daemon beside it, which is where the rule is kept; it says so in its phase, by which others choose. Keys are given up in the answer to the next heartbeat, and those that wait run on for 0.3 of the bound, if the evacuation was seen as it happened; one of unknown age leaves no time. News goes to all at once by datagram and is retold; of two words the one of the higher revision counts. A daemon that has just started takes no heartbeat of its server before it knows, from the store or from others, or for 3 s. A service whose servers are all in evacuated zones is refused: that is what was asked.

Ruled out: serving on until the keys have new owners (the bound may pass while the store is away); a watch of its own (a call each 28 s for each daemon).

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -242,6 +242,19 @@
       "The backend server became ready, drains, or is gone; `cause` says what showed it.",
     action: NOTHING,
   },
+  zones_evacuated: {
+    number: 1846,
+    severity: "info",
+    meaning:
+      "The availability zones that operators have evacuated changed: `zones` are all of them, as of `revision`, told by `source`.",
+    action: NOTHING,
+  },
+  evacuation_of_unknown_zone: {
+    number: 1847,
+    severity: "warn",
+    meaning: "Operators evacuated a zone in which no daemon is known.",
+    action: "Compare `zone` with the availability zones of the hosts.",
+  },
   tenure_on_promises: {
     number: 1832,
     severity: "warn",
--- a/packages/membership/src/member.ts
+++ b/packages/membership/src/member.ts
@@ -11,9 +11,16 @@
  * - `absent`: it has not announced itself, or is gone.
  * - `ready`: it takes work.
  * - `draining`: it leaves and takes no new work.
+ * - `evacuated`: operators have its availability zone get no work.
  * - `stopping`: the daemon itself stops, so that nobody can reach the backend server for a while.
  */
-export const MemberPhase = z.enum(["absent", "ready", "draining", "stopping"]);
+export const MemberPhase = z.enum([
+  "absent",
+  "ready",
+  "draining",
+  "evacuated",
+  "stopping",
+]);
 /** What the backend server beside a daemon can do. */
 export type MemberPhase = z.infer<typeof MemberPhase>;
 
--- a/packages/router/src/backend_keeper.ts
+++ b/packages/router/src/backend_keeper.ts
@@ -42,12 +42,24 @@
  */
 const DRAIN_SHARE = 0.75;
 
+/** What operators say of the own availability zone. */
+export interface EvacuationStanding {
+  /** Whether the backend server here is to get nothing. */
+  readonly isEvacuated: boolean;
+  /** Until when keys are handed over and waiting requests run, on the steady clock. */
+  readonly handOverUntilMs: number;
+  /** Waits until it is known what is evacuated; returns whether that is so. */
+  awaitSettled(): Promise<boolean>;
+}
+
 /** What the keeper needs. */
 export interface BackendKeeperContext {
   readonly logger: Logger;
   readonly backend: LocalBackend;
   readonly grants: GrantBook;
   readonly tenure: Tenure;
+  /** What operators say of the own availability zone. */
+  readonly evacuation: EvacuationStanding;
   /** From the word that the backend server leaves until it may get nothing more, in milliseconds. */
   readonly drainMs: () => number;
   /** Asks at the address of a backend server of a service who is there. */
@@ -132,12 +144,32 @@
 
   /** Until when requests may be handed over to a backend server that leaves, on the steady clock. */
   get handOverUntilMs(): number {
-    return this.drainingSinceMs + this.context.drainMs() * DRAIN_SHARE;
+    const { evacuation, drainMs } = this.context;
+    const drainedMs = this.drainingSinceMs + drainMs() * DRAIN_SHARE;
+    return evacuation.isEvacuated
+      ? Math.min(drainedMs, evacuation.handOverUntilMs)
+      : drainedMs;
+  }
+
+  /** The own availability zone was evacuated or taken back. */
+  noteEvacuation(): void {
+    if (this.current === "ready" || this.current === "evacuated") {
+      this.setPhase(this.openPhase, "evacuation");
+    }
+  }
+
+  /** The phase of a backend server that does not leave. */
+  private get openPhase(): MemberPhase {
+    return this.context.evacuation.isEvacuated ? "evacuated" : "ready";
   }
 
   /** Takes a heartbeat; returns how it is to be answered. */
   async takeHeartbeat(heartbeat: BackendHeartbeat): Promise<HeartbeatAnswer> {
     const { instance, service } = heartbeat;
+    if (!await this.context.evacuation.awaitSettled()) {
+      // A daemon that has just started must not take work for a server that has been evacuated.
+      return { kind: "unacknowledged" };
+    }
     if (this.context.isNamed(service) === false) {
       this.context.logger.log("heartbeat_of_unknown_service", {
         instance,
@@ -156,6 +188,9 @@
       });
       return { kind: "unacknowledged" };
     }
+    if (this.hasKeysToEvacuate(heartbeat)) {
+      await this.context.beforeLeaving();
+    }
     return { kind: "acknowledged", grant: await this.takeGrant(heartbeat) };
   }
 
@@ -171,6 +206,12 @@
       this.context.grants.ownCount > 0;
   }
 
+  private hasKeysToEvacuate(heartbeat: BackendHeartbeat): boolean {
+    return this.current === "evacuated" &&
+      this.instances.isCurrent(heartbeat) &&
+      this.context.grants.ownCount > 0;
+  }
+
   private async takeGrant(
     heartbeat: BackendHeartbeat,
   ): Promise<Grant | undefined> {
@@ -282,7 +323,8 @@
     if (freed.length > 0) {
       this.context.onFreed(freed);
     }
-    this.setPhase(heartbeat.isDraining ? "draining" : "ready", "heartbeat");
+    const phase = heartbeat.isDraining ? "draining" : this.openPhase;
+    this.setPhase(phase, "heartbeat");
     if (!keyed || !this.context.mayGrant(heartbeat.service)) {
       return undefined;
     }
--- a/packages/router/src/backend_keeper_test.ts
+++ b/packages/router/src/backend_keeper_test.ts
@@ -11,7 +11,11 @@
   Tenure,
 } from "@bamboolink/keyspace";
 import { Logger } from "@bamboolink/logger";
-import { BackendKeeper, type HeartbeatAnswer } from "./backend_keeper.ts";
+import {
+  BackendKeeper,
+  type EvacuationStanding,
+  type HeartbeatAnswer,
+} from "./backend_keeper.ts";
 import { bootMs } from "./clock.ts";
 import { LocalBackend } from "./local_backend.ts";
 import type {
@@ -23,6 +27,16 @@
 const ADDRESS = "127.0.0.1:9";
 const KEYS = { from: 0, to: 99 };
 
+function createEvacuation(): {
+  -readonly [Name in keyof EvacuationStanding]: EvacuationStanding[Name];
+} {
+  return {
+    isEvacuated: false,
+    handOverUntilMs: Infinity,
+    awaitSettled: () => Promise.resolve(true),
+  };
+}
+
 function createKeeper(
   grants: GrantBook,
   tenure: Tenure,
@@ -30,6 +44,7 @@
     beforeLeaving?: () => boolean;
     probe?: () => Promise<Presence>;
     heartbeatMs?: number;
+    evacuation?: EvacuationStanding;
   } = {},
 ): BackendKeeper {
   const giveUpAll = () => {
@@ -57,6 +72,7 @@
     }),
     grants,
     tenure,
+    evacuation: options.evacuation ?? createEvacuation(),
     drainMs: () => 2_000,
     isKeyed: () => true,
     isNamed: (service) => service === "rooms",
@@ -135,6 +151,52 @@
     });
   });
 
+  describe("when operators evacuate the availability zone", () => {
+    it("gives the keys away with the next answer, and takes work again once the zone is taken back", async () => {
+      const { grants, tenure } = createOwner();
+      const evacuation = createEvacuation();
+      const keeper = createKeeper(grants, tenure, { evacuation });
+      await keeper.takeHeartbeat(heartbeat);
+      evacuation.isEvacuated = true;
+      keeper.noteEvacuation();
+      expect(keeper.phase).to.equal("evacuated");
+      const answered = await keeper.takeHeartbeat({
+        ...heartbeat,
+        sequence: 2,
+      });
+      expect(rangesIn(answered)).to.deep.equal([]);
+      expect(keeper.phase).to.equal("evacuated");
+      evacuation.isEvacuated = false;
+      keeper.noteEvacuation();
+      expect(keeper.phase).to.equal("ready");
+    });
+
+    // Guards against a backend server that leaves an evacuated zone being given work again when the zone is taken back.
+    it("leaves a backend server that drains as it is", async () => {
+      const { grants, tenure } = createOwner();
+      const evacuation = createEvacuation();
+      const keeper = createKeeper(grants, tenure, { evacuation });
+      await keeper.takeHeartbeat({ ...heartbeat, isDraining: true });
+      evacuation.isEvacuated = true;
+      keeper.noteEvacuation();
+      expect(keeper.phase).to.equal("draining");
+      evacuation.isEvacuated = false;
+      keeper.noteEvacuation();
+      expect(keeper.phase).to.equal("draining");
+    });
+
+    // Guards against a daemon that starts again giving work to an evacuated server.
+    it("acknowledges nothing until it is known what is evacuated", async () => {
+      const { grants, tenure } = createOwner();
+      const evacuation = createEvacuation();
+      evacuation.awaitSettled = () => Promise.resolve(false);
+      const keeper = createKeeper(grants, tenure, { evacuation });
+      const answered = await keeper.takeHeartbeat(heartbeat);
+      expect(answered.kind).to.equal("unacknowledged");
+      expect(keeper.phase).to.equal("absent");
+    });
+  });
+
   describe("when a backend server starts again under its id", () => {
     const former = { ...heartbeat, born: 1_000, sequence: 40 };
     const next = { ...heartbeat, born: 2_000, sequence: 1 };
--- a/packages/router/src/datagram_codec.ts
+++ b/packages/router/src/datagram_codec.ts
@@ -107,7 +107,23 @@
   fingerprints: z.array(Fingerprint),
 });
 
+/** These availability zones are evacuated, as of a revision of the store. */
+const ZonesEvacuated = z.object({
+  kind: z.literal("evacuation"),
+  sender: z.string(),
+  revision: z.int().min(0),
+  zones: z.array(z.string()).max(256),
+});
+
+/** The sender has not learned yet which zones are evacuated. */
+const EvacuationQuestion = z.object({
+  kind: z.literal("ask_evacuation"),
+  sender: z.string(),
+});
+
 const Datagram = z.discriminatedUnion("kind", [
+  ZonesEvacuated,
+  EvacuationQuestion,
   RequestsAccused,
   RequestsAcquitted,
   SharedReadQuestion,
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -31,6 +31,7 @@
   Destination,
   notRun,
   type Outcome,
+  type RefusalReason,
   unknown,
   type Work,
 } from "./work.ts";
@@ -292,7 +293,9 @@
     if (identity.service !== work.service) {
       return notRun("no_backend");
     }
-    return this.isTaking(identity) ? undefined : notRun("draining");
+    return this.isTaking(identity)
+      ? undefined
+      : notRun(leavingReason(identity));
   }
 
   private checkQuarantine(work: Work): Outcome | undefined {
@@ -438,7 +441,7 @@
       return notRun("no_backend");
     }
     return steadyMs() > identity.handOverUntilMs
-      ? notRun("draining")
+      ? notRun(leavingReason(identity))
       : undefined;
   }
 
@@ -546,3 +549,8 @@
     waiting?.resolve(outcome);
   }
 }
+
+/** Why a backend server that takes no new work takes none. */
+function leavingReason({ phase }: BackendIdentity): RefusalReason {
+  return phase === "evacuated" ? "evacuated" : "draining";
+}
--- a/packages/router/src/ownership_keeper.ts
+++ b/packages/router/src/ownership_keeper.ts
@@ -257,7 +257,7 @@
     }
     // One that has left without a heartbeat holds its keys until its grant runs out, and serves them while
     // it may be handed requests.
-    const hasLeft = phase === "draining" &&
+    const hasLeft = (phase === "draining" || phase === "evacuated") &&
       (steadyMs() > handOverUntilMs || grants.heldForMs(bootMs()) === 0);
     if (hasLeft || phase === "absent") {
       grants.beginRelease(grants.ownRanges);
--- a/packages/router/src/ports/router_settings.ts
+++ b/packages/router/src/ports/router_settings.ts
@@ -45,6 +45,8 @@
     /** Resends beyond the ratio in one window, over the fleet. */
     resendExtra: z.number().min(0),
     resendWindowMs: z.number().positive(),
+    /** From the acknowledgement that a zone is evacuated until its backend servers may get no more requests. */
+    evacuateMs: z.number().positive(),
     /** Most requests in one second at a cold backend server, for each that it bears. */
     coldRatio: z.number().min(0),
     /** Requests in one second at a cold backend server beyond the ratio. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -25,6 +25,7 @@
 import { bootMs, steadyMs } from "./clock.ts";
 import { ConfigurationKeeper } from "./configuration_keeper.ts";
 import type { Datagram } from "./datagram_codec.ts";
+import { EvacuationKeeper } from "./evacuation_keeper.ts";
 import { Forwarder } from "./forwarder.ts";
 import { GossipNode, ROUND_MS, splitAddress } from "./gossip_node.ts";
 import { createHeartbeatServer } from "./heartbeat_server.ts";
@@ -107,6 +108,7 @@
   private readonly directory: OwnershipDirectory;
   private readonly reader: SharedReader;
   private readonly quarantine: RequestQuarantine;
+  private readonly evacuation: EvacuationKeeper;
   private readonly backend: LocalBackend;
   private readonly keeper: BackendKeeper;
   private readonly ownership: OwnershipKeeper;
@@ -164,6 +166,18 @@
       tellAll: (news) => this.gossip.spread(news),
       tellSome: (news) => this.gossip.spreadToSome(news),
     });
+    this.evacuation = EvacuationKeeper.create({
+      address: settings.gossipAddress,
+      zone: settings.availabilityZone,
+      logger,
+      nowMs: steadyMs,
+      evacuateMs: () => this.settings.bounds.evacuateMs,
+      isNamed: (zone) => this.hasMemberIn(zone),
+      tellAll: (news) => this.gossip.spread(news),
+      tellSome: (news) => this.gossip.spreadToSome(news),
+      ask: () => this.askEvacuation(),
+      onChange: () => this.keeper.noteEvacuation(),
+    });
     this.backend = LocalBackend.create({
       address: settings.backendAddress,
       protocol: ports.backends,
@@ -177,6 +191,7 @@
       backend: this.backend,
       grants: this.grants,
       tenure: this.tenure,
+      evacuation: this.evacuation,
       drainMs: () => this.settings.bounds.drainMs,
       probe: (service) =>
         probeBackend(settings.backendAddress, {
@@ -426,6 +441,7 @@
     this.linkServer.tick();
     this.forwarder.tick();
     this.quarantine.tick();
+    this.evacuation.tick();
   }
 
   private describe(): Partial<MemberReport> {
@@ -491,6 +507,12 @@
       case "acquitted":
         this.quarantine.take(datagram);
         return;
+      case "evacuation":
+        this.evacuation.take(datagram);
+        return;
+      case "ask_evacuation":
+        this.answerEvacuation(datagram.sender);
+        return;
       case "promise":
         if (datagram.service === this.keeper.service) {
           this.tenure.notePromise(datagram.sender, datagram.askedAtMs);
@@ -621,15 +643,60 @@
       store: this.store,
       logger,
       random,
-      prefix: document.key,
-      onRecord: ({ key, value }) => {
-        if (key === document.key) {
-          this.configuration.take(value, "store");
+      prefix: document.prefix,
+      onListing: ({ records, revision }) => {
+        const zones = records.flatMap(({ key }) =>
+          document.readEvacuatedZone(key) ?? []
+        );
+        this.evacuation.takeListing({ revision, zones });
+        records.forEach((record) => this.takeOperatorRecord(record));
+      },
+      onChange: (change) => {
+        const { key, value, revision } = change;
+        const zone = document.readEvacuatedZone(key);
+        if (zone !== undefined) {
+          const isEvacuated = value !== undefined;
+          this.evacuation.takeChange({ revision, zone, isEvacuated });
         }
+        this.takeOperatorRecord(change);
       },
     });
   }
 
+  private takeOperatorRecord(
+    { key, value }: { key: string; value: string | undefined },
+  ): void {
+    if (key === this.ports.document.key && value !== undefined) {
+      this.configuration.take(value, "store");
+    }
+  }
+
+  private hasMemberIn(zone: string): boolean {
+    const { view } = this;
+    return [view.ownReport, ...view.alive(steadyMs())]
+      .some(({ availabilityZone }) => availabilityZone === zone);
+  }
+
+  /** Asks one living daemon which zones are evacuated. */
+  private askEvacuation(): void {
+    const sender = this.view.ownReport.address;
+    const alive = this.view.alive(steadyMs());
+    const asked = alive[Math.floor(this.ports.random() * alive.length)];
+    if (asked !== undefined) {
+      this.gossip.sendDatagram(
+        { kind: "ask_evacuation", sender },
+        asked.address,
+      );
+    }
+  }
+
+  private answerEvacuation(peer: string): void {
+    const news = this.evacuation.describe();
+    if (news !== undefined) {
+      this.gossip.sendDatagram(news, peer);
+    }
+  }
+
   private createGauges(): void {
     const gauges: Record<string, () => number> = {
       bamboolink_requests_running: () => this.backend.counts.running,
@@ -640,6 +707,7 @@
       bamboolink_owned_keys: () => this.grants.ownCount,
       bamboolink_tenure_left_ms: () =>
         Math.max(0, this.tenure.untilMs - bootMs()),
+      bamboolink_zone_evacuated: () => this.evacuation.isEvacuated ? 1 : 0,
       bamboolink_store_era: () => this.store.era,
       bamboolink_store_reached: () => this.store.isReached ? 1 : 0,
     };
--- a/packages/router/src/store_watcher.ts
+++ b/packages/router/src/store_watcher.ts
@@ -5,19 +5,29 @@
  * @module
  */
 import type { Logger } from "@bamboolink/logger";
-import type { Store, StoredRecord, Watch } from "@bamboolink/store";
+import type { Listing, Store, Watch } from "@bamboolink/store";
 
 /** Pause after a failure, in milliseconds, growing to the longest. */
 const FIRST_PAUSE_MS = 100;
 const LONGEST_PAUSE_MS = 1_000;
 
+/** A record was written or deleted. */
+export interface RecordChange {
+  readonly key: string;
+  readonly value: string | undefined;
+  readonly revision: number;
+}
+
 /** What the watcher needs. */
 export interface StoreWatcherContext {
   readonly store: Store;
   readonly logger: Logger;
   readonly prefix: string;
   readonly random: () => number;
-  readonly onRecord: (record: Pick<StoredRecord, "key" | "value">) => void;
+  /** Called with all records whenever they are listed. */
+  readonly onListing: (listing: Listing) => void;
+  /** Called with each change after a listing; `value` is `undefined` for deletions. */
+  readonly onChange: (change: RecordChange) => void;
 }
 
 /** Follows one prefix. */
@@ -47,7 +57,7 @@
   }
 
   private async follow(): Promise<void> {
-    const { store, logger, prefix, onRecord } = this.context;
+    const { store, logger, prefix, onListing, onChange } = this.context;
     const listing = await store.list(prefix);
     if (this.isStopped) {
       return;
@@ -62,16 +72,11 @@
       return;
     }
     this.failures = 0;
-    listing.value.records.forEach(onRecord);
+    onListing(listing.value);
     this.watch = store.watch(prefix, {
       fromRevision: listing.value.revision + 1,
       handler: {
-        onChanges: (changes) =>
-          changes.forEach(({ key, value }) => {
-            if (value !== undefined) {
-              onRecord({ key, value });
-            }
-          }),
+        onChanges: (changes) => changes.forEach(onChange),
         onEnd: (cause) => {
           logger.log("store_watch_ended", { prefix, cause });
           this.followLater();
--- a/packages/router/src/work.ts
+++ b/packages/router/src/work.ts
@@ -42,6 +42,8 @@
   | "not_owner"
   /** The backend server leaves. */
   | "draining"
+  /** Operators have the backend server's availability zone get no work. */
+  | "evacuated"
   /** The daemon stops. */
   | "stopping"
   /** It can't be done before the deadline. */
--- a/packages/traffic/src/mod.ts
+++ b/packages/traffic/src/mod.ts
@@ -6,3 +6,8 @@
 export { ConnectionOrder } from "./connection_order.ts";
 export { PrefixRouter } from "./prefix_router.ts";
 export { TrafficSplit } from "./traffic_split.ts";
+export {
+  type EvacuationChange,
+  type EvacuationState,
+  ZoneEvacuations,
+} from "./zone_evacuations.ts";
