Blame an end on the first suspect on probation only

Callers of a popular request were refused for 30 s, since it was quarantined with the request that ended its server: its turn in the lane came at the server that had just ended (the test before this commit).

The lane lets one suspect run at a time, so of several losses on probation at one end only the first can be the cause; the others began later. These stay suspects, and an answer clears them.

Ruled out: waiting before the next turn (every suspect would pay for it); asking whether the server lives before each turn (a probe for each).

--- a/packages/quarantine/src/suspect_book.ts
+++ b/packages/quarantine/src/suspect_book.ts
@@ -141,14 +141,13 @@
     const suspects = runs.filter(({ fingerprint }) =>
       !this.isAcquitted(fingerprint, nowMs)
     );
-    const onProbation = new Set(
-      suspects.filter(({ isOnProbation }) => isOnProbation)
-        .map(({ fingerprint }) => fingerprint),
-    );
+    // Only one suspect runs on probation at a time: one that was lost later began when the server had ended.
+    const proven = suspects.find(({ isOnProbation }) => isOnProbation)
+      ?.fingerprint;
     const accused = unique(suspects);
     accused.forEach((fingerprint) => this.addEnds(fingerprint, [name], nowMs));
     accused.filter((fingerprint) =>
-      onProbation.has(fingerprint) || this.isAloneAtEnds(fingerprint)
+      fingerprint === proven || this.isAloneAtEnds(fingerprint)
     ).forEach((fingerprint) => this.quarantine(fingerprint, nowMs));
     return {
       accusations: accused.flatMap((fingerprint) =>
--- a/packages/quarantine/src/suspect_book_test.ts
+++ b/packages/quarantine/src/suspect_book_test.ts
@@ -75,6 +75,17 @@
     });
   });
 
+  // Guards against a popular request being quarantined because its turn came at a server that had just ended.
+  describe("when two suspects are lost one after the other at one end", () => {
+    it("quarantines the first only", () => {
+      const book = createBook();
+      book.noteEnd(endOf(lose("lethal"), lose("popular")), 0);
+      book.noteEnd(endOf(lose("lethal", true), lose("popular", true)), 100);
+      expect(quarantinedIn(book, ["lethal", "popular"], 101))
+        .to.deep.equal(["lethal"]);
+    });
+  });
+
   // Many copies of a lethal request may come before the first end is known. None of them was on probation.
   describe("when three servers have ended under one request", () => {
     it("quarantines it, whoever tells of the ends", () => {
