Take no end as proof while another suspect ran there off probation

A lethal request of which a copy was let in before it was suspected could have a popular one quarantined that ran on probation beside it: the end counted as proof against the only one on probation. Unit test first, failed with [popular] quarantined; now neither is, and the lethal one at the next end. It costs one more server in that case.

--- a/packages/quarantine/src/suspect_book.ts
+++ b/packages/quarantine/src/suspect_book.ts
@@ -141,9 +141,7 @@
     const suspects = runs.filter(({ fingerprint }) =>
       !this.isAcquitted(fingerprint, nowMs)
     );
-    // Only one suspect runs on probation at a time: one that was lost later began when the server had ended.
-    const proven = suspects.find(({ isOnProbation }) => isOnProbation)
-      ?.fingerprint;
+    const proven = this.findProven(suspects, nowMs);
     const accused = unique(suspects);
     accused.forEach((fingerprint) => this.addEnds(fingerprint, [name], nowMs));
     accused.filter((fingerprint) =>
@@ -212,6 +210,23 @@
     });
   }
 
+  /**
+   * The request that the end of a server proves to be its cause, if one was the only suspect there. Only one runs on
+   * probation at a time: one that was lost later began when the server had ended. A copy of another suspect may have been
+   * let in before that was one.
+   */
+  private findProven(
+    runs: readonly LostRun[],
+    nowMs: number,
+  ): string | undefined {
+    const first = runs.find(({ isOnProbation }) => isOnProbation)?.fingerprint;
+    const hasOther = runs.some(({ fingerprint, isOnProbation }) =>
+      !isOnProbation && fingerprint !== first &&
+      this.find(fingerprint, nowMs) !== undefined
+    );
+    return hasOther ? undefined : first;
+  }
+
   /** Returns whether it is news. */
   private addAccusation(accusation: Accusation, nowMs: number): boolean {
     const { fingerprint, ends, quarantines, leftMs } = accusation;
--- a/packages/quarantine/src/suspect_book_test.ts
+++ b/packages/quarantine/src/suspect_book_test.ts
@@ -86,6 +86,20 @@
     });
   });
 
+  // Guards against a popular request being quarantined, since a copy of the lethal one ran beside it that had been let in
+  // before it was suspected.
+  describe("when a server ends under one on probation and a copy of another suspect that is not", () => {
+    it("quarantines neither, and the lethal one at the next end", () => {
+      const book = createBook();
+      book.noteEnd(endOf(lose("lethal"), lose("popular")), 0);
+      book.noteEnd(endOf(lose("popular", true), lose("lethal")), 100);
+      const names = ["lethal", "popular"];
+      expect(quarantinedIn(book, names, 101)).to.deep.equal([]);
+      book.noteEnd(endOf(lose("lethal", true)), 200);
+      expect(quarantinedIn(book, names, 201)).to.deep.equal(["lethal"]);
+    });
+  });
+
   // Many copies of a lethal request may come before the first end is known. None of them was on probation.
   describe("when three servers have ended under one request", () => {
     it("quarantines it, whoever tells of the ends", () => {
