Run no request again that all servers fail alike

A failure that a server answered is now sent to another one only if the others hardly fail, or it fails twice as often as they do. Where all fail alike, as when a service that they call rejects its requests, a second run fails as the first did; callers have a try of their own.

Ruled out: counting calls against the budget where they begin (they can't be told from callers' requests on that host); a smaller share of the budget (most of what it lacks is not in it).

--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -8,5 +8,6 @@
   expectedMs,
   type PlacementCandidate,
 } from "./choose_backend.ts";
+export { isOwnFailure } from "./judge_failure.ts";
 export { RouteTimes } from "./route_times.ts";
 export { sampleBackends } from "./sample_backends.ts";
--- a/packages/router/src/backend_board.ts
+++ b/packages/router/src/backend_board.ts
@@ -70,6 +70,11 @@
     return this.times.typicalMs(route);
   }
 
+  /** Share of the recent requests at a backend server that it failed, as last told. */
+  failureShareOf(daemon: string): number {
+    return this.entryOf(daemon).load.failureShare;
+  }
+
   /** Notes a request that was sent to a daemon. */
   noteSent(daemon: string): void {
     this.entryOf(daemon).sentSinceReport += 1;
--- a/packages/router/src/request_runner.ts
+++ b/packages/router/src/request_runner.ts
@@ -9,6 +9,7 @@
 import {
   chooseBackend,
   expectedMs,
+  isOwnFailure,
   type PlacementCandidate,
   sampleBackends,
 } from "@bamboolink/placement";
@@ -113,7 +114,7 @@
       history.note(target.address, outcome);
       this.noteSize(work, outcome);
       if (
-        cancellation.isCancelled || this.isFinal(work, outcome) ||
+        cancellation.isCancelled || this.isFinal(work, { target, outcome }) ||
         this.isOwnersLastWord(work, outcome) ||
         endsProbation(outcome) &&
           !this.context.quarantine.maySendOn(work, history.lostRuns)
@@ -192,10 +193,14 @@
       OWNERS_LAST_WORD.has(outcome.reason);
   }
 
-  private isFinal(work: Work, outcome: Outcome): boolean {
+  private isFinal(
+    work: Work,
+    { target, outcome }: { target: MemberReport; outcome: Outcome },
+  ): boolean {
     switch (outcome.kind) {
       case "answer":
-        return outcome.status < FIRST_FAILURE_STATUS || !work.isIdempotent;
+        return outcome.status < FIRST_FAILURE_STATUS || !work.isIdempotent ||
+          !this.mayOthersDoBetter(work, target);
       case "not_run":
         return outcome.reason === "cancelled" ||
           outcome.reason === "quarantined";
@@ -205,6 +210,19 @@
     }
   }
 
+  /** Whether a failure that a backend server answered is its own, so that another one may answer the request. */
+  private mayOthersDoBetter(work: Work, target: MemberReport): boolean {
+    const { view, board, backend } = this.context;
+    const shareOf = (address: string) =>
+      address === view.ownReport.address
+        ? backend.failureShare
+        : board.failureShareOf(address);
+    const others = view.readyOf(work.service, steadyMs())
+      .map(({ address }) => address)
+      .filter((address) => address !== target.address);
+    return isOwnFailure(shareOf(target.address), others.map(shareOf));
+  }
+
   private mayResend(
     work: Work,
     arrivals: number,
