Spare work that grows with the fleet, and the schema of each datagram

Cause: each round of gossip looked for silent daemons among all for each of all, and hashed the address of each daemon anew; each step of the control loop made lists for each link, also for links on which nothing is under way; each datagram was checked by a schema; each batch of frames was corked and written in several pieces.

--- a/packages/membership/src/gossip_codec.ts
+++ b/packages/membership/src/gossip_codec.ts
@@ -9,21 +9,33 @@
 import { BamboolinkError } from "@bamboolink/errors";
 import { decode, encode } from "@msgpack/msgpack";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
 import { type BeatDigest, packBeats, unpackBeats } from "./beat_digest.ts";
 import { MemberReport } from "./member.ts";
 import { readReportRow } from "./report_row.ts";
 
 /** Grows when the meaning of the fields changes; others are refused. */
 const FORMAT = 2;
+const MESSAGE_FIELDS = 4;
 const FIELDS = Object.keys(MemberReport.shape) as (keyof MemberReport)[];
 
-const Message = z.tuple([
-  z.literal(FORMAT),
-  z.string().min(1),
-  z.array(z.array(z.unknown())),
-  z.instanceof(Uint8Array),
-]);
+/** Format, sender, rows of reports and packed beats. */
+type Message = readonly [
+  typeof FORMAT,
+  string,
+  readonly (readonly unknown[])[],
+  Uint8Array,
+];
+
+/** Whether a value is a message. A schema says the same at several times the processor time, for each datagram. */
+function isMessage(value: unknown): value is Message {
+  if (!Array.isArray(value) || value.length !== MESSAGE_FIELDS) {
+    return false;
+  }
+  const [format, sender, rows, beats] = value as unknown[];
+  return format === FORMAT && typeof sender === "string" && sender !== "" &&
+    Array.isArray(rows) && rows.every(Array.isArray) &&
+    beats instanceof Uint8Array;
+}
 
 /** One datagram of gossip. */
 export interface GossipMessage {
@@ -63,11 +75,10 @@
   isNews: (name: ReportName) => boolean = () => true,
 ): Result<DecodedGossip, BamboolinkError> {
   const value = tryDecode(bytes);
-  const parsed = Message.safeParse(value);
-  if (!parsed.success) {
-    return err(invalid(parsed.error.message));
+  if (!isMessage(value)) {
+    return err(invalid("it has another form"));
   }
-  const [, sender, rows, packed] = parsed.data;
+  const [, sender, rows, packed] = value;
   const beats = unpackBeats(packed);
   if (beats === undefined) {
     return err(invalid("digests of beats are cut short"));
--- a/packages/membership/src/gossip_targets.ts
+++ b/packages/membership/src/gossip_targets.ts
@@ -31,9 +31,8 @@
     ...pickSome(near, { count: NEAR_FANOUT, ...now }),
     ...pickSome(far, { count: FAR_FANOUT, ...now }),
   ].map(({ address }) => address);
-  const silent = view.known.filter((address) =>
-    !alive.some((report) => report.address === address)
-  );
+  const living = new Set(alive.map(({ address }) => address));
+  const silent = view.known.filter((address) => !living.has(address));
   // Silent daemons are told now and then: one that came back, or was cut off, finds the others again.
   const probes = alive.length === 0 || now.random() < PROBE_SHARE
     ? pickSome(silent, { count: alive.length === 0 ? FIRST_FANOUT : 1, ...now })
--- a/packages/membership/src/member_view.ts
+++ b/packages/membership/src/member_view.ts
@@ -39,6 +39,8 @@
 }
 
 interface Entry {
+  /** A hash of the daemon's address. */
+  readonly name: number;
   readonly report: MemberReport;
   /** The newest beat of its incarnation that was heard of; the report may be older. */
   readonly beat: number;
@@ -229,8 +231,8 @@
     const told = remembered.length < BEATS_IN_A_MESSAGE
       ? remembered
       : pickSome(remembered, { count: BEATS_IN_A_MESSAGE - 1, ...now });
-    const digests = told.map(({ report, beat }) =>
-      digestBeat(hashAddress(report.address), { ...report, beat })
+    const digests = told.map(({ name, report: { incarnation }, beat }) =>
+      digestBeat(name, { incarnation, beat })
     );
     return [digestBeat(this.ownName, this.own), ...digests];
   }
@@ -253,8 +255,15 @@
     const hasAdvanced = !isOfProcess || report.beat > known!.beat;
     const beat = hasAdvanced ? report.beat : known!.beat;
     const advancedAtMs = hasAdvanced ? nowMs : known!.advancedAtMs;
-    this.entries.set(report.address, { report, beat, advancedAtMs, told: 0 });
-    this.names.set(hashAddress(report.address), report.address);
+    const name = known?.name ?? hashAddress(report.address);
+    this.entries.set(report.address, {
+      name,
+      report,
+      beat,
+      advancedAtMs,
+      told: 0,
+    });
+    this.names.set(name, report.address);
     return true;
   }
 }
--- a/packages/router/src/forwarder.ts
+++ b/packages/router/src/forwarder.ts
@@ -114,10 +114,11 @@
     at: { daemon: string; nowMs: number },
   ): void {
     const { daemon, nowMs } = at;
-    const isUnneeded = link.isIdle && nowMs - link.lastUsedMs > IDLE_MS;
-    if (isUnneeded || !link.isUsable && link.isIdle) {
-      this.links.delete(daemon);
-      link.close();
+    if (link.isIdle) {
+      if (!link.isUsable || nowMs - link.lastUsedMs > IDLE_MS) {
+        this.links.delete(daemon);
+        link.close();
+      }
       return;
     }
     const silent = this.findSilent(link, nowMs);
@@ -126,7 +127,7 @@
       this.links.delete(daemon);
       this.retired.push(link);
     }
-    this.giveUpSilent(link, nowMs);
+    silent.forEach(({ listener }) => listener.onSilent());
   }
 
   private giveUpSilent(link: LinkClient, nowMs: number): void {
--- a/packages/router/src/frame_socket.ts
+++ b/packages/router/src/frame_socket.ts
@@ -32,7 +32,8 @@
   private readonly reader = FrameReader.create();
   private isGreeted = false;
   private isEnded = false;
-  private isCorked = false;
+  /** Frames of this turn of the event loop. */
+  private pending: Buffer[] = [];
 
   private constructor(
     private readonly socket: Socket,
@@ -69,17 +70,15 @@
     if (this.isEnded) {
       return;
     }
-    if (!this.isCorked) {
-      this.isCorked = true;
-      this.socket.cork();
+    if (this.pending.length === 0) {
       process.nextTick(() => this.flush());
     }
-    this.socket.write(bytes);
+    this.pending.push(bytes);
   }
 
   /** Whether bytes wait in the process. */
   get hasUnsent(): boolean {
-    return this.socket.writableLength > 0;
+    return this.pending.length > 0 || this.socket.writableLength > 0;
   }
 
   /**
@@ -106,8 +105,13 @@
   }
 
   private flush(): void {
-    this.isCorked = false;
-    this.socket.uncork();
+    const { pending } = this;
+    this.pending = [];
+    if (pending.length > 0 && !this.socket.destroyed) {
+      this.socket.write(
+        pending.length === 1 ? pending[0]! : Buffer.concat(pending),
+      );
+    }
   }
 
   private read(bytes: Buffer): void {
