Let a start use the compiled code that the runtime brings, and compile all of ours in the build

After all power is lost, callers wait until daemons have started, and on most hosts a start has a quarter of a core: 0.6 s of processor time are over 2 s.

Cause: the compiled code of the runtime's own modules fits only the flags that the runtime was built with, so our flags had http, net and others compiled at each start (a program that only loads these: 0.12 s without flags, 0.15 s with the interrupt budget, 0.17 s with the heap limit; means of 8). The program now loads them first and sets the interrupt budget itself; the heap limit follows from the host's memory. The compiled code of the bundle holds all functions, not only those that loading runs.

Tried: always the baseline compiler once the program is loaded (start 511 to 625 ms, requests 77.8 to 74.4 ms a second: nothing in all); feedback after a quarter of the use (2,875 to 2,792 ms in all, one run: not kept on that); twice the interrupt budget (2,849); smaller batches for the baseline compiler (2,862); a larger young heap (starts 594 to 648, 821 to 947 ms).

--- a/scripts/bench/processor.mjs
+++ b/scripts/bench/processor.mjs
@@ -26,11 +26,7 @@
   new URL("../../target/bamboolink-router.cjs", import.meta.url),
 );
 /** As `run` in `deploy/system.toml` has it. */
-const USUAL_VARIANT = [
-  PROGRAM,
-  "--max-old-space-size=160",
-  "--interrupt-budget=270000",
-].join();
+const USUAL_VARIANT = PROGRAM;
 /** Second number of the loopback addresses of the first fleet. */
 const FIRST_NETWORK = 90;
 const FIRST_HOST = 10;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -11,22 +11,38 @@
 import { build } from "esbuild";
 
 /**
- * Must be those of `run` in `deploy/system.toml`: compiled code fits only the flags it was made with.
- *
- * The interrupt budget is four times V8's own, so functions are optimized once they were called four times as much.
- * Optimizing was a sixth to a fifth of the processor time of a daemon in its first minute. From its start over 12 s of
- * rest and 26 s with 25 requests a second a daemon takes 4 to 7 % less with this budget, and 2 % with 50 requests. The
- * price: at 150 requests a second it takes a seventh more in its first minutes, until all is optimized there, too.
+ * Functions are optimized after four times as much use as usual: in a daemon's first minutes optimizing costs more than it
+ * saves. The program sets this itself once it has loaded the runtime's own modules, since the compiled code that the
+ * runtime brings for them fits only the flags that it was built with.
  */
-const FLAGS = ["--max-old-space-size=160", "--interrupt-budget=270000"];
+const FLAGS = ["--interrupt-budget=270000"];
 const BUNDLE = "target/bamboolink-router.bundle.cjs";
 const PROGRAM = "target/bamboolink-router.cjs";
 
+/** The runtime's modules that the bundle uses. */
+const RUNTIME_MODULES = [
+  "node:async_hooks",
+  "node:buffer",
+  "node:crypto",
+  "node:dgram",
+  "node:dns",
+  "node:events",
+  "node:http",
+  "node:module",
+  "node:net",
+  "node:stream",
+  "node:timers/promises",
+  "node:util",
+];
+
 /** Runs the bundle from compiled code where that fits, and from its text where not. */
 const LOADER = `"use strict";
 const { readFileSync } = require("node:fs");
 const { join } = require("node:path");
+const { setFlagsFromString } = require("node:v8");
 const { Script } = require("node:vm");
+${RUNTIME_MODULES.map((name) => `require("${name}");`).join("\n")}
+${FLAGS.map((flag) => `setFlagsFromString("${flag}");`).join("\n")}
 const filename = join(__dirname, "bamboolink-router.bundle.cjs");
 const cache = join(__dirname, "bamboolink-router.cache");
 const text = readFileSync(filename, "utf8");
@@ -38,10 +54,15 @@
 } catch {
   // Without compiled code the text is compiled.
 }
+if (makesCache) {
+  // Functions that are first called in a start are compiled in the build, too.
+  setFlagsFromString("--no-lazy");
+}
 const script = new Script(source, { filename, ...(cachedData ? { cachedData } : {}) });
 const wrapped = { exports: {} };
 script.runInThisContext()(wrapped.exports, require, wrapped, filename, __dirname);
 if (makesCache) {
+  setFlagsFromString("--lazy");
   require("node:fs").writeFileSync(cache, script.createCachedData());
   process.exit(0);
 }
@@ -106,6 +127,6 @@
   logLevel: "warning",
 });
 writeFileSync(PROGRAM, LOADER);
-execFileSync(process.execPath, [...FLAGS, PROGRAM, "--make-cache"], {
+execFileSync(process.execPath, [PROGRAM, "--make-cache"], {
   stdio: ["ignore", "ignore", "inherit"],
 });
