--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -249,6 +249,13 @@
       "The availability zones that operators have evacuated changed: `zones` are all of them, as of `revision`, told by `source`.",
     action: NOTHING,
   },
+  backend_cold: {
+    number: 1848,
+    severity: "info",
+    meaning:
+      "The backend server says that it is cold for `cold_ms`; until then it gets `most_per_second` requests in a second at most. With 0 the configuration tells no rate, and it gets as many as when it is warm.",
+    action: "With 0: tell the rate that a cold server of `service` bears.",
+  },
   evacuation_of_unknown_zone: {
     number: 1847,
     severity: "warn",
--- a/packages/router/src/backend_keeper.ts
+++ b/packages/router/src/backend_keeper.ts
@@ -304,8 +304,7 @@
       tenure.forget();
     }
     this.last = heartbeat;
-    this.coldUntilMs = steadyMs() +
-      Math.min(heartbeat.coldMs, LONGEST_COLD_MS);
+    this.noteCold(heartbeat);
     const keyed = isKeyed(heartbeat.service);
     if (succession === undefined) {
       grants.adoptHeld(heartbeat.holds, nowMs);
@@ -344,6 +343,20 @@
     return grant.holdMs > 0 ? grant : undefined;
   }
 
+  private noteCold({ instance, service, coldMs }: BackendHeartbeat): void {
+    const nowMs = steadyMs();
+    if (coldMs > 0 && nowMs >= this.coldUntilMs) {
+      const most_per_second = this.context.coldLimit(service);
+      this.context.logger.log("backend_cold", {
+        instance,
+        service,
+        cold_ms: coldMs,
+        most_per_second,
+      });
+    }
+    this.coldUntilMs = nowMs + Math.min(coldMs, LONGEST_COLD_MS);
+  }
+
   private setPhase(phase: MemberPhase, cause: string): void {
     const { backend, logger, isKeyed, onChange } = this.context;
     const { last } = this;
