Name what tracks poison requests in the field's words

SuspectBook, accusations, acquittals and verdicts are a courtroom; the field says poison request, crash report and cleared. Names of files, classes, fields, the two datagrams and one log event (BL1841 keeps its number) follow, and comments say shorter what they said.

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -516,7 +516,7 @@
     action:
       "Find the request by its `fingerprint` in `backend_ended_under_requests`, and mend the service: the next trial comes when the quarantine is over.",
   },
-  request_acquitted: {
+  request_cleared: {
     number: 1841,
     severity: "info",
     meaning:
--- a/packages/placement/src/choose_backend.ts
+++ b/packages/placement/src/choose_backend.ts
@@ -48,10 +48,7 @@
  * at each of the two.
  */
 const OTHER_DAEMON_MS = 4;
-/**
- * Scores vary by this share at random. Reports are some 100 ms old: without it all daemons would send
- * to the one that looked best, which then is the worst until the next report.
- */
+/** Jitter that keeps daemons with the same stale reports from picking the same server. */
 const SCORE_NOISE = 0.15;
 /**
  * A failing server is charged its time this many times over for each failure beyond those of the best, so
--- a/packages/quarantine/src/lost_runs.ts
+++ b/packages/quarantine/src/lost_runs.ts
@@ -11,8 +11,7 @@
 const TOGETHER_MS = 100;
 /** How long the proof that a server has ended may take to come, in milliseconds: the restart of one on a busy host. */
 const PROOF_MS = 10_000;
-/** More runs than any server has slots are not kept. */
-const LARGEST_COUNT = 64;
+const MAX_RUNS = 64;
 
 /** A request whose connection to the backend server broke before its answer was whole. */
 export interface LostRun {
@@ -42,7 +41,7 @@
 
   /** Notes a run whose connection broke. */
   noteLost(run: LostRun): void {
-    this.runs = [...this.runs, run].slice(-LARGEST_COUNT);
+    this.runs = [...this.runs, run].slice(-MAX_RUNS);
   }
 
   /** Notes an answer: the server has outlived the runs that were lost well before. */
--- a/packages/quarantine/src/mod.ts
+++ b/packages/quarantine/src/mod.ts
@@ -12,9 +12,9 @@
   type RequestContent,
 } from "./request_fingerprint.ts";
 export {
-  type Accusation,
-  type EndVerdict,
-  type ServerEnd,
+  type CrashOutcome,
+  type CrashReport,
+  PoisonRequestTracker,
+  type ServerCrash,
   type Standing,
-  SuspectBook,
-} from "./suspect_book.ts";
+} from "./poison_request_tracker.ts";
--- a/packages/quarantine/src/suspect_book_test.ts
+++ b/packages/quarantine/src/poison_request_tracker_test.ts
@@ -8,7 +8,7 @@
 import { chooseProbation } from "./choose_probation.ts";
 import type { LostRun } from "./lost_runs.ts";
 import { ProbationLane } from "./probation_lane.ts";
-import { SuspectBook } from "./suspect_book.ts";
+import { PoisonRequestTracker } from "./poison_request_tracker.ts";
 
 const SEED = 20_261_203;
 const SECOND_MS = 1_000;
@@ -25,63 +25,69 @@
 let lastEnd = 0;
 function endOf(...runs: LostRun[]) {
   lastEnd += 1;
-  return { name: lastEnd, runs };
+  return { id: lastEnd, runs };
 }
 
 /** A book that draws no delays. */
-const createBook = () => SuspectBook.create(() => 0);
+const createTracker = () => PoisonRequestTracker.create(() => 0);
 
 /** The requests that a book quarantines. */
-const quarantinedIn = (book: SuspectBook, names: string[], nowMs: number) =>
-  names.filter((name) => book.judge(name, nowMs).kind === "quarantined");
+const quarantinedIn = (
+  tracker: PoisonRequestTracker,
+  names: string[],
+  nowMs: number,
+) => names.filter((name) => tracker.judge(name, nowMs).kind === "quarantined");
 
-describe("SuspectBook", () => {
+describe("PoisonRequestTracker", () => {
   describe("when one server ends", () => {
     it("suspects all that it ran, and quarantines nothing", () => {
-      const book = createBook();
+      const tracker = createTracker();
       const end = endOf(lose("lethal"), lose("beside"));
-      const { accusations } = book.noteEnd(end, 0);
-      const told = { ends: [end.name], quarantines: 0, leftMs: 0 };
-      expect(accusations).to.deep.equal([
+      const { reports } = tracker.recordCrash(end, 0);
+      const told = { crashes: [end.id], quarantines: 0, remainingMs: 0 };
+      expect(reports).to.deep.equal([
         { fingerprint: "lethal", ...told },
         { fingerprint: "beside", ...told },
       ]);
-      expect(book.judge("lethal", 1).kind).to.equal("suspect");
-      expect(book.judge("other", 1).kind).to.equal("clear");
+      expect(tracker.judge("lethal", 1).kind).to.equal("suspect");
+      expect(tracker.judge("other", 1).kind).to.equal("clear");
     });
   });
 
   describe("when a further server ends under one of them alone", () => {
     it("quarantines that one, and only suspects what ran beside it", () => {
-      const book = createBook();
-      book.noteEnd(endOf(lose("lethal"), lose("beside")), 0);
-      book.noteEnd(endOf(lose("lethal", true), lose("later")), 100);
+      const tracker = createTracker();
+      tracker.recordCrash(endOf(lose("lethal"), lose("beside")), 0);
+      tracker.recordCrash(endOf(lose("lethal", true), lose("later")), 100);
       const names = ["lethal", "beside", "later"];
-      expect(quarantinedIn(book, names, 101)).to.deep.equal(["lethal"]);
+      expect(quarantinedIn(tracker, names, 101)).to.deep.equal(["lethal"]);
     });
 
     it("also if the first end is told later, without a second quarantine", () => {
-      const book = createBook();
-      book.noteEnd(endOf(lose("lethal", true)), 100);
+      const tracker = createTracker();
+      tracker.recordCrash(endOf(lose("lethal", true)), 100);
       const late = {
         fingerprint: "lethal",
-        ends: [lastEnd + 1],
+        crashes: [lastEnd + 1],
         quarantines: 0,
-        leftMs: 0,
+        remainingMs: 0,
       };
-      expect(book.noteAccusations([late], 200).news).to.have.length(1);
-      expect(book.findQuarantines(200)[0]?.quarantines).to.equal(1);
-      expect(book.noteAccusations([late], 300).news).to.have.length(0);
+      expect(tracker.recordReports([late], 200).news).to.have.length(1);
+      expect(tracker.findQuarantines(200)[0]?.quarantines).to.equal(1);
+      expect(tracker.recordReports([late], 300).news).to.have.length(0);
     });
   });
 
   // Guards against a popular request being quarantined because its turn came at a server that had just ended.
   describe("when two suspects are lost one after the other at one end", () => {
     it("quarantines the first only", () => {
-      const book = createBook();
-      book.noteEnd(endOf(lose("lethal"), lose("popular")), 0);
-      book.noteEnd(endOf(lose("lethal", true), lose("popular", true)), 100);
-      expect(quarantinedIn(book, ["lethal", "popular"], 101))
+      const tracker = createTracker();
+      tracker.recordCrash(endOf(lose("lethal"), lose("popular")), 0);
+      tracker.recordCrash(
+        endOf(lose("lethal", true), lose("popular", true)),
+        100,
+      );
+      expect(quarantinedIn(tracker, ["lethal", "popular"], 101))
         .to.deep.equal(["lethal"]);
     });
   });
@@ -90,98 +96,102 @@
   // before it was suspected.
   describe("when a server ends under one on probation and a copy of another suspect that is not", () => {
     it("quarantines neither, and the lethal one at the next end", () => {
-      const book = createBook();
-      book.noteEnd(endOf(lose("lethal"), lose("popular")), 0);
-      book.noteEnd(endOf(lose("popular", true), lose("lethal")), 100);
+      const tracker = createTracker();
+      tracker.recordCrash(endOf(lose("lethal"), lose("popular")), 0);
+      tracker.recordCrash(endOf(lose("popular", true), lose("lethal")), 100);
       const names = ["lethal", "popular"];
-      expect(quarantinedIn(book, names, 101)).to.deep.equal([]);
-      book.noteEnd(endOf(lose("lethal", true)), 200);
-      expect(quarantinedIn(book, names, 201)).to.deep.equal(["lethal"]);
+      expect(quarantinedIn(tracker, names, 101)).to.deep.equal([]);
+      tracker.recordCrash(endOf(lose("lethal", true)), 200);
+      expect(quarantinedIn(tracker, names, 201)).to.deep.equal(["lethal"]);
     });
   });
 
   // Many copies of a lethal request may come before the first end is known. None of them was on probation.
   describe("when three servers have ended under one request", () => {
     it("quarantines it, whoever tells of the ends", () => {
-      const book = createBook();
-      book.noteEnd(endOf(lose("lethal"), lose("a")), 0);
-      const told = { fingerprint: "lethal", quarantines: 0, leftMs: 0 };
-      book.noteAccusations([{ ...told, ends: [101] }], 1);
-      expect(quarantinedIn(book, ["lethal"], 1)).to.deep.equal([]);
-      book.noteAccusations([{ ...told, ends: [101] }], 2);
-      expect(quarantinedIn(book, ["lethal"], 2)).to.deep.equal([]);
-      book.noteAccusations([{ ...told, ends: [102] }], 3);
-      expect(quarantinedIn(book, ["lethal", "a"], 3))
+      const tracker = createTracker();
+      tracker.recordCrash(endOf(lose("lethal"), lose("a")), 0);
+      const told = { fingerprint: "lethal", quarantines: 0, remainingMs: 0 };
+      tracker.recordReports([{ ...told, crashes: [101] }], 1);
+      expect(quarantinedIn(tracker, ["lethal"], 1)).to.deep.equal([]);
+      tracker.recordReports([{ ...told, crashes: [101] }], 2);
+      expect(quarantinedIn(tracker, ["lethal"], 2)).to.deep.equal([]);
+      tracker.recordReports([{ ...told, crashes: [102] }], 3);
+      expect(quarantinedIn(tracker, ["lethal", "a"], 3))
         .to.deep.equal(["lethal"]);
     });
 
     // News of an end may come after the quarantine that it led to is over.
     it("is not quarantined again for an end of before that is told late", () => {
-      const book = createBook();
-      const told = { fingerprint: "lethal", quarantines: 1, leftMs: SECOND_MS };
-      book.noteAccusations([{ ...told, ends: [101, 102] }], 0);
-      const late = { ...told, quarantines: 0, leftMs: 0, ends: [100] };
-      book.noteAccusations([late], 2 * SECOND_MS);
-      expect(book.judge("lethal", 2 * SECOND_MS).kind).to.equal("suspect");
+      const tracker = createTracker();
+      const told = {
+        fingerprint: "lethal",
+        quarantines: 1,
+        remainingMs: SECOND_MS,
+      };
+      tracker.recordReports([{ ...told, crashes: [101, 102] }], 0);
+      const late = { ...told, quarantines: 0, remainingMs: 0, crashes: [100] };
+      tracker.recordReports([late], 2 * SECOND_MS);
+      expect(tracker.judge("lethal", 2 * SECOND_MS).kind).to.equal("suspect");
     });
 
     // A popular request may be there each time, too, before any server has answered it.
     it("quarantines neither of two that were there each time", () => {
-      const book = createBook();
+      const tracker = createTracker();
       const names = ["lethal", "popular"];
       const tell = (end: number) =>
         names.map((fingerprint) => ({
           fingerprint,
-          ends: [end],
+          crashes: [end],
           quarantines: 0,
-          leftMs: 0,
+          remainingMs: 0,
         }));
-      [101, 102, 103].forEach((end) => book.noteAccusations(tell(end), 0));
-      expect(quarantinedIn(book, names, 1)).to.deep.equal([]);
-      book.noteAnswer("popular", 2);
-      book.noteEnd(endOf(lose("lethal", true)), 3);
-      expect(quarantinedIn(book, names, 4)).to.deep.equal(["lethal"]);
+      [101, 102, 103].forEach((end) => tracker.recordReports(tell(end), 0));
+      expect(quarantinedIn(tracker, names, 1)).to.deep.equal([]);
+      tracker.recordAnswer("popular", 2);
+      tracker.recordCrash(endOf(lose("lethal", true)), 3);
+      expect(quarantinedIn(tracker, names, 4)).to.deep.equal(["lethal"]);
     });
   });
 
   // Servers also end in numbers, for reasons that lie elsewhere. What they ran is sent on, once for each attempt.
   describe("when many servers end at once", () => {
     it("quarantines nothing that was there once or twice", () => {
-      const book = createBook();
+      const tracker = createTracker();
       const names = Array.from({ length: 60 }, (_, index) => `once-${index}`);
       names.forEach((name, index) => {
         const sentOn = names[index - 3] ?? "none";
-        book.noteEnd(endOf(lose(name), lose(sentOn)), index);
+        tracker.recordCrash(endOf(lose(name), lose(sentOn)), index);
       });
-      expect(quarantinedIn(book, names, 60)).to.deep.equal([]);
+      expect(quarantinedIn(tracker, names, 60)).to.deep.equal([]);
     });
   });
 
   describe("when a suspect is answered", () => {
-    it("acquits it, whatever comes late of its accusations", () => {
-      const book = createBook();
-      book.noteEnd(endOf(lose("popular")), 0);
-      expect(book.noteAnswer("popular", 50)).to.equal(true);
+    it("clears it, whatever comes late of its reports", () => {
+      const tracker = createTracker();
+      tracker.recordCrash(endOf(lose("popular")), 0);
+      expect(tracker.recordAnswer("popular", 50)).to.equal(true);
       const late = {
         fingerprint: "popular",
-        ends: [101, 102, 103],
+        crashes: [101, 102, 103],
         quarantines: 1,
-        leftMs: MINUTE_MS,
+        remainingMs: MINUTE_MS,
       };
-      expect(book.noteAccusations([late], 60)).to.deep.equal({
+      expect(tracker.recordReports([late], 60)).to.deep.equal({
         news: [],
-        acquitted: ["popular"],
+        cleared: ["popular"],
       });
-      expect(book.judge("popular", 61).kind).to.equal("clear");
+      expect(tracker.judge("popular", 61).kind).to.equal("clear");
     });
 
-    it("acquits it before the end at which it was lost is known", () => {
-      const book = createBook();
-      book.noteAnswer("popular", 50);
+    it("clears it before the end at which it was lost is known", () => {
+      const tracker = createTracker();
+      tracker.recordAnswer("popular", 50);
       const end = endOf(lose("popular"));
-      const { acquitted, accusations } = book.noteEnd(end, 200);
-      expect(acquitted).to.deep.equal(["popular"]);
-      expect(accusations).to.deep.equal([]);
+      const { cleared, reports } = tracker.recordCrash(end, 200);
+      expect(cleared).to.deep.equal(["popular"]);
+      expect(reports).to.deep.equal([]);
     });
   });
 
@@ -189,35 +199,37 @@
     // A quarantine that never ends would keep a request from servers that have been repaired; one that is as long each
     // time would cost a server each time.
     it("lets it run alone, and makes the next quarantine four times as long", () => {
-      const book = createBook();
+      const tracker = createTracker();
       const lengths: number[] = [];
       let nowMs = 0;
-      book.noteEnd(endOf(lose("lethal", true)), nowMs);
+      tracker.recordCrash(endOf(lose("lethal", true)), nowMs);
       for (let trial = 0; trial < 4; trial += 1) {
-        const standing = book.judge("lethal", nowMs);
+        const standing = tracker.judge("lethal", nowMs);
         expect(standing.kind).to.equal("quarantined");
-        const leftMs = standing.kind === "quarantined" ? standing.leftMs : 0;
-        lengths.push(leftMs);
-        nowMs += leftMs + SECOND_MS;
-        expect(book.judge("lethal", nowMs).kind).to.equal("suspect");
-        book.noteEnd(endOf(lose("lethal", true)), nowMs);
+        const remainingMs = standing.kind === "quarantined"
+          ? standing.remainingMs
+          : 0;
+        lengths.push(remainingMs);
+        nowMs += remainingMs + SECOND_MS;
+        expect(tracker.judge("lethal", nowMs).kind).to.equal("suspect");
+        tracker.recordCrash(endOf(lose("lethal", true)), nowMs);
       }
       expect(lengths).to.deep.equal([30_000, 120_000, 480_000, 1_920_000]);
     });
 
     it("ends it at different times at different daemons", () => {
       const draws = [0, 0.5, 0.99];
-      const accusation = {
+      const report = {
         fingerprint: "lethal",
-        ends: [101, 102],
+        crashes: [101, 102],
         quarantines: 1,
-        leftMs: 30_000,
+        remainingMs: 30_000,
       };
       const over = draws.map((draw) => {
-        const book = SuspectBook.create(() => draw);
-        book.noteAccusations([accusation], 0);
-        const standing = book.judge("lethal", 0);
-        return standing.kind === "quarantined" ? standing.leftMs : 0;
+        const tracker = PoisonRequestTracker.create(() => draw);
+        tracker.recordReports([report], 0);
+        const standing = tracker.judge("lethal", 0);
+        return standing.kind === "quarantined" ? standing.remainingMs : 0;
       });
       expect(over).to.deep.equal([30_000, 37_500, 44_850]);
     });
@@ -225,30 +237,30 @@
 
   describe("told the same again and again", () => {
     it("ends the quarantine no later for that", () => {
-      const book = createBook();
-      book.noteEnd(endOf(lose("lethal", true)), 0);
+      const tracker = createTracker();
+      tracker.recordCrash(endOf(lose("lethal", true)), 0);
       const told = {
         fingerprint: "lethal",
-        ends: [lastEnd],
+        crashes: [lastEnd],
         quarantines: 1,
-        leftMs: 30_000,
+        remainingMs: 30_000,
       };
       Array.from({ length: 29 }, (_, index) => (index + 1) * SECOND_MS)
-        .forEach((nowMs) => book.noteAccusations([told], nowMs));
-      expect(book.judge("lethal", 30_001).kind).to.equal("suspect");
+        .forEach((nowMs) => tracker.recordReports([told], nowMs));
+      expect(tracker.judge("lethal", 30_001).kind).to.equal("suspect");
     });
   });
 
   describe("after a time in which nothing came", () => {
     it("is empty again", () => {
-      const book = createBook();
-      book.noteEnd(endOf(lose("beside")), 0);
-      book.noteEnd(endOf(lose("lethal", true)), 0);
-      book.prune(2 * MINUTE_MS);
-      expect(book.judge("lethal", 2 * MINUTE_MS).kind).to.equal("suspect");
-      expect(book.judge("beside", 2 * MINUTE_MS).kind).to.equal("clear");
-      book.prune(10 * MINUTE_MS);
-      expect(book.isEmpty).to.equal(true);
+      const tracker = createTracker();
+      tracker.recordCrash(endOf(lose("beside")), 0);
+      tracker.recordCrash(endOf(lose("lethal", true)), 0);
+      tracker.prune(2 * MINUTE_MS);
+      expect(tracker.judge("lethal", 2 * MINUTE_MS).kind).to.equal("suspect");
+      expect(tracker.judge("beside", 2 * MINUTE_MS).kind).to.equal("clear");
+      tracker.prune(10 * MINUTE_MS);
+      expect(tracker.isEmpty).to.equal(true);
     });
   });
 
@@ -257,11 +269,11 @@
       const anyNews = fc.array(
         fc.oneof(
           fc.record({
-            ends: fc.array(fc.nat(5), { minLength: 1, maxLength: 2 }),
+            crashes: fc.array(fc.nat(5), { minLength: 1, maxLength: 2 }),
             quarantines: fc.constant(0),
           }),
           fc.record({
-            ends: fc.constant([0, 1, 2]),
+            crashes: fc.constant([0, 1, 2]),
             quarantines: fc.integer({ min: 1, max: 3 }),
           }),
           fc.constant("answer" as const),
@@ -275,23 +287,25 @@
             .sort((left, right) => keys[left.index]! - keys[right.index]!)
             .map(({ item }) => item);
           const [one, other] = [news, shuffled].map((sequence) => {
-            const book = createBook();
+            const tracker = createTracker();
             sequence.forEach((item) =>
               item === "answer"
-                ? book.noteAnswer("x", 0)
-                : book.noteAccusations(
-                  [{ fingerprint: "x", leftMs: 30_000, ...item }],
+                ? tracker.recordAnswer("x", 0)
+                : tracker.recordReports(
+                  [{ fingerprint: "x", remainingMs: 30_000, ...item }],
                   0,
                 )
             );
-            return book;
+            return tracker;
           });
           expect(one!.judge("x", 1).kind).to.equal(other!.judge("x", 1).kind);
-          const [mine, theirs] = [one!, other!].map((book) =>
-            book.findQuarantines(1).map(({ ends, quarantines, leftMs }) => ({
-              ends: [...ends].sort(),
+          const [mine, theirs] = [one!, other!].map((tracker) =>
+            tracker.findQuarantines(1).map((
+              { crashes, quarantines, remainingMs },
+            ) => ({
+              crashes: [...crashes].sort(),
               quarantines,
-              leftMs,
+              remainingMs,
             }))
           );
           expect(mine).to.deep.equal(theirs);
--- a/packages/router/src/datagram_codec.ts
+++ b/packages/router/src/datagram_codec.ts
@@ -86,11 +86,11 @@
 const Fingerprint = z.string().min(1).max(64);
 
 /** Servers ended under these requests. */
-const RequestsAccused = z.object({
-  kind: z.literal("accused"),
+const CrashReports = z.object({
+  kind: z.literal("crash_reports"),
   sender: z.string(),
   /** Each with the names of the ends, the number of quarantines, and what is left of the last, in milliseconds. */
-  accused: z.array(
+  suspected: z.array(
     z.tuple([
       Fingerprint,
       z.array(z.int().min(0)).min(1).max(64),
@@ -101,8 +101,8 @@
 });
 
 /** These requests were answered: no server ends under them. */
-const RequestsAcquitted = z.object({
-  kind: z.literal("acquitted"),
+const RequestsCleared = z.object({
+  kind: z.literal("cleared"),
   sender: z.string(),
   fingerprints: z.array(Fingerprint),
 });
@@ -124,8 +124,8 @@
 const Datagram = z.discriminatedUnion("kind", [
   ZonesEvacuated,
   EvacuationQuestion,
-  RequestsAccused,
-  RequestsAcquitted,
+  CrashReports,
+  RequestsCleared,
   SharedReadQuestion,
   SharedReadAnswer,
   ReportQuestion,
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -301,7 +301,7 @@
   private checkQuarantine(work: Work): Outcome | undefined {
     const standing = this.context.quarantine.judge(work);
     return standing.kind === "quarantined"
-      ? notRun("quarantined", { waitMs: standing.leftMs })
+      ? notRun("quarantined", { waitMs: standing.remainingMs })
       : undefined;
   }
 
--- a/packages/router/src/local_backend_test.ts
+++ b/packages/router/src/local_backend_test.ts
@@ -116,9 +116,9 @@
       await Promise.all(["/a", "/b"].map((target) => attempt(ask(target))));
       const suspects = ["/lethal", "/popular"].map(ask);
       quarantine.take({
-        kind: "accused",
+        kind: "crash_reports",
         sender: "other",
-        accused: suspects.map((
+        suspected: suspects.map((
           work,
         ) => [fingerprintRequest(work), [7], 0, 0]),
       });
--- a/packages/router/src/request_quarantine.ts
+++ b/packages/router/src/request_quarantine.ts
@@ -5,13 +5,13 @@
  */
 import type { Logger } from "@bamboolink/logger";
 import {
-  type Accusation,
   chooseProbation,
+  type CrashReport,
   fingerprintRequest,
   LostRuns,
+  PoisonRequestTracker,
   RecentAnswers,
   type Standing,
-  SuspectBook,
 } from "@bamboolink/quarantine";
 import type { BackendEnd } from "./backend_keeper.ts";
 import type { Datagram } from "./datagram_codec.ts";
@@ -23,13 +23,13 @@
 const LARGEST_NEWS = 16;
 /** A request under which so many connections broke in one attempt is a suspect whether a server's end is known or not. */
 const LARGEST_LOST_RUNS = 2;
-/** Ends are named by a draw among so many names: two of them don't get one by chance. */
-const END_NAMES = 2 ** 32;
+/** Crashes are identified by a random number below this. */
+const CRASH_IDS = 2 ** 32;
 
 /** What one daemon tells others of requests under which servers ended. */
 export type QuarantineNews = Extract<
   Datagram,
-  { kind: "accused" | "acquitted" }
+  { kind: "crash_reports" | "cleared" }
 >;
 
 /** What the quarantine needs. */
@@ -52,7 +52,7 @@
 export class RequestQuarantine {
   private readonly lost = LostRuns.create();
   private readonly answers = RecentAnswers.create();
-  private readonly book: SuspectBook;
+  private readonly tracker: PoisonRequestTracker;
   /** Names of requests that are under way: each is judged several times. */
   private readonly names = new WeakMap<Work, string>();
   /** Whether the process of the backend server has ended and no other one is known yet. */
@@ -60,7 +60,7 @@
   private retoldAtMs = -Infinity;
 
   private constructor(private readonly context: RequestQuarantineContext) {
-    this.book = SuspectBook.create(context.random);
+    this.tracker = PoisonRequestTracker.create(context.random);
   }
 
   /** Creates one that knows of nothing. */
@@ -70,7 +70,7 @@
 
   /** How many requests are quarantined. */
   get count(): number {
-    return this.book.countQuarantined(this.context.nowMs());
+    return this.tracker.countQuarantined(this.context.nowMs());
   }
 
   /** How a request may be run. Requests are named only while there is a suspect: it costs a hash of their bodies. */
@@ -80,9 +80,9 @@
     }
     const nowMs = this.context.nowMs();
     const fingerprint = this.nameOf(work);
-    const standing = this.book.judge(fingerprint, nowMs);
+    const standing = this.tracker.judge(fingerprint, nowMs);
     const isSuspect = standing.kind === "clear" && work.lostRuns > 0 &&
-      !this.book.isAcquitted(fingerprint, nowMs);
+      !this.tracker.isCleared(fingerprint, nowMs);
     return isSuspect ? SUSPECT : standing;
   }
 
@@ -93,8 +93,8 @@
    * @param lostRuns how many connections to backend servers broke under it in this attempt.
    */
   maySendOn(work: Work, lostRuns: number): boolean {
-    const isSuspect = !this.book.isEmpty &&
-      this.book.judge(this.nameOf(work), this.context.nowMs()).kind !==
+    const isSuspect = !this.tracker.isEmpty &&
+      this.tracker.judge(this.nameOf(work), this.context.nowMs()).kind !==
         "clear";
     return lostRuns < LARGEST_LOST_RUNS && !isSuspect;
   }
@@ -118,9 +118,9 @@
       return;
     }
     const fingerprint = this.nameOf(work);
-    if (this.book.noteAnswer(fingerprint, nowMs())) {
-      logger.log("request_acquitted", { request_id: work.id, fingerprint });
-      tellAll({ kind: "acquitted", sender, fingerprints: [fingerprint] });
+    if (this.tracker.recordAnswer(fingerprint, nowMs())) {
+      logger.log("request_cleared", { request_id: work.id, fingerprint });
+      tellAll({ kind: "cleared", sender, fingerprints: [fingerprint] });
     }
   }
 
@@ -160,36 +160,34 @@
       fingerprints: runs.map(({ fingerprint }) => fingerprint),
       on_probation: runs.map(({ isOnProbation }) => isOnProbation),
     });
-    const { accusations, acquitted } = this.book.noteEnd(
-      { name: Math.floor(random() * END_NAMES), runs },
+    const { reports, cleared } = this.tracker.recordCrash(
+      { id: Math.floor(random() * CRASH_IDS), runs },
       nowMs(),
     );
-    accusations.forEach((accusation) => this.logAccusation(accusation));
-    this.tellAccusations(accusations, this.context.tellAll);
-    this.tellAcquitted(acquitted);
+    reports.forEach((report) => this.logReport(report));
+    this.tellReports(reports, this.context.tellAll);
+    this.tellCleared(cleared);
   }
 
   /** Takes what another daemon tells. */
   take(news: QuarantineNews): void {
     const nowMs = this.context.nowMs();
-    if (news.kind === "acquitted") {
+    if (news.kind === "cleared") {
       news.fingerprints.forEach((fingerprint) => {
-        if (this.book.noteAnswer(fingerprint, nowMs)) {
+        if (this.tracker.recordAnswer(fingerprint, nowMs)) {
           const { sender: peer } = news;
-          this.context.logger.log("request_acquitted", { peer, fingerprint });
+          this.context.logger.log("request_cleared", { peer, fingerprint });
         }
       });
       return;
     }
-    const accusations = news.accused.map((row): Accusation => {
-      const [fingerprint, ends, quarantines, leftMs] = row;
-      return { fingerprint, ends, quarantines, leftMs };
+    const reports = news.suspected.map((row): CrashReport => {
+      const [fingerprint, crashes, quarantines, remainingMs] = row;
+      return { fingerprint, crashes, quarantines, remainingMs };
     });
-    const found = this.book.noteAccusations(accusations, nowMs);
-    found.news.forEach((accusation) =>
-      this.logAccusation(accusation, news.sender)
-    );
-    this.tellAcquitted(found.acquitted);
+    const found = this.tracker.recordReports(reports, nowMs);
+    found.news.forEach((report) => this.logReport(report, news.sender));
+    this.tellCleared(found.cleared);
   }
 
   /** Retells what is quarantined, for those who were not there when it was told, and forgets what is long past. */
@@ -199,9 +197,9 @@
       return;
     }
     this.retoldAtMs = nowMs;
-    this.book.prune(nowMs);
-    this.tellAccusations(
-      this.book.findQuarantines(nowMs),
+    this.tracker.prune(nowMs);
+    this.tellReports(
+      this.tracker.findQuarantines(nowMs),
       this.context.tellSome,
     );
   }
@@ -217,46 +215,53 @@
   }
 
   private isOfInterest(work: Work): boolean {
-    return work.lostRuns > 0 || !this.book.isEmpty;
+    return work.lostRuns > 0 || !this.tracker.isEmpty;
   }
 
-  private tellAccusations(
-    accusations: readonly Accusation[],
+  private tellReports(
+    reports: readonly CrashReport[],
     tell: (news: QuarantineNews) => void,
   ): void {
     const { address: sender } = this.context;
-    inPieces(accusations).forEach((piece) =>
+    inPieces(reports).forEach((piece) =>
       tell({
-        kind: "accused",
+        kind: "crash_reports",
         sender,
-        accused: piece.map(({ fingerprint, ends, quarantines, leftMs }) => [
+        suspected: piece.map((
+          { fingerprint, crashes, quarantines, remainingMs },
+        ) => [
           fingerprint,
-          [...ends],
+          [...crashes],
           quarantines,
-          leftMs,
+          remainingMs,
         ]),
       })
     );
   }
 
-  private tellAcquitted(fingerprints: readonly string[]): void {
+  private tellCleared(fingerprints: readonly string[]): void {
     const { address: sender, tellAll } = this.context;
     inPieces(fingerprints).forEach((piece) =>
-      tellAll({ kind: "acquitted", sender, fingerprints: piece })
+      tellAll({ kind: "cleared", sender, fingerprints: piece })
     );
   }
 
   /** Logs what is believed of a request now. */
-  private logAccusation(accusation: Accusation, peer?: string): void {
+  private logReport(report: CrashReport, peer?: string): void {
     const { logger, nowMs } = this.context;
-    const { fingerprint, ends } = accusation;
-    const standing = this.book.judge(fingerprint, nowMs());
+    const { fingerprint, crashes } = report;
+    const standing = this.tracker.judge(fingerprint, nowMs());
     if (standing.kind === "quarantined") {
-      const left_ms = Math.round(standing.leftMs);
-      logger.log("request_quarantined", { fingerprint, ends, left_ms, peer });
+      const left_ms = Math.round(standing.remainingMs);
+      logger.log("request_quarantined", {
+        fingerprint,
+        crashes,
+        left_ms,
+        peer,
+      });
       return;
     }
-    logger.log("request_suspected", { fingerprint, ends, peer });
+    logger.log("request_suspected", { fingerprint, crashes, peer });
   }
 }
 
--- a/packages/router/src/request_quarantine_test.ts
+++ b/packages/router/src/request_quarantine_test.ts
@@ -153,7 +153,7 @@
       expect(fleet.at(1).judge(sentOn).kind).to.equal("clear");
     });
 
-    it("acquits it when the end is told after its answer", () => {
+    it("clears it when the end is told after its answer", () => {
       fleet.at(1).noteAnswered(ask("/beside", 1));
       fleet.end(0, [ask("/beside")]);
       fleet.deliver();
@@ -186,7 +186,7 @@
       expect(fleet.judge(ask("/lethal"))).to.deep.equal(ALL("quarantined"));
     });
 
-    it("acquits it everywhere once it is answered, though it is still retold", () => {
+    it("clears it everywhere once it is answered, though it is still retold", () => {
       quarantine();
       fleet.nowMs += RETELLING_MS;
       fleet.daemons.forEach((daemon) => daemon.tick());
--- a/packages/router/src/request_runner.ts
+++ b/packages/router/src/request_runner.ts
@@ -39,7 +39,7 @@
  * request could wait, or has no room. Waiting for another owner would hold callers back for nothing, and
  * looking for one again and again costs the time that other requests need.
  */
-const OWNERS_LAST_WORD: ReadonlySet<RefusalReason> = new Set([
+const FINAL_OWNER_REFUSALS: ReadonlySet<RefusalReason> = new Set([
   "peer_unreachable",
   "stopping",
   "overloaded",
@@ -48,7 +48,7 @@
 ]);
 
 /** Refusals after which a suspect is not sent to another server. */
-const PROBATION_ENDS: ReadonlySet<RefusalReason> = new Set([
+const REFUSALS_THAT_END_PROBATION: ReadonlySet<RefusalReason> = new Set([
   "backend_unreachable",
   "overloaded",
   "queue_full",
@@ -86,7 +86,7 @@
     const history = AttemptHistory.create();
     const standing = this.context.quarantine.judge(work);
     if (standing.kind === "quarantined") {
-      const outcome = notRun("quarantined", { waitMs: standing.leftMs });
+      const outcome = notRun("quarantined", { waitMs: standing.remainingMs });
       return { outcome, peer: undefined, attempts: 0 };
     }
     this.context.budget.noteRequest(work.service, steadyMs());
@@ -115,7 +115,7 @@
       this.noteSize(work, outcome);
       if (
         cancellation.isCancelled || this.isFinal(work, { target, outcome }) ||
-        this.isOwnersLastWord(work, outcome) ||
+        this.isFinalOwnerRefusal(work, outcome) ||
         endsProbation(outcome) &&
           !this.context.quarantine.maySendOn(work, history.lostRuns)
       ) {
@@ -188,9 +188,9 @@
   }
 
   /** Whether the owner of a key has refused a request in a way that another attempt can't change. */
-  private isOwnersLastWord(work: Work, outcome: Outcome): boolean {
+  private isFinalOwnerRefusal(work: Work, outcome: Outcome): boolean {
     return work.key !== undefined && outcome.kind === "not_run" &&
-      OWNERS_LAST_WORD.has(outcome.reason);
+      FINAL_OWNER_REFUSALS.has(outcome.reason);
   }
 
   private isFinal(
@@ -377,5 +377,6 @@
  */
 function endsProbation(outcome: Outcome): boolean {
   return outcome.kind === "unknown" && outcome.reason === "backend_lost" ||
-    outcome.kind === "not_run" && PROBATION_ENDS.has(outcome.reason);
+    outcome.kind === "not_run" &&
+      REFUSALS_THAT_END_PROBATION.has(outcome.reason);
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -503,8 +503,8 @@
       case "read":
         this.ownership.noteShared(datagram);
         return;
-      case "accused":
-      case "acquitted":
+      case "crash_reports":
+      case "cleared":
         this.quarantine.take(datagram);
         return;
       case "evacuation":
