Log each request that is ended as wrong, and what decided it

None of the places that end a request with a 3xx or 4xx left a line: no_route (404), too_large (413), malformed (400), Node.js' own answers to bytes that its parser rejects (400, 408, 413, 431), and such statuses of backend servers. The hypotheses on denied requests could not be told apart by logs.

Three events: BL1849 with host, path, version and the age of that version, BL1850 with the parser's code and how many requests before it were under way, BL1851 for such a status of a backend server; one counter by reason.

No behaviour changes: the listener for unreadable bytes writes what Node.js writes without one.

--- a/packages/connections/src/caller_connection.ts
+++ b/packages/connections/src/caller_connection.ts
@@ -21,8 +21,8 @@
 
 /** One connection. */
 export class CallerConnection {
-  /** Requests whose answers the system has not taken whole yet. */
-  private unanswered = 0;
+  /** Answers that the system has not taken whole yet, in the order of their requests. */
+  private readonly pending = new Set<ServerResponse>();
   private isLast = false;
   /** Bytes that had been read when the last answer had left, or the last request had come whole. */
   private readBytes = 0;
@@ -50,6 +50,11 @@
     return this.socket.writableLength;
   }
 
+  /** How many requests have not been answered whole yet. */
+  get pendingAnswers(): number {
+    return this.pending.size;
+  }
+
   /** The answer that is written next is the last. */
   announceEnd(): void {
     this.isLast = true;
@@ -60,13 +65,13 @@
     const noteRead = () => {
       this.readBytes = this.socket.bytesRead;
     };
-    this.unanswered += 1;
+    this.pending.add(response);
     // A response may be marked as the last while its request is taken; what comes behind it then could not be answered.
     this.isLast = !response.shouldKeepAlive;
     // A body may come after its answer; taken for a further request, it would keep the connection busy for good.
     incoming.once("close", noteRead);
     response.once("close", () => {
-      this.unanswered -= 1;
+      this.pending.delete(response);
       noteRead();
     });
   }
@@ -76,7 +81,7 @@
    * where the caller has yet to close. Has to be asked again and again: it notices by that when bytes stop coming.
    */
   isBusy(nowMs: number): boolean {
-    return this.unanswered > 0 || this.isLast || this.unsentBytes > 0 ||
+    return this.pending.size > 0 || this.isLast || this.unsentBytes > 0 ||
       this.isExpected(nowMs);
   }
 
@@ -99,6 +104,16 @@
     this.end();
   }
 
+  /** Answers bytes that can't be read, unless an answer has begun, and ends the connection. */
+  rejectUnreadable(status: string): void {
+    const { socket } = this;
+    const hasBegun = [...this.pending].some(({ headersSent }) => headersSent);
+    if (socket.writable && !hasBegun) {
+      socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+    }
+    socket.destroy();
+  }
+
   /** Whether the rest of a request may come soon. The request of a new connection lies right behind its opening. */
   private isExpected(nowMs: number): boolean {
     const { bytesRead } = this.socket;
--- a/packages/connections/src/mod.ts
+++ b/packages/connections/src/mod.ts
@@ -3,4 +3,8 @@
  *
  * @module
  */
-export { ServerConnections } from "./server_connections.ts";
+export {
+  type ConnectionListeners,
+  ServerConnections,
+  type UnreadableInput,
+} from "./server_connections.ts";
--- a/packages/connections/src/server_connections.ts
+++ b/packages/connections/src/server_connections.ts
@@ -11,21 +11,52 @@
 import { Server as ConnectionServer, type Socket } from "node:net";
 import { CallerConnection } from "./caller_connection.ts";
 
+/** Statuses for input that the parser rejects, by its code; others are `400 Bad Request`. */
+const UNREADABLE_STATUSES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+const BAD_REQUEST = "400 Bad Request";
+
+/** Bytes that are no request, or a request that ended before it was whole. */
+export interface UnreadableInput {
+  /** What the parser found wrong. */
+  readonly code: string;
+  /** How many requests before it on its connection are under way. */
+  readonly pendingAnswers: number;
+}
+
+/** What is told of connections. */
+export interface ConnectionListeners {
+  readonly onUnreadable?: (input: UnreadableInput) => void;
+}
+
 /** The connections of one HTTP server. */
 export class ServerConnections {
   private readonly connections = new Map<Socket, CallerConnection>();
 
-  private constructor(private readonly server: Server) {
+  private constructor(
+    private readonly server: Server,
+    private readonly listeners: ConnectionListeners,
+  ) {
     server.on("connection", (socket: Socket) => this.accept(socket));
     server.on(
       "request",
       (incoming, response) => this.noteRequest(incoming, response),
     );
+    server.on(
+      "clientError",
+      (error, socket) => this.rejectUnreadable(error, socket as Socket),
+    );
   }
 
   /** Watches the connections of a server from now on, after the listener that takes its requests was added. */
-  static create(server: Server): ServerConnections {
-    return new ServerConnections(server);
+  static create(
+    server: Server,
+    listeners: ConnectionListeners = {},
+  ): ServerConnections {
+    return new ServerConnections(server, listeners);
   }
 
   /** How many connections have a request, an answer or bytes under way. */
@@ -82,6 +113,17 @@
     socket.once("close", () => this.connections.delete(socket));
   }
 
+  private rejectUnreadable(error: NodeJS.ErrnoException, socket: Socket): void {
+    const connection = this.connections.get(socket);
+    if (connection === undefined || socket.destroyed) {
+      return;
+    }
+    const { code = error.message } = error;
+    const { pendingAnswers } = connection;
+    this.listeners.onUnreadable?.({ code, pendingAnswers });
+    connection.rejectUnreadable(UNREADABLE_STATUSES[code] ?? BAD_REQUEST);
+  }
+
   private noteRequest(
     incoming: IncomingMessage,
     response: ServerResponse,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -334,6 +334,28 @@
       "A caller was told that its request has not run, and when to come back.",
     action: "Look at `reason`; see docs/OPERATIONS.md.",
   },
+  request_rejected: {
+    number: 1849,
+    severity: "info",
+    meaning:
+      "A caller was told that its request can't be served as it is: `reason` is `no_route`, `too_large` or `malformed`. `version` is the configuration that decided it, in force here for `version_age_ms`.",
+    action:
+      "With `no_route`: compare `host` and `path` with the routes of that version.",
+  },
+  caller_bytes_unreadable: {
+    number: 1850,
+    severity: "warn",
+    meaning:
+      "A caller's connection brought bytes that are no request, or ended within one; `code` says what was wrong, and `pending_answers` how many requests before it were under way.",
+    action: "Nothing, unless the caller is one of yours.",
+  },
+  unusual_answer: {
+    number: 1851,
+    severity: "info",
+    meaning:
+      "A backend server's answer with a status from 300 to 499 was passed on; `headers` names what it bore.",
+    action: "If callers call the request proper, look at the backend server.",
+  },
   peer_question_failed: {
     number: 1810,
     severity: "warn",
--- a/packages/router/src/configuration_keeper.ts
+++ b/packages/router/src/configuration_keeper.ts
@@ -8,6 +8,7 @@
 import type { MemberReport } from "@bamboolink/membership";
 import { PrefixRouter } from "@bamboolink/traffic";
 import type { TrafficConfiguration, TrafficService } from "@bamboolink/types";
+import { steadyMs } from "./clock.ts";
 import type { PeerQuestions } from "./peer_questions.ts";
 import type { ConfigurationDocument } from "./ports/configuration_document.ts";
 
@@ -32,6 +33,7 @@
 export class ConfigurationKeeper {
   private current: ConfigurationInForce | undefined;
   private isAsking = false;
+  private inForceSinceMs = steadyMs();
 
   private constructor(private readonly context: ConfigurationKeeperContext) {}
 
@@ -50,6 +52,11 @@
     return this.current?.configuration.version ?? -1;
   }
 
+  /** For how long the version has been in force, or there has been none, in milliseconds. */
+  ageMs(nowMs: number): number {
+    return nowMs - this.inForceSinceMs;
+  }
+
   /** Takes a document; one that can't be read, or is older, leaves all as it is. */
   take(text: string, source: string): void {
     const { document, logger } = this.context;
@@ -100,6 +107,7 @@
       ),
       text: origin.text,
     };
+    this.inForceSinceMs = steadyMs();
     this.context.onChange(this.current);
   }
 }
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -11,7 +11,10 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { CallerPatience, createAnswerSpread } from "@bamboolink/admission";
-import { ServerConnections } from "@bamboolink/connections";
+import {
+  ServerConnections,
+  type UnreadableInput,
+} from "@bamboolink/connections";
 import type { Logger } from "@bamboolink/logger";
 import type { Metrics } from "@bamboolink/metrics";
 import { fingerprintRequest } from "@bamboolink/quarantine";
@@ -30,6 +33,7 @@
   CallerProtocol,
   CallerRequest,
   OwnOutcome,
+  OwnRejection,
 } from "./ports/caller_protocol.ts";
 import type { LoopLag } from "./loop_lag.ts";
 import type { RequestRunner } from "./request_runner.ts";
@@ -48,6 +52,9 @@
   headerTimeoutMs: 10_000,
   idleTimeoutMs: 15_000,
 };
+/** Statuses from this one to the next say that a request is wrong, or belongs elsewhere. */
+const FIRST_UNUSUAL_STATUS = 300;
+const FIRST_FAILURE_STATUS = 500;
 /** When callers may come back to a daemon that has no configuration yet, in milliseconds. */
 const NO_CONFIGURATION_MS = 200;
 
@@ -104,7 +111,9 @@
       keepAliveTimeout: FIRST_LIMITS.idleTimeoutMs,
       requestTimeout: 0,
     }, (incoming, response) => void this.serve(incoming, response));
-    this.connections = ServerConnections.create(this.server);
+    this.connections = ServerConnections.create(this.server, {
+      onUnreadable: (input) => this.noteUnreadable(input),
+    });
   }
 
   /** Creates an ingress that does not listen yet. */
@@ -186,7 +195,7 @@
     const request = protocol.read(incoming.headers);
     if (request === undefined) {
       const reason = "the request's own headers are malformed";
-      this.refuse(response, { kind: "malformed", reason });
+      this.reject(response, { kind: "malformed", reason });
       return undefined;
     }
     const inForce = configuration.inForce;
@@ -208,7 +217,7 @@
       incoming.url ?? "",
     );
     if (route === undefined) {
-      this.refuse(response, { kind: "no_route" }, request);
+      this.reject(response, { kind: "no_route" }, request);
       return undefined;
     }
     if (lag.isOverloaded(route.rank)) {
@@ -228,6 +237,35 @@
     return route.name;
   }
 
+  /** Tells a caller that its request can't be served as it is. */
+  private reject(
+    response: ServerResponse,
+    outcome: OwnRejection,
+    request?: Pick<CallerRequest, "id">,
+  ): void {
+    const { logger, metrics, configuration } = this.context;
+    const { headers, url = "" } = response.req;
+    logger.log("request_rejected", {
+      request_id: request?.id,
+      reason: outcome.kind,
+      host: headers.host,
+      path: withoutQuery(url),
+      version: configuration.version,
+      version_age_ms: Math.round(configuration.ageMs(steadyMs())),
+    });
+    metrics.count("bamboolink_rejected_requests", { reason: outcome.kind });
+    this.refuse(response, outcome, request);
+  }
+
+  private noteUnreadable({ code, pendingAnswers }: UnreadableInput): void {
+    const { logger, metrics } = this.context;
+    logger.log("caller_bytes_unreadable", {
+      code,
+      pending_answers: pendingAnswers,
+    });
+    metrics.count("bamboolink_rejected_requests", { reason: "unreadable" });
+  }
+
   /** The process itself is short of time: whatever it does for this request comes too late. */
   private refuseBehind(
     response: ServerResponse,
@@ -279,7 +317,7 @@
       return "cut";
     }
     if (read.kind === "too_large") {
-      this.refuse(response, { kind: "too_large" }, request);
+      this.reject(response, { kind: "too_large" }, request);
       return "too_large";
     }
     if (this.isBehindEnd(response)) {
@@ -380,6 +418,7 @@
       return "caller_left";
     }
     if (outcome.kind === "answer") {
+      this.noteUnusual(work, { outcome, peer });
       this.watchDelivery(response, { work, bytes: outcome.body.length });
       this.passOn(response, outcome);
       return "answered";
@@ -427,6 +466,28 @@
     return `unknown_${reason}`;
   }
 
+  /** Tells of an answer by which the backend server itself found the request wrong. */
+  private noteUnusual(
+    work: Work,
+    end: {
+      outcome: Extract<Outcome, { kind: "answer" }>;
+      peer: string | undefined;
+    },
+  ): void {
+    const { status, headers } = end.outcome;
+    if (status < FIRST_UNUSUAL_STATUS || status >= FIRST_FAILURE_STATUS) {
+      return;
+    }
+    this.context.logger.log("unusual_answer", {
+      request_id: work.id,
+      route: work.route,
+      service: work.service,
+      peer: end.peer,
+      status,
+      headers: Object.keys(headers),
+    });
+  }
+
   /** Tells of an answer that is cut: the request counts as served here, and its caller has half of it. */
   private watchDelivery(
     response: ServerResponse,
@@ -514,3 +575,8 @@
     return { connection: "close" };
   }
 }
+
+/** Queries may hold what callers don't want in logs. */
+function withoutQuery(target: string): string {
+  return target.split("?", 1)[0]!;
+}
--- a/packages/router/src/ports/caller_protocol.ts
+++ b/packages/router/src/ports/caller_protocol.ts
@@ -36,6 +36,10 @@
     readonly reason: string;
     readonly isDeadline: boolean;
   }
+  | OwnRejection;
+
+/** The request can't be served as it is, here or elsewhere, now or later. */
+export type OwnRejection =
   /** No route leads anywhere. */
   | { readonly kind: "no_route" }
   /** It is larger than allowed. */
