Answer a request before what comes behind it and can't be read

Callers saw: 400 for a proper request that a backend server was running, and answers cut in the middle.

Cause: without a listener Node.js writes the parser's status on the connection as long as the answer under way has not begun, and destroys the connection in any case. What came behind (bytes that are no request, data after a request that said Connection: close, a further head that is late or ends halfway) so ended the request before it: 400, or 408, which promises that it has not run while it runs.

Now the requests before are answered, the last with Connection: close, and the status is written only where nothing is under way. A caller that has ended its side counts as left, as it does behind a whole request.

Ruled out: answering both (a caller that did not ask for a second answer takes it for that of its next request).

--- a/packages/connections/src/caller_connection.ts
+++ b/packages/connections/src/caller_connection.ts
@@ -104,14 +104,38 @@
     this.end();
   }
 
-  /** Answers bytes that can't be read, unless an answer has begun, and ends the connection. */
+  /**
+   * Ends the connection because of bytes that can't be read. Requests before them are answered first, and the status is
+   * left out then: their callers would take it for the answer to the first of them.
+   */
   rejectUnreadable(status: string): void {
     const { socket } = this;
-    const hasBegun = [...this.pending].some(({ headersSent }) => headersSent);
-    if (socket.writable && !hasBegun) {
-      socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+    const last = [...this.pending].at(-1);
+    if (last === undefined) {
+      this.writeRejection(status);
+    } else if (socket.readableEnded) {
+      socket.destroy();
+    } else {
+      this.endAfter(last);
+    }
+  }
+
+  private writeRejection(status: string): void {
+    if (this.isLast) {
+      return;
+    }
+    const headers = "Connection: close\r\nContent-Length: 0";
+    this.socket.write(`HTTP/1.1 ${status}\r\n${headers}\r\n\r\n`);
+    this.end();
+  }
+
+  private endAfter(response: ServerResponse): void {
+    this.isLast = true;
+    if (response.headersSent) {
+      response.once("close", () => this.end());
+    } else {
+      response.shouldKeepAlive = false;
     }
-    socket.destroy();
   }
 
   /** Whether the rest of a request may come soon. The request of a new connection lies right behind its opening. */
--- a/packages/connections/src/server_connections_test.ts
+++ b/packages/connections/src/server_connections_test.ts
@@ -12,18 +12,29 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
-import { ServerConnections } from "./server_connections.ts";
+import {
+  ServerConnections,
+  type UnreadableInput,
+} from "./server_connections.ts";
 
 /** More than a caller that reads nothing takes, and less than the system keeps for it, in bytes. */
 const ANSWER_BYTES = 1_000_000;
+/** More than the system keeps for a caller that reads nothing, in bytes. */
+const UNSENT_BYTES = 32_000_000;
 /** More than Node.js reads of a body that nobody wants, in bytes. */
 const BODY_BYTES = 300_000;
 
+/** How much of what comes a caller keeps, in characters. */
+const TEXT_LENGTH = 500;
+const NO_REQUEST = "\u0001 no request\r\n\r\n";
+
 type Handle = (incoming: IncomingMessage, response: ServerResponse) => void;
 
 /** A caller that reads when the test says so. */
 class Caller {
   bytes = 0;
+  /** The first bytes that came. */
+  text = "";
   isEnded = false;
 
   private constructor(private readonly socket: Socket) {
@@ -34,12 +45,14 @@
     });
     socket.on("data", (chunk) => {
       this.bytes += chunk.length;
+      this.text = `${this.text}${chunk}`.slice(0, TEXT_LENGTH);
     });
   }
 
   static async create(server: Server): Promise<Caller> {
     const { port } = server.address() as AddressInfo;
-    const socket = connect(port, "127.0.0.1");
+    const socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true });
+    socket.on("end", () => socket.end());
     await new Promise<void>((resolve) => socket.once("connect", resolve));
     return new Caller(socket);
   }
@@ -63,6 +76,11 @@
     await until(() => this.isEnded || this.bytes >= bytes);
   }
 
+  /** Ends the own side; answers may still come. */
+  end(): void {
+    this.socket.end();
+  }
+
   close(): void {
     this.socket.destroy();
   }
@@ -84,10 +102,14 @@
   let connections: ServerConnections;
   let handle: Handle;
   let caller: Caller;
+  let unreadable: UnreadableInput[];
 
   beforeEach(async () => {
+    unreadable = [];
     server = createServer((incoming, response) => handle(incoming, response));
-    connections = ServerConnections.create(server);
+    connections = ServerConnections.create(server, {
+      onUnreadable: (input) => unreadable.push(input),
+    });
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", resolve)
     );
@@ -238,6 +260,63 @@
     });
   });
 
+  describe("with bytes behind a request that can't be read", () => {
+    // Guards against a proper request that is ended by the 400 for what came behind it.
+    it("answer that request, and end with its answer", async () => {
+      const taken: ServerResponse[] = [];
+      handle = (_incoming, response) => void taken.push(response);
+      await caller.send(createHead("GET", "/proper", 0));
+      await until(() => taken.length === 1);
+      await caller.send(NO_REQUEST);
+      await caller.send(NO_REQUEST);
+      await until(() => unreadable.length > 0);
+      taken[0]!.end("done");
+      await caller.readToEnd();
+      expect(caller.text).to.match(/^HTTP\/1\.1 200 OK\r\n/)
+        .and.to.match(/\r\nConnection: close\r\n/)
+        .and.to.match(/\r\n\r\ndone$/);
+    });
+
+    // Guards against an answer that is cut because of what came behind its request.
+    it("deliver all of an answer that has begun", async () => {
+      handle = (_incoming, response) => {
+        response.writeHead(200, { "content-length": UNSENT_BYTES });
+        response.end(Buffer.alloc(UNSENT_BYTES));
+      };
+      await caller.send(createHead("GET", "/large", 0));
+      await until(() => connections.busyCount === 1);
+      await caller.send(NO_REQUEST);
+      await until(() => unreadable.length > 0);
+      await caller.readToEnd();
+      expect(caller.bytes).to.be.greaterThan(UNSENT_BYTES);
+    });
+  });
+
+  describe("whose caller ends its side within a further request", () => {
+    // Guards against a proper request that is ended by the 400 for what came behind it.
+    it("count as left, and write nothing", async () => {
+      let hasClosed = false;
+      handle = (_incoming, response) => {
+        response.once("close", () => {
+          hasClosed = true;
+        });
+      };
+      await caller.send(createHead("GET", "/proper", 0) + "GET /part HT");
+      caller.end();
+      await caller.readToEnd();
+      await until(() => hasClosed);
+      expect(caller.text).to.equal("");
+    });
+  });
+
+  describe("with bytes that can't be read and nothing before them", () => {
+    it("answer 400 and end", async () => {
+      await caller.send(NO_REQUEST);
+      await caller.readToEnd();
+      expect(caller.text).to.match(/^HTTP\/1\.1 400 Bad Request\r\n/);
+    });
+  });
+
   describe("with a head of which no more comes", () => {
     // A part of a head, or a stray line end behind a request, made a connection busy until its next answer. One caller
     // that had stopped in the middle of a head held a stopping daemon, whose listener was closed, until its grace period
