Renew watches of the store in turn, so that a silent one is noticed within seconds

Callers saw 404 for requests on a new route, at every daemon, for up to 29.5 s.

Cause: connections to the store may go silent without an end while new ones work (the platform's pages say so). A watch without changes and one whose connection is silent look alike until the wait is over (28 s and 1.5 s). All daemons begin to wait in the same moment, at a start and at each change, so none hears of a change that another could tell it, and the store counts as undisturbed 3 s later. The class: a half-open connection under a long poll, and timers that run in step.

Now waits last as many half seconds as there are daemons, 28 s at most, the first one after a change drawn at random: one daemon renews its watch each half second on average and tells the others.

Ruled out: keep-alive probes (Node.js sets the first after a second and ten more a second apart: 11 s); short waits at each daemon (calls grow with the fleet); a further listing after silence (a call on connections that may be silent, too).

--- a/packages/router/src/relayed_store.ts
+++ b/packages/router/src/relayed_store.ts
@@ -11,7 +11,7 @@
   Store,
   type StoredRecord,
   type Watch,
-  type WatchHandler,
+  type WatchOptions,
 } from "@bamboolink/store";
 import { errAsync, type ResultAsync } from "neverthrow";
 import { bootMs } from "./clock.ts";
@@ -132,10 +132,7 @@
     return this.direct(this.context.direct.revokeLease(lease));
   }
 
-  override watch(
-    prefix: string,
-    options: { fromRevision: number; handler: WatchHandler },
-  ): Watch {
+  override watch(prefix: string, options: WatchOptions): Watch {
     return this.context.direct.watch(prefix, options);
   }
 
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -16,7 +16,11 @@
   Tenure,
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
-import { type MemberReport, MemberView } from "@bamboolink/membership";
+import {
+  chooseWatchWait,
+  type MemberReport,
+  MemberView,
+} from "@bamboolink/membership";
 import { Metrics } from "@bamboolink/metrics";
 import type { Store } from "@bamboolink/store";
 import { AnswerSender } from "./answer_sender.ts";
@@ -644,6 +648,12 @@
       logger,
       random,
       prefix: document.prefix,
+      chooseWaitMs: (isInStep) =>
+        chooseWatchWait({
+          daemons: this.view.alive(steadyMs()).length + 1,
+          isInStep,
+          random,
+        }),
       onListing: ({ records, revision }) => {
         const zones = records.flatMap(({ key }) =>
           document.readEvacuatedZone(key) ?? []
--- a/packages/router/src/store_watcher.ts
+++ b/packages/router/src/store_watcher.ts
@@ -24,6 +24,8 @@
   readonly logger: Logger;
   readonly prefix: string;
   readonly random: () => number;
+  /** How long to wait for the store, in milliseconds; `isInStep` where other daemons begin to wait now, too. */
+  readonly chooseWaitMs: (isInStep: boolean) => number;
   /** Called with all records whenever they are listed. */
   readonly onListing: (listing: Listing) => void;
   /** Called with each change after a listing; `value` is `undefined` for deletions. */
@@ -57,7 +59,8 @@
   }
 
   private async follow(): Promise<void> {
-    const { store, logger, prefix, onListing, onChange } = this.context;
+    const { store, logger, prefix, onListing, onChange, chooseWaitMs } =
+      this.context;
     const listing = await store.list(prefix);
     if (this.isStopped) {
       return;
@@ -75,6 +78,7 @@
     onListing(listing.value);
     this.watch = store.watch(prefix, {
       fromRevision: listing.value.revision + 1,
+      chooseWaitMs,
       handler: {
         onChanges: (changes) => changes.forEach(onChange),
         onEnd: (cause) => {
--- a/packages/store/src/etcd_store.ts
+++ b/packages/store/src/etcd_store.ts
@@ -17,6 +17,7 @@
   type StoredRecord,
   type Watch,
   type WatchHandler,
+  type WatchOptions,
 } from "./store.ts";
 
 /** Settings of the client. */
@@ -205,7 +206,7 @@
 
   override watch(
     prefix: string,
-    options: { fromRevision: number; handler: WatchHandler },
+    options: WatchOptions,
   ): Watch {
     const abort = new AbortController();
     const body = {
--- a/packages/store/src/mod.ts
+++ b/packages/store/src/mod.ts
@@ -10,6 +10,7 @@
   type StoredRecord,
   type Watch,
   type WatchHandler,
+  type WatchOptions,
 } from "./store.ts";
 export { EtcdStore, type EtcdStoreOptions } from "./etcd_store.ts";
 export { CallBudget } from "./call_budget.ts";
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -47,6 +47,18 @@
   readonly onEnd: (error: BamboolinkError) => void;
 }
 
+/** How a watch runs. */
+export interface WatchOptions {
+  /** The first revision that is of interest. */
+  readonly fromRevision: number;
+  readonly handler: WatchHandler;
+  /**
+   * How long the store may be waited for until it is asked anew, in milliseconds; `isInStep` where others that watch the
+   * same begin to wait now, too. Stores that tell by themselves that they are there don't ask.
+   */
+  readonly chooseWaitMs?: (isInStep: boolean) => number;
+}
+
 /** A running watch. */
 export interface Watch {
   /** Ends the watch without a call of `onEnd`. */
@@ -87,10 +99,7 @@
   abstract revokeLease(lease: string): ResultAsync<void, BamboolinkError>;
 
   /** Watches all records below a prefix from a revision on, that one included. */
-  abstract watch(
-    prefix: string,
-    options: { fromRevision: number; handler: WatchHandler },
-  ): Watch;
+  abstract watch(prefix: string, options: WatchOptions): Watch;
 
   /** Closes all connections. */
   abstract close(): Promise<void>;
