--- a/packages/connections/src/caller_connection.ts
+++ b/packages/connections/src/caller_connection.ts
@@ -21,8 +21,8 @@
 
 /** One connection. */
 export class CallerConnection {
-  /** Requests whose answers the system has not taken whole yet. */
-  private unanswered = 0;
+  /** Answers that the system has not taken whole yet, in the order of their requests. */
+  private readonly pending = new Set<ServerResponse>();
   private isLast = false;
   /** Bytes that had been read when the last answer had left, or the last request had come whole. */
   private readBytes = 0;
@@ -50,6 +50,11 @@
     return this.socket.writableLength;
   }
 
+  /** How many requests have not been answered whole yet. */
+  get pendingAnswers(): number {
+    return this.pending.size;
+  }
+
   /** The answer that is written next is the last. */
   announceEnd(): void {
     this.isLast = true;
@@ -60,13 +65,13 @@
     const noteRead = () => {
       this.readBytes = this.socket.bytesRead;
     };
-    this.unanswered += 1;
+    this.pending.add(response);
     // A response may be marked as the last while its request is taken; what comes behind it then could not be answered.
     this.isLast = !response.shouldKeepAlive;
     // A body may come after its answer; taken for a further request, it would keep the connection busy for good.
     incoming.once("close", noteRead);
     response.once("close", () => {
-      this.unanswered -= 1;
+      this.pending.delete(response);
       noteRead();
     });
   }
@@ -76,7 +81,7 @@
    * where the caller has yet to close. Has to be asked again and again: it notices by that when bytes stop coming.
    */
   isBusy(nowMs: number): boolean {
-    return this.unanswered > 0 || this.isLast || this.unsentBytes > 0 ||
+    return this.pending.size > 0 || this.isLast || this.unsentBytes > 0 ||
       this.isExpected(nowMs);
   }
 
@@ -99,6 +104,40 @@
     this.end();
   }
 
+  /**
+   * Ends the connection because of bytes that can't be read. Requests before them are answered first, and the status is
+   * left out then: their callers would take it for the answer to the first of them.
+   */
+  rejectUnreadable(status: string): void {
+    const { socket } = this;
+    const last = [...this.pending].at(-1);
+    if (last === undefined) {
+      this.writeRejection(status);
+    } else if (socket.readableEnded) {
+      socket.destroy();
+    } else {
+      this.endAfter(last);
+    }
+  }
+
+  private writeRejection(status: string): void {
+    if (this.isLast) {
+      return;
+    }
+    const headers = "Connection: close\r\nContent-Length: 0";
+    this.socket.write(`HTTP/1.1 ${status}\r\n${headers}\r\n\r\n`);
+    this.end();
+  }
+
+  private endAfter(response: ServerResponse): void {
+    this.isLast = true;
+    if (response.headersSent) {
+      response.once("close", () => this.end());
+    } else {
+      response.shouldKeepAlive = false;
+    }
+  }
+
   /** Whether the rest of a request may come soon. The request of a new connection lies right behind its opening. */
   private isExpected(nowMs: number): boolean {
     const { bytesRead } = this.socket;
