Answer a request whose own body can't be read

Found by the review of: a bad chunk size leaves the request itself pending, so its answer was waited for and never came; Node.js alone had answered 400. The connection also held a stopping daemon for its grace period.

A last request that is not complete is the unreadable one: it is answered with the status, behind the answers before it. Further pieces of such bytes are told of once.

--- a/packages/connections/src/caller_connection.ts
+++ b/packages/connections/src/caller_connection.ts
@@ -24,6 +24,7 @@
   /** Answers that the system has not taken whole yet, in the order of their requests. */
   private readonly pending = new Set<ServerResponse>();
   private isLast = false;
+  private hasRejected = false;
   /** Bytes that had been read when the last answer had left, or the last request had come whole. */
   private readBytes = 0;
   /** Bytes that had been read at the latest look, and since when they are as many. */
@@ -107,19 +108,40 @@
   /**
    * Ends the connection because of bytes that can't be read. Requests before them are answered first, and the status is
    * left out then: their callers would take it for the answer to the first of them.
+   *
+   * @returns whether they are the first such bytes; the parser tells of each further piece.
    */
-  rejectUnreadable(status: string): void {
+  rejectUnreadable(status: string): boolean {
+    const isFirst = !this.hasRejected;
+    this.hasRejected = true;
+    if (isFirst) {
+      this.endUnreadable(status);
+    }
+    return isFirst;
+  }
+
+  private endUnreadable(status: string): void {
     const { socket } = this;
     const last = [...this.pending].at(-1);
     if (last === undefined) {
       this.writeRejection(status);
     } else if (socket.readableEnded) {
       socket.destroy();
-    } else {
+    } else if (last.req.complete || last.headersSent) {
       this.endAfter(last);
+    } else {
+      this.answerRejected(last, status);
     }
   }
 
+  /** The body of this request can't be read, so nobody else answers it. */
+  private answerRejected(response: ServerResponse, status: string): void {
+    this.isLast = true;
+    response.shouldKeepAlive = false;
+    response.writeHead(Number.parseInt(status), { "content-length": "0" });
+    response.end();
+  }
+
   private writeRejection(status: string): void {
     if (this.isLast) {
       return;
@@ -132,6 +154,7 @@
   private endAfter(response: ServerResponse): void {
     this.isLast = true;
     if (response.headersSent) {
+      // Its head has not said that the connection ends with it.
       response.once("close", () => this.end());
     } else {
       response.shouldKeepAlive = false;
--- a/packages/connections/src/server_connections.ts
+++ b/packages/connections/src/server_connections.ts
@@ -120,8 +120,10 @@
     }
     const { code = error.message } = error;
     const { pendingAnswers } = connection;
-    this.listeners.onUnreadable?.({ code, pendingAnswers });
-    connection.rejectUnreadable(UNREADABLE_STATUSES[code] ?? BAD_REQUEST);
+    const status = UNREADABLE_STATUSES[code] ?? BAD_REQUEST;
+    if (connection.rejectUnreadable(status)) {
+      this.listeners.onUnreadable?.({ code, pendingAnswers });
+    }
   }
 
   private noteRequest(
--- a/packages/connections/src/server_connections_test.ts
+++ b/packages/connections/src/server_connections_test.ts
@@ -317,6 +317,58 @@
     });
   });
 
+  describe("with a request whose own body can't be read", () => {
+    const head =
+      "POST /cut HTTP/1.1\r\nhost: shop.example\r\ntransfer-encoding: chunked\r\n\r\n";
+
+    beforeEach(() => {
+      handle = (incoming, response) => {
+        const chunks: Buffer[] = [];
+        incoming.on("data", (chunk: Buffer) => chunks.push(chunk));
+        incoming.on("end", () => response.end(Buffer.concat(chunks)));
+      };
+    });
+
+    // Guards against a request that is answered never, since the end of its body can't come any more.
+    it("answer 400 and end", async () => {
+      await caller.send(`${head}no size\r\n`);
+      await until(() => unreadable.length > 0);
+      await caller.readToEnd();
+      expect(caller.text).to.match(/^HTTP\/1\.1 400 Bad Request\r\n/);
+    });
+
+    // Guards against a daemon that is asked to stop and waits for such a connection until its grace period has passed.
+    it("have nothing under way then", async () => {
+      await caller.send(`${head}no size\r\n`);
+      await until(() => unreadable.length > 0);
+      await until(() => connections.busyCount === 0);
+    });
+
+    // Guards against a proper request that is answered as if its connection could be used again.
+    it("answer the request before it as the last", async () => {
+      await caller.send(createHead("GET", "/proper", 0));
+      await caller.send(`${head}no size\r\n`);
+      await until(() => unreadable.length > 0);
+      await caller.readToEnd();
+      expect(caller.text).to.match(/^HTTP\/1\.1 200 OK\r\n/);
+    });
+  });
+
+  describe("whose caller goes on with bytes that can't be read", () => {
+    // Guards against a request that is counted once for each piece of what comes behind it.
+    it("tell of them once", async () => {
+      handle = () => undefined;
+      await caller.send(createHead("GET", "/proper", 0));
+      await caller.send(NO_REQUEST);
+      await until(() => unreadable.length > 0);
+      await caller.send(NO_REQUEST);
+      await sleep(50);
+      expect(unreadable.map(({ code }) => code)).to.deep.equal([
+        "HPE_INVALID_METHOD",
+      ]);
+    });
+  });
+
   describe("with a head of which no more comes", () => {
     // A part of a head, or a stray line end behind a request, made a connection busy until its next answer. One caller
     // that had stopped in the middle of a head held a stopping daemon, whose listener was closed, until its grace period
