Draw waits of watches anew whenever they may have ended together

Now a wait is as long as the last one only where that ran to its end and the fleet has the same size; else it is drawn, also as the daemons get to know each other after a start. Only silence is asked about again; a cut watch ends and is listed anew after a pause, as before. The test that says 'unreachable' of a watch that was cut as the store went back is as it was before.

--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -14,4 +14,4 @@
 export { MemberView } from "./member_view.ts";
 export { chooseGossipTargets } from "./gossip_targets.ts";
 export { pickSome } from "./pick_some.ts";
-export { chooseWatchWait, type WatchWait } from "./watch_wait.ts";
+export { WatchWaits } from "./watch_waits.ts";
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -17,9 +17,9 @@
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import {
-  chooseWatchWait,
   type MemberReport,
   MemberView,
+  WatchWaits,
 } from "@bamboolink/membership";
 import { Metrics } from "@bamboolink/metrics";
 import type { Store } from "@bamboolink/store";
@@ -643,17 +643,16 @@
 
   private createWatcher(): StoreWatcher {
     const { logger, random, document } = this.ports;
+    const waits = WatchWaits.create(random);
     return StoreWatcher.create({
       store: this.store,
       logger,
       random,
       prefix: document.prefix,
-      chooseWaitMs: (isInStep) =>
-        chooseWatchWait({
-          daemons: this.view.alive(steadyMs()).length + 1,
-          isInStep,
-          random,
-        }),
+      chooseWaitMs: (hasRunOut) => {
+        const daemons = this.view.alive(steadyMs()).length + 1;
+        return waits.next({ daemons, hasRunOut });
+      },
       onListing: ({ records, revision }) => {
         const zones = records.flatMap(({ key }) =>
           document.readEvacuatedZone(key) ?? []
--- a/packages/router/src/store_watcher.ts
+++ b/packages/router/src/store_watcher.ts
@@ -24,8 +24,8 @@
   readonly logger: Logger;
   readonly prefix: string;
   readonly random: () => number;
-  /** How long to wait for the store, in milliseconds; `isInStep` where other daemons begin to wait now, too. */
-  readonly chooseWaitMs: (isInStep: boolean) => number;
+  /** How long to wait for changes, in milliseconds; `hasRunOut` where the last wait ran to its end without one. */
+  readonly chooseWaitMs: (hasRunOut: boolean) => number;
   /** Called with all records whenever they are listed. */
   readonly onListing: (listing: Listing) => void;
   /** Called with each change after a listing; `value` is `undefined` for deletions. */
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -53,10 +53,10 @@
   readonly fromRevision: number;
   readonly handler: WatchHandler;
   /**
-   * How long the store may be waited for until it is asked anew, in milliseconds; `isInStep` where others that watch the
-   * same begin to wait now, too. Stores that tell by themselves that they are there don't ask.
+   * Chooses how long to wait for an answer until the store is asked anew, in milliseconds; `hasRunOut` where the last wait
+   * ran to its end without a change. Ignored by stores that send keep-alives.
    */
-  readonly chooseWaitMs?: (isInStep: boolean) => number;
+  readonly chooseWaitMs?: (hasRunOut: boolean) => number;
 }
 
 /** A running watch. */
