Say in the log whether a daemon stood still, and what its witnesses last answered

BL1006 process_stalled gives the lateness of the control loop beside the processor time that the process used meanwhile. BL1202 and BL1203 list each witness's last answer with its age.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -40,6 +40,8 @@
 
 /** Length of one step of the control loop, in milliseconds. */
 const TICK_MS = 50;
+/** A control loop that is late by more than this is logged, in milliseconds. */
+const STALL_MS = 200;
 /** Slots assumed before the backend server announces how many it has. */
 const NO_SLOTS = { slots: 0, length: 0 };
 const MAXIMUM_HEADER_BYTES = 16_384;
@@ -79,6 +81,8 @@
   private loop: NodeJS.Timeout | undefined;
   private stopping = false;
   private lastRequestMs = -Infinity;
+  private lastTickMs = Infinity;
+  private lastProcessor = process.cpuUsage();
   private announcementMissing = false;
 
   private constructor(private readonly settings: DaemonSettings) {
@@ -322,6 +326,7 @@
 
   private tick(): void {
     const nowMs = monotonicMs();
+    this.noteStall(nowMs);
     const session = this.keeper.current;
     const serving = session?.state === "serving" ? session.id : undefined;
     this.follower.tick(nowMs, this.shouldFollow(session?.id));
@@ -333,6 +338,19 @@
     this.noteMissingAnnouncement(nowMs);
   }
 
+  private noteStall(nowMs: number): void {
+    const lateMs = Math.round(nowMs - this.lastTickMs - TICK_MS);
+    const { user, system } = process.cpuUsage(this.lastProcessor);
+    this.lastTickMs = nowMs;
+    this.lastProcessor = process.cpuUsage();
+    if (lateMs > STALL_MS) {
+      this.logger.log("process_stalled", {
+        late_ms: lateMs,
+        processor_ms: Math.round((user + system) / 1_000),
+      });
+    }
+  }
+
   private noteMissingAnnouncement(nowMs: number): void {
     const isMissing = this.backend.isSilent(nowMs);
     if (isMissing && !this.announcementMissing) {
--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -57,6 +57,7 @@
   private readonly writing: Background;
   private readonly confirming: Background;
   private readonly lastAnswers = new Map<string, number>();
+  private readonly lastAnswerKinds = new Map<string, string>();
   private readonly channels = new Map<string, RenewalChannel>();
   private readonly gone = new Set<string>();
   private session: OwnSession | undefined;
@@ -225,6 +226,10 @@
   ): void {
     const { witness } = given;
     this.lastAnswers.set(witness, monotonicMs());
+    this.lastAnswerKinds.set(
+      witness,
+      RenewResponse_Answer[given.answer].toLowerCase(),
+    );
     switch (given.answer) {
       case RenewResponse_Answer.PROMISED:
         session.lease.recordPromise(witness, given.sentAtMs);
@@ -254,6 +259,7 @@
     if (session.step(held ? "QUORUM_HELD" : "QUORUM_LOST")) {
       this.context.logger.log(held ? "session_resumed" : "session_suspended", {
         session: session.id,
+        answers: this.describeAnswers(session, nowMs),
       });
     }
     if (!held && nowMs >= this.nextConfirmMs) {
@@ -261,6 +267,17 @@
     }
   }
 
+  /** The last answer of each witness with its age. */
+  private describeAnswers(session: OwnSession, nowMs: number): string[] {
+    return session.lease.witnesses.map((witness) => {
+      const kind = this.lastAnswerKinds.get(witness) ?? "none";
+      const ageMs = Math.round(
+        nowMs - (this.lastAnswers.get(witness) ?? nowMs),
+      );
+      return `${witness} ${kind} ${ageMs} ms ago`;
+    });
+  }
+
   /**
    * Reads the own record from the store while suspended: if it is open, this session may promise for
    * a while, so that sessions which were all cut off together can recover together.
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -52,6 +52,14 @@
     meaning: "A fault of bamboolink itself; the process goes on.",
     action: "Report it with the log line.",
   },
+  process_stalled: {
+    number: 1006,
+    severity: "warn",
+    meaning:
+      "The control loop ran late by `late_ms`, in which the process used `processor_ms` of processor time.",
+    action:
+      "If that is far less, the host is overloaded or pauses; otherwise report it with the log.",
+  },
   announcement_accepted: {
     number: 1101,
     severity: "info",
@@ -81,7 +89,8 @@
     severity: "warn",
     meaning:
       "The daemon holds too few promises and serves none of its keys for now.",
-    action: "Look for a cut network or a pause of this host.",
+    action:
+      "Look for a cut network or a pause of this host, or of those in `answers`.",
   },
   session_resumed: {
     number: 1203,
