Call nobody silent right after a pause, and ask again soon who could not promise

Cause: each witness found the promises that it had given run out before it had read one renewal, and told the planner. And renewals met witnesses that were about to read their record from the store; "not permitted" was not noted, so that the next came a regular 400 ms later.

A witness that was late by more than a renewal now listens for a whole promise before it calls anybody silent. A witness that could not promise is asked again after 50, 100 and 200 ms. Lengths of promises, drift, refusals and waits of takeovers are as they were: only a suspicion is held back, and renewals come earlier. ownership_safety_test.ts passes unchanged, broken variants too.

A daemon paused alone for 1.2 s is still taken over, as it must be.

--- a/packages/daemon/src/reporter.ts
+++ b/packages/daemon/src/reporter.ts
@@ -126,6 +126,7 @@
   }
 
   private reportSilent(nowMs: number, session: OwnSession): void {
+    session.ledger.noteStep(nowMs);
     if (nowMs < this.nextSuspectMs) {
       return;
     }
--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -238,6 +238,9 @@
         session.lease.dropPromise(witness);
         this.nextConfirmMs = 0;
         break;
+      case RenewResponse_Answer.NOT_PERMITTED:
+        session.lease.noteNotPermitted(witness, monotonicMs());
+        break;
       case RenewResponse_Answer.NOT_THE_WITNESS:
         this.gone.add(witness);
         break;
--- a/packages/ownership/src/lease_holder.ts
+++ b/packages/ownership/src/lease_holder.ts
@@ -5,10 +5,21 @@
  */
 import { holderLength, type LeaseTiming, quorumOf } from "./timing.ts";
 
+/**
+ * First pause before a witness that could not promise is asked again, in milliseconds. It doubles up to the
+ * regular renewal: after a stall of many daemons the witnesses can promise within tens of milliseconds, and
+ * a witness that is cut off costs three renewals more.
+ */
+const FIRST_REPEAT_MS = 50;
+
 /** Promises that one session holds from its witnesses. */
 export class LeaseHolder {
   private readonly expiries = new Map<string, number>();
   private readonly lastSent = new Map<string, number>();
+  private readonly repeats = new Map<
+    string,
+    { pauseMs: number; dueAtMs: number }
+  >();
   private sets: readonly (readonly string[])[] = [[]];
   private until = Infinity;
 
@@ -32,6 +43,9 @@
     [...this.expiries.keys()]
       .filter((witness) => !named.has(witness))
       .forEach((witness) => this.expiries.delete(witness));
+    [...this.repeats.keys()]
+      .filter((witness) => !named.has(witness))
+      .forEach((witness) => this.repeats.delete(witness));
     this.until = this.computeValidUntil();
   }
 
@@ -43,13 +57,25 @@
   /** Notes that a renewal is being sent. */
   markSent(witness: string, sentAtMs: number): void {
     this.lastSent.set(witness, sentAtMs);
+    const repeat = this.repeats.get(witness);
+    if (repeat !== undefined) {
+      this.repeats.set(witness, { ...repeat, dueAtMs: Infinity });
+    }
+  }
+
+  /** Notes that a witness answered that it may not promise at the moment. */
+  noteNotPermitted(witness: string, nowMs: number): void {
+    const pauseMs = (this.repeats.get(witness)?.pauseMs ??
+      FIRST_REPEAT_MS / 2) * 2;
+    this.repeats.set(witness, { pauseMs, dueAtMs: nowMs + pauseMs });
   }
 
   /** Witnesses that are to be asked again. */
   dueRenewals(nowMs: number): string[] {
     const due = nowMs - this.timing.renewEveryMs;
     return this.witnesses.filter((witness) =>
-      (this.lastSent.get(witness) ?? -Infinity) <= due
+      (this.lastSent.get(witness) ?? -Infinity) <= due ||
+      (this.repeats.get(witness)?.dueAtMs ?? Infinity) <= nowMs
     );
   }
 
@@ -60,6 +86,7 @@
    *   after its arrival, so however long the messages took, the holder stops first.
    */
   recordPromise(witness: string, sentAtMs: number): void {
+    this.repeats.delete(witness);
     const expiry = sentAtMs + holderLength(this.timing);
     this.expiries.set(
       witness,
--- a/packages/ownership/src/witness_ledger.ts
+++ b/packages/ownership/src/witness_ledger.ts
@@ -13,6 +13,8 @@
   private readonly promisedUntil = new Map<string, number>();
   private readonly refused = new Set<string>();
   private confirmedUntil = -Infinity;
+  private lastStepMs = -Infinity;
+  private listeningSinceMs = -Infinity;
 
   private constructor(private readonly timing: LeaseTiming) {}
 
@@ -37,6 +39,20 @@
     );
   }
 
+  /**
+   * Notes a step of the witness's control loop.
+   *
+   * After a pause of its own a witness knows of nobody's silence: it has not read what arrived, and whoever
+   * it witnesses for may have been paused with it. It listens for a whole promise before it calls anybody
+   * silent. What goes wrong otherwise: a machine that stands still for 1.2 s has all its daemons taken over.
+   */
+  noteStep(nowMs: number): void {
+    if (nowMs - this.lastStepMs > this.timing.renewEveryMs) {
+      this.listeningSinceMs = nowMs;
+    }
+    this.lastStepMs = nowMs;
+  }
+
   /**
    * Answers a renewal.
    *
@@ -73,11 +89,14 @@
     return this.refused.has(holder);
   }
 
-  /** Sessions whose promises have run out for at least `silentMs`, with how long ago. */
+  /** Sessions whose promises have run out for at least `silentMs`, with how long ago; none soon after a pause. */
   findSilent(
     nowMs: number,
     silentMs: number,
   ): { session: string; silentMs: number }[] {
+    if (nowMs - this.listeningSinceMs < waiterLength(this.timing)) {
+      return [];
+    }
     return [...this.promisedUntil.entries()]
       .map(([session, until]) => ({ session, silentMs: nowMs - until }))
       .filter((entry) =>
