Let no daemon end because a ping timed out while it stood still

Callers saw: beside load the test "that drains cuts" lost whole daemons: of 884 requests 456 done, 123 cut, 186 unknown in one run (4 of 12 daemons ended); in others no owners for all keys within 40 s. The log ends with an uncaught "ConnectError: [unavailable] PING timed out" in the runs in which daemons ended.

Cause: Http2SessionManager of connect-node takes its listeners off a connection as soon as it opens the next one. destroy() of a connection whose ping timed out tells its error a turn later; a call in between, as the control loop makes one after each stall, leaves that error without a listener, and the process ends.

Each connection that carries a call keeps a listener now; calls learn of the error from their own streams, as before.

--- a/packages/daemon/src/peer_clients.ts
+++ b/packages/daemon/src/peer_clients.ts
@@ -27,6 +27,28 @@
 /** The client of one peer. */
 export type PeerClient = Client<typeof Peer>;
 
+const ignore = () => undefined;
+
+/**
+ * Connections whose errors never end the process.
+ *
+ * The library's manager stops listening to a connection as soon as it opens the next one. A connection whose
+ * ping timed out tells its error a moment later, and nobody listens if another call came in between, as it
+ * does after the process stood still. Each call learns of the error from its own stream.
+ */
+class GuardedSessionManager extends Http2SessionManager {
+  override async request(
+    ...given: Parameters<Http2SessionManager["request"]>
+  ): ReturnType<Http2SessionManager["request"]> {
+    const stream = await super.request(...given);
+    const { session } = stream;
+    if (session?.listeners("error").includes(ignore) === false) {
+      session.on("error", ignore);
+    }
+    return stream;
+  }
+}
+
 interface Connection {
   readonly client: PeerClient;
   readonly manager: Http2SessionManager;
@@ -94,7 +116,7 @@
       return known;
     }
     const baseUrl = `http://${address}`;
-    const manager = new Http2SessionManager(baseUrl, {
+    const manager = new GuardedSessionManager(baseUrl, {
       pingIntervalMs: PING_INTERVAL_MS,
       pingTimeoutMs: PING_TIMEOUT_MS,
       idleConnectionTimeoutMs: IDLE_TIMEOUT_MS,
