Say "not run" where only the waiting outlived the deadline

A request that waits for an owner is tried again after each pause. A daemon that stood still past the deadline made one attempt more, which ended as "unknown", though every attempt had been refused and no backend server can have seen it.

It now answers with the last refusal, and with too_late where the time was up before the first attempt. entrance_test.ts stalls the process in the wait: "unknown deadline" in 3 of 3 without the change. How many of the unknown ends in the drain test beside load were of this kind was not measured.

--- a/packages/daemon/src/entrance.ts
+++ b/packages/daemon/src/entrance.ts
@@ -155,6 +155,9 @@
     forwarded: boolean,
   ): Promise<AttemptResult> {
     this.budget.noteRequest();
+    if (isTimeUp(request)) {
+      return notRun("too_late", "the time was up before the first attempt");
+    }
     for (let attempts = 1;; attempts += 1) {
       const result = await this.attempt(request, forwarded);
       const final = result.kind === "answer" || result.kind === "invalid" ||
@@ -175,6 +178,10 @@
         undefined
       );
       this.waiting -= 1;
+      // An attempt that begins too late would end as one that may have run.
+      if (isTimeUp(request)) {
+        return result;
+      }
     }
   }
 
@@ -291,6 +298,10 @@
   };
 }
 
+function isTimeUp({ signal, deadlineMs }: RoutedRequest): boolean {
+  return signal.aborted || monotonicMs() >= deadlineMs;
+}
+
 /** The operation's timeout, or less where the caller says so. */
 function readTimeLeft(incoming: IncomingMessage, timeoutMs: number): number {
   const given = Number(readSingle(incoming.headers, HEADERS.deadlineMs));
--- /dev/null
+++ b/packages/daemon/src/entrance_test.ts
@@ -0,0 +1,161 @@
+/**
+ * Tests of what a caller is told whose request waits for an owner.
+ *
+ * @module
+ */
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { Logger } from "@bamboolink/logger";
+import { Metrics } from "@bamboolink/metrics";
+import { CONFIGURATION_KEY, HEADERS, tableKey } from "@bamboolink/types";
+import { expect } from "chai";
+import { request } from "undici";
+import {
+  type AttemptResult,
+  Destination,
+  notRun,
+  type RoutedRequest,
+  unknown,
+} from "./attempt.ts";
+import { monotonicMs } from "./clock.ts";
+import { Entrance } from "./entrance.ts";
+import { Fleet } from "./fleet.ts";
+import { Randomness } from "./randomness.ts";
+
+const DEADLINE_MS = 200;
+
+/** An owner that is suspended; the process stands still after its first refusal until the deadline is over. */
+class SuspendedOwner extends Destination {
+  attempts = 0;
+
+  constructor(private readonly stalls: boolean) {
+    super();
+  }
+
+  override attempt(routed: RoutedRequest): Promise<AttemptResult> {
+    this.attempts += 1;
+    if (routed.signal.aborted || monotonicMs() >= routed.deadlineMs) {
+      return Promise.resolve(unknown("deadline", "begun too late"));
+    }
+    if (this.stalls) {
+      setImmediate(() => stall(routed.deadlineMs + 20));
+    }
+    return Promise.resolve(
+      notRun("not_owner", "this daemon may not serve the key"),
+    );
+  }
+}
+
+function stall(untilMs: number): void {
+  while (monotonicMs() < untilMs) {
+    // Nothing else runs in this process.
+  }
+}
+
+function createFleet(logger: Logger): Fleet {
+  const fleet = Fleet.create(logger);
+  const version = {
+    version: 1,
+    author: "test",
+    note: "",
+    attempt: "1",
+    applied_at_ms: 1,
+    document: {
+      schema: "bamboolink/1",
+      availability_zones: [{ name: "z", region: "r" }],
+      services: [{
+        name: "quote-desk",
+        availability_zones: ["z"],
+        partitions: 16,
+        queue: { length: 1, retry_after_ms: 1 },
+        objective: { good_share: 0.99, within_ms: 100 },
+        weights: { imbalance: 1, unavailable_time: 1 },
+        operations: [{
+          name: "quote",
+          method: "GET",
+          path: "/quotes/:part",
+          key: { from: "path", parameter: "part" },
+          idempotent: true,
+          priority: "interactive",
+          timeout_ms: DEADLINE_MS,
+        }],
+      }],
+    },
+  };
+  const shard = {
+    service: "quote-desk",
+    first: 0,
+    version: 1,
+    changes: [],
+    sessions: ["other"],
+    owners: new Array(16).fill(0),
+    tokens: new Array(16).fill(1),
+    overrides: [],
+  };
+  fleet.merge({
+    from: 0,
+    to: 2,
+    records: [
+      {
+        key: CONFIGURATION_KEY,
+        value: JSON.stringify({ current: version, history: [] }),
+        revision: 1,
+      },
+      {
+        key: tableKey("quote-desk", 0),
+        value: JSON.stringify(shard),
+        revision: 2,
+      },
+    ],
+  });
+  return fleet;
+}
+
+describe("entrance", () => {
+  let server: Server;
+
+  afterEach(() => server.close());
+
+  async function ask(owner: Destination): Promise<string> {
+    const logger = Logger.create("test", { format: "human", level: "error" });
+    const entrance = Entrance.create({
+      fleet: createFleet(logger),
+      local: owner,
+      remote: owner,
+      logger,
+      metrics: Metrics.create(),
+      randomness: Randomness.create(),
+      sessionId: () => "own",
+      maximumBodyBytes: 1_000,
+      maximumWaiting: 10,
+    });
+    server = createServer((incoming, response) =>
+      void entrance.serve(incoming, response)
+    );
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    const response = await request(`http://127.0.0.1:${port}/quotes/a`, {
+      headers: { connection: "close" },
+    });
+    await response.body.dump();
+    return `${response.headers[HEADERS.outcome]} ${
+      response.headers[HEADERS.reason]
+    }`;
+  }
+
+  it("says that nothing was run where every attempt was refused", async () => {
+    const owner = new SuspendedOwner(false);
+    expect(await ask(owner)).to.equal("not_run not_owner");
+    expect(owner.attempts).to.be.above(1);
+  });
+
+  // Guards against "may have run" for a request that no backend server can have seen: its daemon stood still
+  // while it waited for the owner, and made one more attempt after the deadline.
+  it("says so too where the daemon itself stood still past the deadline", async () => {
+    const owner = new SuspendedOwner(true);
+    expect(await ask(owner)).to.equal("not_run not_owner");
+    expect(owner.attempts).to.equal(1);
+  });
+});
