--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -549,7 +549,8 @@
     outcome: OwnOutcome,
     request?: Pick<CallerRequest, "id">,
   ): void {
-    if (response.destroyed) {
+    // A body that can't be read is answered with its connection.
+    if (response.destroyed || response.headersSent) {
       return;
     }
     const own = this.context.protocol.write(outcome, request?.id);
