Log the limit and the leaving that a backend server states in responses

- BL1852 backend_limit_changed: value before and after, and the request whose response stated it.
A limit is tightened by any response and loosened only by one to a request sent after it was last confirmed, since responses overtake each other.
- BL1853 backend_limit_unreadable: ignored, the limit in force stays.
- BL1854 backend_leaving: once for each incarnation.
- Responses with 421 count for neither: another incarnation may have sent them.
Nor do late responses to other requests.

--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -31,6 +31,11 @@
 } from "./work_queue.ts";
 export type { WorkRequest } from "./work_request.ts";
 export { ColdStartPacer } from "./cold_start_pacer.ts";
+export {
+  AdvertisedLimitTracker,
+  type LimitChange,
+  type LimitObservation,
+} from "./advertised_limit_tracker.ts";
 export { ServiceTimes } from "./service_times.ts";
 export {
   FleetRetryBudget,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -373,6 +373,28 @@
     action:
       "If callers consider the request correct, check the backend server.",
   },
+  backend_limit_changed: {
+    number: 1852,
+    severity: "info",
+    meaning:
+      "A backend server advertised a request rate limit (`limit`, per second, for all hosts together; absent if it states none any more) in the response to `request_id`.",
+    action:
+      "If callers are refused because of it (`rate_limited`), find out why the server is in need.",
+  },
+  backend_limit_unreadable: {
+    number: 1853,
+    severity: "warn",
+    meaning:
+      "A response advertised a rate limit that is not a single decimal number. It is ignored; the limit `in_force` stays until a response states another one, or none.",
+    action: "Correct the backend server.",
+  },
+  backend_leaving: {
+    number: 1854,
+    severity: "info",
+    meaning:
+      "A backend server stated in the response to `request_id` that it is about to shut down.",
+    action: NOTHING,
+  },
   peer_question_failed: {
     number: 1810,
     severity: "warn",
--- /dev/null
+++ b/packages/router/src/backend_status_monitor.ts
@@ -0,0 +1,94 @@
+/**
+ * Follows what the backend server on this host states about itself in its responses.
+ *
+ * @module
+ */
+import { AdvertisedLimitTracker } from "@bamboolink/admission";
+import { type Incarnation, isSameIncarnation } from "@bamboolink/keyspace";
+import type { Logger } from "@bamboolink/logger";
+import type { BackendStatus } from "./ports/backend_protocol.ts";
+
+/** The request whose response states a status. */
+export interface StatusSource {
+  readonly requestId: string;
+  /** The incarnation that responded. */
+  readonly incarnation: Incarnation;
+  /** When the request was sent, on the monotonic clock. */
+  readonly sentAtMs: number;
+  /** When its response was received, on the monotonic clock. */
+  readonly receivedAtMs: number;
+}
+
+/** Holds the stated status of the current incarnation, and logs its changes. */
+export class BackendStatusMonitor {
+  private limit = AdvertisedLimitTracker.create();
+  private isLeaving = false;
+  private current: Incarnation | undefined;
+
+  private constructor(private readonly logger: Logger) {}
+
+  /** Creates a monitor that knows no incarnation yet. */
+  static create(logger: Logger): BackendStatusMonitor {
+    return new BackendStatusMonitor(logger);
+  }
+
+  /** Requests per second that the backend server takes from all hosts together; `undefined` if it states no limit. */
+  get limitPerSecond(): number | undefined {
+    return this.limit.perSecond;
+  }
+
+  /** Sets the incarnation that runs now. What an earlier one stated no longer counts. */
+  setIncarnation(incarnation: Incarnation): void {
+    const { current } = this;
+    if (current === undefined || !isSameIncarnation(incarnation, current)) {
+      this.limit = AdvertisedLimitTracker.create();
+      this.isLeaving = false;
+    }
+    this.current = incarnation;
+  }
+
+  /** Records the status in a response; ignores responses of earlier incarnations. */
+  record(status: BackendStatus, source: StatusSource): void {
+    const { current } = this;
+    if (
+      current === undefined || !isSameIncarnation(source.incarnation, current)
+    ) {
+      return;
+    }
+    this.recordLimit(status, source);
+    if (status.isLeaving && !this.isLeaving) {
+      this.isLeaving = true;
+      this.logger.log("backend_leaving", {
+        instance: current.instance,
+        request_id: source.requestId,
+      });
+    }
+  }
+
+  private recordLimit(
+    { rateLimit }: BackendStatus,
+    { requestId, incarnation, sentAtMs, receivedAtMs }: StatusSource,
+  ): void {
+    const origin = { instance: incarnation.instance, request_id: requestId };
+    if (rateLimit.kind === "unreadable") {
+      this.logger.log("backend_limit_unreadable", {
+        ...origin,
+        value: rateLimit.text,
+        in_force: this.limitPerSecond,
+      });
+      return;
+    }
+    const change = this.limit.record({
+      perSecond: rateLimit.kind === "stated" ? rateLimit.perSecond : undefined,
+      sentAtMs,
+      receivedAtMs,
+    });
+    if (change !== undefined) {
+      this.logger.log("backend_limit_changed", {
+        ...origin,
+        before: change.before,
+        limit: change.after,
+      });
+    }
+  }
+}
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -18,6 +18,7 @@
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { MemberPhase } from "@bamboolink/membership";
+import { BackendStatusMonitor } from "./backend_status_monitor.ts";
 import type { Cancellation } from "./cancellation.ts";
 import { bootMs, monotonicMs } from "./clock.ts";
 import { ConnectionPool } from "./connection_pool.ts";
@@ -93,6 +94,13 @@
   readonly coldLimit: number;
 }
 
+/** An exchange that has been sent. */
+interface SentExchange {
+  readonly incarnation: Incarnation;
+  /** On the monotonic clock, in milliseconds. */
+  readonly sentAtMs: number;
+}
+
 interface Waiting {
   readonly resolve: (outcome: "run" | Outcome) => void;
 }
@@ -108,6 +116,7 @@
   private readonly waiting = new Map<number, Waiting>();
   private readonly grantWaits = new Set<() => void>();
   private readonly probation = Probation.create();
+  private readonly statusMonitor: BackendStatusMonitor;
   private connections: ConnectionPool;
   private identity: BackendIdentity | undefined;
   private lastId = 0;
@@ -117,6 +126,7 @@
   private constructor(private context: LocalBackendContext) {
     super();
     this.connections = ConnectionPool.create(context.address);
+    this.statusMonitor = BackendStatusMonitor.create(context.logger);
   }
 
   /** Creates an instance without a backend server; requests are refused until {@link updateIdentity} is called. */
@@ -134,6 +144,7 @@
     }
     this.identity = identity;
     if (identity !== undefined) {
+      this.statusMonitor.setIncarnation(identity);
       this.pacer.setLimit(identity.coldLimit);
       this.pacer.setColdUntil(identity.coldUntilMs);
     }
@@ -202,6 +213,7 @@
       finished,
       slots: this.identity?.slots ?? 0,
       is_cold: this.pacer.isPacing(monotonicMs()) ? 1 : 0,
+      ...this.describeLimit(),
       wait_ms: Math.round(this.waitMs),
       service_ms: Math.round(this.times.averageMs),
       utilization: Math.round(this.utilization * 100) / 100,
@@ -209,6 +221,14 @@
     };
   }
 
+  /** The advertised limit as a field of a log entry; no field without a limit. */
+  private describeLimit(): Record<string, number> {
+    const { limitPerSecond } = this.statusMonitor;
+    return limitPerSecond === undefined
+      ? {}
+      : { limit_per_second: limitPerSecond };
+  }
+
   /**
    * Refuses queued requests that can no longer be served before their deadline, and decays the load statistics. Called
    * by a timer.
@@ -421,6 +441,7 @@
       this.releaseSlot(slot.id);
       return refused;
     }
+    const sent = { incarnation: this.identity!, sentAtMs: startedAtMs };
     const connection = this.connections.acquire({
       nowMs: startedAtMs,
       maxIdleMs: request.isIdempotent
@@ -432,7 +453,7 @@
       { cancellation: slot.cancellation, nowMs: monotonicMs },
     );
     this.releaseSlot(slot.id);
-    const outcome = this.toOutcome(request, { result, connection });
+    const outcome = this.toOutcome(request, { result, connection, sent });
     this.updateQuarantine(request, {
       outcome,
       isOnProbation: slot.isOnProbation,
@@ -483,11 +504,19 @@
 
   private toOutcome(
     request: RoutedRequest,
-    completed: { result: ExchangeResult; connection: Connection },
+    completed: {
+      result: ExchangeResult;
+      connection: Connection;
+      sent: SentExchange;
+    },
   ): Outcome {
-    const { result, connection } = completed;
+    const { result, connection, sent } = completed;
     if (result.kind === "answer") {
-      return this.toResponseOutcome(request, { response: result, connection });
+      return this.toResponseOutcome(request, {
+        response: result,
+        connection,
+        sent,
+      });
     }
     this.connections.discard(connection);
     if (result.kind === "unsent") {
@@ -505,9 +534,10 @@
     completed: {
       response: Extract<ExchangeResult, { kind: "answer" }>;
       connection: Connection;
+      sent: SentExchange;
     },
   ): Outcome {
-    const { response, connection } = completed;
+    const { response, connection, sent } = completed;
     const verdict = this.context.protocol.classifyResponse(
       response,
       request.id,
@@ -519,6 +549,14 @@
       return unknown("foreign_answer");
     }
     this.connections.release(connection);
+    const status = this.context.protocol.readStatus(response);
+    if (status !== undefined) {
+      this.statusMonitor.record(status, {
+        ...sent,
+        requestId: request.id,
+        receivedAtMs: monotonicMs(),
+      });
+    }
     if (verdict === "answer") {
       return { ...response, headers: selectResponseHeaders(response.headers) };
     }
--- a/packages/router/src/local_backend_test.ts
+++ b/packages/router/src/local_backend_test.ts
@@ -74,6 +74,7 @@
     protocol: {
       requestHeaders: () => [],
       classifyResponse: () => "answer",
+      readStatus: () => undefined,
     } as unknown as BackendProtocol,
     logger,
     grants: GrantTracker.create(bootMs()),
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -17,7 +17,9 @@
   type BackendHeartbeat,
   type BackendNotification,
   BackendProtocol,
+  type BackendStatus,
   type DispatchDetails,
+  type RateLimitHeader,
   type ResponseVerdict,
 } from "./ports/backend_protocol.ts";
 export { ConfigurationDocument } from "./ports/configuration_document.ts";
--- a/packages/router/src/ports/backend_protocol.ts
+++ b/packages/router/src/ports/backend_protocol.ts
@@ -32,6 +32,19 @@
   /** The response to another request, or to none. */
   | "foreign";
 
+/** A limit that a backend server advertises in a response, in requests per second from all hosts together. */
+export type RateLimitHeader =
+  | { readonly kind: "absent" }
+  | { readonly kind: "stated"; readonly perSecond: number }
+  | { readonly kind: "unreadable"; readonly text: string };
+
+/** What a backend server states about itself in a response. */
+export interface BackendStatus {
+  readonly rateLimit: RateLimitHeader;
+  /** Whether it is about to shut down. */
+  readonly isLeaving: boolean;
+}
+
 /** A heartbeat of the backend server on this host. */
 export interface BackendHeartbeat extends Incarnation {
   readonly kind: "heartbeat";
@@ -67,6 +80,17 @@
     requestId: string,
   ): ResponseVerdict;
 
+  /**
+   * Reads what a backend server states about itself in a response to a request; `undefined` if the response may come
+   * from another incarnation than the one that the request was sent to.
+   */
+  abstract readStatus(
+    response: {
+      status: number;
+      headers: Readonly<Record<string, string | string[] | undefined>>;
+    },
+  ): BackendStatus | undefined;
+
   /** Returns the incarnation that responded to a health check, if the response states it. */
   abstract readIncarnation(
     response: {
