Start no more requests at a backend server than it advertises

Callers saw nothing; the servers did: 22 and 108 requests in 4 s with limits of 2 and 10.7 a second (allowed 17 and 69), because nothing read the header. The class of fault: what a server says about itself in responses only.

All requests to a backend server pass through the daemon on its host, so that daemon's limiter of starts sees them all: first tries, retries, forwarded ones, calls of other servers, requests on probation. The limiter for cold servers becomes StartRateLimiter, which remembers the latest starts and applies the strictest of the limits that are known, in sliding windows of a quarter of a second; there is no second limiter beside it.

- Earlier starts count when a limit becomes known, also those made before.
- What can't start before its deadline is refused at once (rate_limited): on arrival, and when more urgent requests overtake it.
- A limit below 0.5 a second is applied as that, so that a response can show when it has ended.
- The next start has a timer of its own; with the control loop's 50 ms a limit of 2 a second would be used to 91 %.

--- a/packages/admission/src/late_request_queue.ts
+++ b/packages/admission/src/late_request_queue.ts
@@ -21,6 +21,9 @@
  */
 const ESTIMATE_MARGIN = 0.25;
 
+/** Lower bound of the capacity, in slots, so that no wait is infinite. */
+const MIN_CAPACITY = 0.01;
+
 /** When slots are expected to become free for late requests. */
 interface StartForecast {
   readonly nowMs: number;
@@ -31,7 +34,7 @@
 /** Waiting late requests, by rank and then by the latest start that meets the deadline. */
 export class LateRequestQueue {
   private waiting: WorkRequest[] = [];
-  private slots = 0;
+  private capacity = MIN_CAPACITY;
   /** Exponentially decayed sum of the estimates of requests started on time, in milliseconds. */
   private onTimeWorkMs = 0;
   private decayedAtMs = 0;
@@ -43,9 +46,9 @@
     return new LateRequestQueue();
   }
 
-  /** Sets the number of slots of the backend server. */
-  setSlots(slots: number): void {
-    this.slots = slots;
+  /** Sets how many slots of the backend server can be kept busy. */
+  setCapacity(slots: number): void {
+    this.capacity = Math.max(MIN_CAPACITY, slots);
   }
 
   /** Number of waiting late requests. */
@@ -118,14 +121,14 @@
       (sum, { estimateMs }) => sum + estimateMs,
       0,
     );
-    return workMs / (Math.max(1, this.slots) * this.spareShareAt(nowMs));
+    return workMs / (this.capacity * this.spareShareAt(nowMs));
   }
 
   /** Share of slot time that on-time requests leave over. */
   private spareShareAt(nowMs: number): number {
     this.decay(nowMs);
     const perSecondMs = this.onTimeWorkMs * Math.LN2 / (HALF_LIFE_MS / 1_000);
-    const usedShare = perSecondMs / (Math.max(1, this.slots) * 1_000);
+    const usedShare = perSecondMs / (this.capacity * 1_000);
     return Math.max(MIN_SPARE_SHARE, 1 - usedShare);
   }
 
--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -30,7 +30,7 @@
   WorkQueue,
 } from "./work_queue.ts";
 export type { WorkRequest } from "./work_request.ts";
-export { ColdStartPacer } from "./cold_start_pacer.ts";
+export { StartRateLimiter } from "./start_rate_limiter.ts";
 export {
   AdvertisedLimitTracker,
   type LimitChange,
--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -13,12 +13,17 @@
  *
  * @module
  */
-import { ColdStartPacer } from "./cold_start_pacer.ts";
+import { StartRateLimiter } from "./start_rate_limiter.ts";
 import { LateRequestQueue } from "./late_request_queue.ts";
 import type { WorkRequest } from "./work_request.ts";
 
 /** Why a request was refused. A refused request has certainly not run. */
-export type QueueRefusalReason = "too_late" | "overloaded" | "queue_full";
+export type QueueRefusalReason =
+  | "too_late"
+  | "overloaded"
+  | "queue_full"
+  /** The backend server's rate limit allows its start only too late. */
+  | "rate_limited";
 
 /** The decision on a request that has just arrived. */
 export type AdmissionDecision =
@@ -58,6 +63,9 @@
 /** Minimum remaining time of a running request, as a share of its estimate. */
 const MIN_REMAINING_SHARE = 0.2;
 
+/** Weight of the latest request in the mean estimate (EWMA). */
+const ESTIMATE_EWMA_WEIGHT = 0.1;
+
 interface RunningRequest {
   readonly rank: number;
   readonly startedAtMs: number;
@@ -72,22 +80,33 @@
   /** Other requests that miss their objective but can finish before their deadline. */
   private readonly lateQueue = LateRequestQueue.create();
   private slots = 0;
+  /** Moving average of the estimates of offered requests, in milliseconds; 0 before the first. */
+  private meanEstimateMs = 0;
 
-  private constructor(private readonly pacer: ColdStartPacer) {}
+  private constructor(private readonly limiter: StartRateLimiter) {}
 
   /**
    * Creates a queue without slots. Requests can't start until `setSlots` is called.
    *
-   * @param pacer limits the rate of starts while the backend server is cold.
+   * @param limiter limits the rate of starts at the backend server.
    */
-  static create(pacer: ColdStartPacer = ColdStartPacer.create(0)): WorkQueue {
-    return new WorkQueue(pacer);
+  static create(
+    limiter: StartRateLimiter = StartRateLimiter.create(0),
+  ): WorkQueue {
+    return new WorkQueue(limiter);
   }
 
   /** Sets how many requests may run concurrently. */
   setSlots(slots: number): void {
     this.slots = slots;
-    this.lateQueue.setSlots(slots);
+  }
+
+  /** Slots that requests can keep busy: fewer than there are if the rate limit allows too few starts. */
+  get capacity(): number {
+    return this.meanEstimateMs === 0 ? this.slots : Math.min(
+      this.slots,
+      this.limiter.advertisedPerSecond * this.meanEstimateMs / 1_000,
+    );
   }
 
   /** Number of running requests. */
@@ -102,14 +121,19 @@
 
   /** Starts, queues or refuses a request that has just arrived. */
   offer(arrived: WorkRequest, nowMs: number): AdmissionDecision {
+    this.recordEstimate(arrived.estimateMs);
     const request = this.scaledBySlowdown(arrived, nowMs);
     if (this.canStart(nowMs) && this.waitingCount === 0) {
       this.start(arrived, nowMs);
       return { kind: "run" };
     }
-    const waitMs = this.waitAheadMs(request, nowMs);
+    const ahead = this.requestsAhead(request);
+    const waitMs = this.waitBehindMs(ahead, nowMs);
     if (nowMs + waitMs + request.estimateMs > request.deadlineAtMs) {
-      return { kind: "refuse", reason: "too_late", waitMs };
+      const reason = this.isHeldByLimit(ahead.length, { waitMs, nowMs })
+        ? "rate_limited"
+        : "too_late";
+      return { kind: "refuse", reason, waitMs };
     }
     if (this.waitingCount >= this.slots * MAX_WAITING_PER_SLOT) {
       return { kind: "refuse", reason: "queue_full", waitMs };
@@ -127,7 +151,10 @@
     if (
       !request.mayEndLate || !this.lateQueue.offer(request, { nowMs, startMs })
     ) {
-      return { kind: "refuse", reason: "overloaded", waitMs: lateWaitMs };
+      const reason = this.isHeldByLimit(ahead.length, { waitMs, nowMs })
+        ? "rate_limited"
+        : "overloaded";
+      return { kind: "refuse", reason, waitMs: lateWaitMs };
     }
     return { kind: "wait" };
   }
@@ -147,6 +174,7 @@
 
   /** Fills free slots, and refuses requests that can no longer be served before their deadline. */
   advance(nowMs: number): QueueChanges {
+    this.lateQueue.setCapacity(this.capacity);
     const unmeetable = this.dropUnmeetable(nowMs);
     const overtaken = this.demoteOvertaken(nowMs);
     const run: number[] = [];
@@ -158,32 +186,54 @@
     return { run, refuse: [...unmeetable, ...overtaken] };
   }
 
+  /** Delay after which `advance` can start a waiting request that only the rate limit holds back; 0 if there is none. */
+  nextStartDelayMs(nowMs: number): number {
+    return this.waitingCount > 0 && this.running.size < this.slots
+      ? this.limiter.delayMs(0, nowMs)
+      : 0;
+  }
+
   /** Expected wait of a request of the lowest urgency that arrives now, in milliseconds. */
   waitMs(nowMs: number): number {
     return this.waitBehindMs(this.mainQueue, nowMs);
   }
 
-  /** Whether a slot is free and the pacer allows another start. */
+  /** Whether a slot is free and the limiter allows another start. */
   private canStart(nowMs: number): boolean {
     return this.running.size < this.slots &&
-      this.pacer.delayMs(0, nowMs) === 0;
+      this.limiter.delayMs(0, nowMs) === 0;
   }
 
   private takeNext(): WorkRequest {
     return this.mainQueue.shift() ?? this.lateQueue.take();
   }
 
-  private waitAheadMs(request: WorkRequest, nowMs: number): number {
-    const ahead = this.mainQueue.filter((other) =>
+  private recordEstimate(estimateMs: number): void {
+    const mean = this.meanEstimateMs;
+    this.meanEstimateMs = mean === 0
+      ? estimateMs
+      : mean + ESTIMATE_EWMA_WEIGHT * (estimateMs - mean);
+    this.lateQueue.setCapacity(this.capacity);
+  }
+
+  private requestsAhead(request: WorkRequest): WorkRequest[] {
+    return this.mainQueue.filter((other) =>
       compareUrgency(other, request) <= 0
     );
-    return this.waitBehindMs(ahead, nowMs);
+  }
+
+  /** Whether the rate limit, and not the slots, determines the wait behind a number of requests. */
+  private isHeldByLimit(
+    ahead: number,
+    { waitMs, nowMs }: { waitMs: number; nowMs: number },
+  ): boolean {
+    return waitMs > 0 && this.limiter.delayMs(ahead, nowMs) >= waitMs;
   }
 
   private waitBehindMs(ahead: readonly WorkRequest[], nowMs: number): number {
     return Math.max(
       this.slotWaitMs(ahead, nowMs),
-      this.pacer.delayMs(ahead.length, nowMs),
+      this.limiter.delayMs(ahead.length, nowMs),
     );
   }
 
@@ -249,7 +299,7 @@
   }
 
   private start(request: WorkRequest, nowMs: number): void {
-    this.pacer.recordStart(nowMs);
+    this.limiter.recordStart(nowMs);
     this.running.set(request.id, {
       rank: request.rank,
       startedAtMs: nowMs,
@@ -272,15 +322,22 @@
   }
 
   private dropUnmeetable(nowMs: number): QueueChanges["refuse"] {
-    const unmeetable = this.mainQueue.filter((request) =>
-      nowMs + request.estimateMs > request.deadlineAtMs
-    );
-    this.removeFromMainQueue(unmeetable);
+    const kept: WorkRequest[] = [];
+    const unmeetable = this.mainQueue.flatMap((request) => {
+      const delayMs = this.limiter.delayMs(kept.length, nowMs);
+      if (nowMs + delayMs + request.estimateMs <= request.deadlineAtMs) {
+        kept.push(request);
+        return [];
+      }
+      const reason = delayMs > 0 ? "rate_limited" : "too_late";
+      return [{ id: request.id, reason } as const];
+    });
+    this.mainQueue = kept;
     const lateUnmeetable = this.lateQueue.size === 0
       ? []
       : this.lateQueue.dropUnmeetable(this.forecastLateStart(nowMs));
     return [
-      ...unmeetable.map(({ id }) => ({ id, reason: "too_late" as const })),
+      ...unmeetable,
       ...lateUnmeetable.map(({ id }) => ({
         id,
         reason: "overloaded" as const,
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -5,9 +5,9 @@
  * @module
  */
 import {
-  ColdStartPacer,
   type QueueChanges,
   ServiceTimes,
+  StartRateLimiter,
   WorkQueue,
 } from "@bamboolink/admission";
 import {
@@ -109,8 +109,8 @@
 export class LocalBackend extends Destination {
   /** Load of each key. */
   readonly profile = LoadProfile.create();
-  private readonly pacer = ColdStartPacer.create(PROCESS_START_MS);
-  private readonly queue = WorkQueue.create(this.pacer);
+  private readonly limiter = StartRateLimiter.create(PROCESS_START_MS);
+  private readonly queue = WorkQueue.create(this.limiter);
   private readonly times = ServiceTimes.create();
   private readonly meter = LoadMeter.create();
   private readonly waiting = new Map<number, Waiting>();
@@ -121,6 +121,7 @@
   private identity: BackendIdentity | undefined;
   private lastId = 0;
   private totals = { offered: 0, finished: 0 };
+  private startTimer: NodeJS.Timeout | undefined;
   private wait = { waitMs: 0, computedAtMs: -Infinity };
 
   private constructor(private context: LocalBackendContext) {
@@ -145,8 +146,9 @@
     this.identity = identity;
     if (identity !== undefined) {
       this.statusMonitor.setIncarnation(identity);
-      this.pacer.setLimit(identity.coldLimit);
-      this.pacer.setColdUntil(identity.coldUntilMs);
+      this.limiter.setColdLimit(identity.coldLimit);
+      this.limiter.setColdUntil(identity.coldUntilMs);
+      this.limiter.setAdvertisedLimit(this.statusMonitor.limitPerSecond);
     }
     this.queue.setSlots(identity?.slots ?? 0);
     this.applyQueueChanges(this.queue.advance(monotonicMs()));
@@ -191,10 +193,18 @@
     const slots = this.identity?.slots ?? 0;
     return slots === 0 ? 0 : Math.max(
       this.meter.offeredPerSecondMs / (slots * 1_000),
-      this.pacer.utilization(monotonicMs()),
+      this.limiter.coldUtilization(monotonicMs()),
     );
   }
 
+  /** Requests per second that the server states it takes (infinite without a limit), and those started last second. */
+  get startRate(): { limitPerSecond: number; startedPerSecond: number } {
+    return {
+      limitPerSecond: this.statusMonitor.limitPerSecond ?? Infinity,
+      startedPerSecond: this.limiter.startsInLastSecond(monotonicMs()),
+    };
+  }
+
   /** Numbers of running and of waiting requests. */
   get counts(): { running: number; waiting: number } {
     return {
@@ -212,7 +222,7 @@
       offered,
       finished,
       slots: this.identity?.slots ?? 0,
-      is_cold: this.pacer.isPacing(monotonicMs()) ? 1 : 0,
+      is_cold: this.limiter.isCold(monotonicMs()) ? 1 : 0,
       ...this.describeLimit(),
       wait_ms: Math.round(this.waitMs),
       service_ms: Math.round(this.times.averageMs),
@@ -248,6 +258,7 @@
 
   /** Closes all connections. */
   close(): Promise<void> {
+    clearTimeout(this.startTimer);
     return this.connections.destroy();
   }
 
@@ -427,6 +438,7 @@
           resolve(outcome);
         },
       });
+      this.scheduleNextStart();
     });
   }
 
@@ -556,6 +568,7 @@
         requestId: request.id,
         receivedAtMs: monotonicMs(),
       });
+      this.limiter.setAdvertisedLimit(this.statusMonitor.limitPerSecond);
     }
     if (verdict === "answer") {
       return { ...response, headers: selectResponseHeaders(response.headers) };
@@ -608,6 +621,17 @@
     changes.refuse.forEach(({ id, reason }) =>
       this.resolveWaiting(id, notRun(reason, { waitMs: this.waitMs }))
     );
+    this.scheduleNextStart();
+  }
+
+  /** Sets a timer for the next request that only the rate limit holds back. */
+  private scheduleNextStart(): void {
+    clearTimeout(this.startTimer);
+    const delayMs = this.queue.nextStartDelayMs(monotonicMs());
+    this.startTimer = delayMs === 0 ? undefined : setTimeout(
+      () => this.applyQueueChanges(this.queue.advance(monotonicMs())),
+      Math.ceil(delayMs),
+    );
   }
 
   private resolveWaiting(id: number, outcome: "run" | Outcome): void {
--- a/packages/router/src/request_runner.ts
+++ b/packages/router/src/request_runner.ts
@@ -51,6 +51,7 @@
   "overloaded",
   "queue_full",
   "too_late",
+  "rate_limited",
 ]);
 
 /** Refusals after which a suspect request is not sent to another backend server. */
@@ -59,6 +60,7 @@
   "overloaded",
   "queue_full",
   "too_late",
+  "rate_limited",
 ]);
 
 /** Dependencies of {@link RequestRunner}. */
--- a/packages/router/src/routed_request.ts
+++ b/packages/router/src/routed_request.ts
@@ -54,6 +54,8 @@
   | "stopping"
   /** It can't be served before its deadline. */
   | "too_late"
+  /** The backend server takes a limited rate of requests, and this one would start too late. */
+  | "rate_limited"
   /** There is no capacity to serve it while its response is still useful. */
   | "overloaded"
   | "queue_full"
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -734,6 +734,10 @@
     const gauges: Record<string, () => number> = {
       bamboolink_requests_running: () => this.backend.counts.running,
       bamboolink_requests_queued: () => this.backend.counts.waiting,
+      bamboolink_backend_limit_per_second: () =>
+        this.backend.startRate.limitPerSecond,
+      bamboolink_backend_starts_per_second: () =>
+        this.backend.startRate.startedPerSecond,
       bamboolink_configuration_version: () => this.configuration.version,
       bamboolink_members_alive: () => this.view.alive(monotonicMs()).length,
       bamboolink_requests_quarantined: () => this.quarantine.count,
