Drain a backend server that states in a response that it is leaving

The daemon beside the server reads the header before the response is passed on. From then on that incarnation is draining: others learn it by the phase in the gossip, requests without a key are refused there at once, its keys are released with the next heartbeat's response, and what has queued is forwarded for three quarters of the drain time, as with any drain.

- It can't be taken back by that incarnation: not by a heartbeat that reports it ready, not by being taken for absent (the drain time then would begin again), not by an outage of the store.
With keys and the store down a draining heartbeat stays unacknowledged so that the keys are served; a response that is passed on binds at once, so the server drains all the same.
Until the store is back its keys have no server: the promise to a leaving server goes first.
- The same cause elsewhere: a departure (DELETE) was taken back by a delayed heartbeat.
It now lasts as well (unit test 'notification', which failed before with phase ready).

--- a/packages/router/src/backend_manager.ts
+++ b/packages/router/src/backend_manager.ts
@@ -9,6 +9,7 @@
   type GrantTracker,
   type Incarnation,
   IncarnationTracker,
+  isSameIncarnation,
   type OwnershipLease,
   type ProbeResult,
   type Succession,
@@ -109,6 +110,8 @@
   private lastHeartbeat: BackendHeartbeat | undefined;
   private currentPhase: MemberPhase = "absent";
   private drainStartedAtMs = Infinity;
+  /** The incarnation that has announced its departure other than by heartbeats, and when, on the monotonic clock. */
+  private leaving: { incarnation: Incarnation; sinceMs: number } | undefined;
   /** End of the cold time that the backend server has reported, on the monotonic clock. */
   private coldEndsAtMs = -Infinity;
   /**
@@ -192,7 +195,7 @@
       });
       return { kind: "unacknowledged" };
     }
-    if (this.hasKeysToEvacuate(heartbeat)) {
+    if (this.hasKeysToMove(heartbeat)) {
       await this.context.beforeDrain();
     }
     return {
@@ -213,8 +216,8 @@
       this.context.grants.ownKeyCount > 0;
   }
 
-  private hasKeysToEvacuate(heartbeat: BackendHeartbeat): boolean {
-    return this.currentPhase === "evacuated" &&
+  private hasKeysToMove(heartbeat: BackendHeartbeat): boolean {
+    return (this.currentPhase === "evacuated" || this.isLeaving(heartbeat)) &&
       this.incarnations.isCurrent(heartbeat) &&
       this.context.grants.ownKeyCount > 0;
   }
@@ -245,9 +248,29 @@
 
   /** Handles a notification of departure; the backend server drains from then on. */
   handleDeparture(departure: BackendDeparture): void {
-    if (this.isFromCurrent(departure)) {
-      this.setPhase("draining", "departure");
+    this.beginLeaving(departure, "departure");
+  }
+
+  /** Handles a response that states that its sender is leaving; the backend server drains from then on. */
+  handleStatedLeaving(incarnation: Incarnation): void {
+    this.beginLeaving(incarnation, "response");
+  }
+
+  /** Drains an incarnation for good: neither a delayed heartbeat nor one that reports it ready makes it ready again. */
+  private beginLeaving(sender: Incarnation, cause: string): void {
+    const { current } = this.incarnations;
+    if (current === undefined || !this.isFromCurrent(sender)) {
+      return;
+    }
+    if (!this.isLeaving(current)) {
+      this.leaving = { incarnation: current, sinceMs: monotonicMs() };
     }
+    this.setPhase("draining", cause);
+  }
+
+  private isLeaving(incarnation: Incarnation): boolean {
+    return this.leaving !== undefined &&
+      isSameIncarnation(incarnation, this.leaving.incarnation);
   }
 
   /** Handles outcomes of requests that contradict the assumed state of the backend server. */
@@ -332,12 +355,13 @@
     if (released.length > 0) {
       this.context.onReleased(released);
     }
-    const phase = heartbeat.isDraining ? "draining" : this.undrainedPhase;
+    const isDraining = heartbeat.isDraining || this.isLeaving(heartbeat);
+    const phase = isDraining ? "draining" : this.undrainedPhase;
     this.setPhase(phase, "heartbeat");
     if (!keyed || !this.context.mayGrant(heartbeat.service)) {
       return undefined;
     }
-    if (!heartbeat.isDraining) {
+    if (!isDraining) {
       await this.context.beforeGrant();
     }
     if (!this.incarnations.isCurrent(heartbeat)) {
@@ -377,8 +401,12 @@
     const { backend, logger, isKeyed, onChange } = this.context;
     const { lastHeartbeat } = this;
     const isDraining = phase === "draining";
+    const leavingSinceMs =
+      lastHeartbeat !== undefined && this.isLeaving(lastHeartbeat)
+        ? this.leaving!.sinceMs
+        : Infinity;
     this.drainStartedAtMs = isDraining
-      ? Math.min(this.drainStartedAtMs, monotonicMs())
+      ? Math.min(this.drainStartedAtMs, leavingSinceMs, monotonicMs())
       : Infinity;
     backend.updateIdentity(
       lastHeartbeat === undefined || phase === "absent" ? undefined : {
--- a/packages/router/src/backend_manager_test.ts
+++ b/packages/router/src/backend_manager_test.ts
@@ -69,6 +69,7 @@
         sendToSome: () => undefined,
       }),
       onSuspicion: () => undefined,
+      onLeaving: () => undefined,
     }),
     grants,
     lease,
@@ -147,6 +148,83 @@
     });
   });
 
+  describe("when a backend server announces its departure other than by heartbeats", () => {
+    const incarnation = { instance: "i-1", born: undefined };
+    const announce = {
+      response: (manager: BackendManager) =>
+        manager.handleStatedLeaving(incarnation),
+      notification: (manager: BackendManager) =>
+        manager.handleDeparture({ kind: "departure", ...incarnation }),
+    };
+
+    // Guards against requests to a leaving server again after a delayed heartbeat, or one that reports it ready.
+    Object.entries(announce).forEach(([source, leave]) =>
+      it(`stays draining whatever its heartbeats report, and releases its keys: ${source}`, async () => {
+        const { grants, lease } = createOwner();
+        const manager = createManager(grants, lease);
+        await manager.handleHeartbeat(heartbeat);
+        leave(manager);
+        const { forwardUntilMs } = manager;
+        const response = await manager.handleHeartbeat({
+          ...heartbeat,
+          sequence: 2,
+        });
+        expect(rangesIn(response)).to.deep.equal([]);
+        expect(manager.phase).to.equal("draining");
+        expect(manager.forwardUntilMs).to.equal(forwardUntilMs);
+      })
+    );
+
+    // Guards against a drain time that begins again after the server was taken for absent.
+    it("does not extend its drain time when it reappears", async () => {
+      const { grants, lease } = createOwner();
+      const manager = createManager(grants, lease);
+      await manager.handleHeartbeat(heartbeat);
+      manager.handleStatedLeaving(incarnation);
+      const { forwardUntilMs } = manager;
+      await manager.handleSuspicion("wrong_instance");
+      expect(manager.phase).to.equal("absent");
+      await new Promise((resolve) => setTimeout(resolve, 2));
+      await manager.handleHeartbeat({ ...heartbeat, sequence: 2 });
+      expect(manager.phase).to.equal("draining");
+      expect(manager.forwardUntilMs).to.equal(forwardUntilMs);
+    });
+
+    // Guards against keys that keep a leaving server in use while the store is down.
+    it("drains even if its keys can't be reassigned", async () => {
+      const { grants, lease } = createOwner();
+      const manager = createManager(grants, lease, {
+        beforeDrain: () => false,
+      });
+      await manager.handleHeartbeat(heartbeat);
+      manager.handleStatedLeaving(incarnation);
+      await manager.handleHeartbeat({
+        ...heartbeat,
+        sequence: 2,
+        isDraining: true,
+      });
+      expect(manager.phase).to.equal("draining");
+    });
+
+    it("is ready once another incarnation has replaced it", async () => {
+      const { grants, lease } = createOwner();
+      const manager = createManager(grants, lease, {
+        probe: () =>
+          Promise.resolve({
+            kind: "answered",
+            instance: "i-2",
+            born: undefined,
+          }),
+      });
+      await manager.handleHeartbeat(heartbeat);
+      manager.handleStatedLeaving(incarnation);
+      await manager.handleHeartbeat({ ...heartbeat, instance: "i-2" });
+      expect(manager.phase).to.equal("ready");
+      manager.handleStatedLeaving(incarnation);
+      expect(manager.phase).to.equal("ready");
+    });
+  });
+
   describe("when operators evacuate the availability zone", () => {
     it("releases the keys with the next response, and is ready again once the evacuation ends", async () => {
       const { grants, lease } = createOwner();
--- a/packages/router/src/backend_status_monitor.ts
+++ b/packages/router/src/backend_status_monitor.ts
@@ -19,17 +19,26 @@
   readonly receivedAtMs: number;
 }
 
+/** Dependencies of {@link BackendStatusMonitor}. */
+export interface BackendStatusMonitorContext {
+  readonly logger: Logger;
+  /** Called when an incarnation states for the first time that it is leaving. */
+  readonly onLeaving: (incarnation: Incarnation) => void;
+}
+
 /** Holds the stated status of the current incarnation, and logs its changes. */
 export class BackendStatusMonitor {
   private limit = AdvertisedLimitTracker.create();
   private isLeaving = false;
   private current: Incarnation | undefined;
 
-  private constructor(private readonly logger: Logger) {}
+  private constructor(
+    private readonly context: BackendStatusMonitorContext,
+  ) {}
 
   /** Creates a monitor that knows no incarnation yet. */
-  static create(logger: Logger): BackendStatusMonitor {
-    return new BackendStatusMonitor(logger);
+  static create(context: BackendStatusMonitorContext): BackendStatusMonitor {
+    return new BackendStatusMonitor(context);
   }
 
   /** Requests per second that the backend server takes from all hosts together; `undefined` if it states no limit. */
@@ -58,10 +67,11 @@
     this.recordLimit(status, source);
     if (status.isLeaving && !this.isLeaving) {
       this.isLeaving = true;
-      this.logger.log("backend_leaving", {
+      this.context.logger.log("backend_leaving", {
         instance: current.instance,
         request_id: source.requestId,
       });
+      this.context.onLeaving(current);
     }
   }
 
@@ -71,7 +81,7 @@
   ): void {
     const origin = { instance: incarnation.instance, request_id: requestId };
     if (rateLimit.kind === "unreadable") {
-      this.logger.log("backend_limit_unreadable", {
+      this.context.logger.log("backend_limit_unreadable", {
         ...origin,
         value: rateLimit.text,
         in_force: this.limitPerSecond,
@@ -84,7 +94,7 @@
       receivedAtMs,
     });
     if (change !== undefined) {
-      this.logger.log("backend_limit_changed", {
+      this.context.logger.log("backend_limit_changed", {
         ...origin,
         before: change.before,
         limit: change.after,
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -78,6 +78,8 @@
   readonly quarantine: RequestQuarantine;
   /** Called on evidence against the assumed state of the backend server. */
   readonly onSuspicion: (suspicion: BackendSuspicion) => void;
+  /** Called when the backend server states in a response that it is leaving. */
+  readonly onLeaving: (incarnation: Incarnation) => void;
 }
 
 /** The backend server's identity and state, as far as requests depend on them. */
@@ -127,7 +129,7 @@
   private constructor(private context: LocalBackendContext) {
     super();
     this.connections = ConnectionPool.create(context.address);
-    this.statusMonitor = BackendStatusMonitor.create(context.logger);
+    this.statusMonitor = BackendStatusMonitor.create(context);
   }
 
   /** Creates an instance without a backend server; requests are refused until {@link updateIdentity} is called. */
--- a/packages/router/src/local_backend_test.ts
+++ b/packages/router/src/local_backend_test.ts
@@ -80,6 +80,7 @@
     grants: GrantTracker.create(bootMs()),
     quarantine,
     onSuspicion: () => undefined,
+    onLeaving: () => undefined,
   });
   backend.updateIdentity({
     instance: "i-1",
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -191,6 +191,8 @@
       quarantine: this.quarantine,
       onSuspicion: (suspicion) =>
         void this.backendManager.handleSuspicion(suspicion),
+      onLeaving: (incarnation) =>
+        this.backendManager.handleStatedLeaving(incarnation),
     });
     this.backendManager = BackendManager.create({
       logger,
