Test which stated limits and leavings of a backend server are kept

No behaviour changes. A restart under the same id, late responses of the earlier process, values that can't be read, one event for each change.

--- /dev/null
+++ b/packages/router/src/backend_status_monitor_test.ts
@@ -0,0 +1,113 @@
+/**
+ * Tests of what is kept of the status that a backend server states in its responses.
+ *
+ * @module
+ */
+import type { Incarnation } from "@bamboolink/keyspace";
+import type { Logger } from "@bamboolink/logger";
+import { expect } from "chai";
+import { BackendStatusMonitor } from "./backend_status_monitor.ts";
+import type {
+  BackendStatus,
+  RateLimitHeader,
+} from "./ports/backend_protocol.ts";
+
+const FIRST = { instance: "i-1", born: 1_000 };
+const RESTARTED = { instance: "i-1", born: 2_000 };
+
+function createMonitor() {
+  const entries: { event: string; fields: Record<string, unknown> }[] = [];
+  const leaving: Incarnation[] = [];
+  const logger = {
+    log: (event: string, fields: Record<string, unknown>) =>
+      entries.push({ event, fields }),
+  } as unknown as Logger;
+  const monitor = BackendStatusMonitor.create({
+    logger,
+    onLeaving: (incarnation) => leaving.push(incarnation),
+  });
+  monitor.setIncarnation(FIRST);
+  const record = (
+    status: Partial<BackendStatus>,
+    from: { incarnation?: Incarnation; sentAtMs?: number } = {},
+  ) =>
+    monitor.record({
+      rateLimit: { kind: "absent" },
+      isLeaving: false,
+      ...status,
+    }, {
+      requestId: "r-1",
+      incarnation: from.incarnation ?? FIRST,
+      sentAtMs: from.sentAtMs ?? 0,
+      receivedAtMs: (from.sentAtMs ?? 0) + 10,
+    });
+  return { monitor, record, entries, leaving };
+}
+
+const stated = (perSecond: number): RateLimitHeader => ({
+  kind: "stated",
+  perSecond,
+});
+
+describe("BackendStatusMonitor", () => {
+  describe("when a limit becomes known, changes and ends", () => {
+    it("logs each change once, with the request that stated it", () => {
+      const { monitor, record, entries } = createMonitor();
+      record({ rateLimit: stated(10) });
+      record({ rateLimit: stated(10) }, { sentAtMs: 20 });
+      record({ rateLimit: stated(25.1) }, { sentAtMs: 40 });
+      expect(monitor.limitPerSecond).to.equal(25.1);
+      record({}, { sentAtMs: 60 });
+      expect(monitor.limitPerSecond).to.equal(undefined);
+      const changes = entries.map(({ fields }) => [
+        fields["before"],
+        fields["limit"],
+        fields["request_id"],
+      ]);
+      expect(changes).to.deep.equal([
+        [undefined, 10, "r-1"],
+        [10, 25.1, "r-1"],
+        [25.1, undefined, "r-1"],
+      ]);
+    });
+  });
+
+  describe("when a limit can't be read", () => {
+    it("keeps the earlier one, and logs the value", () => {
+      const { monitor, record, entries } = createMonitor();
+      record({ rateLimit: stated(10) });
+      const rateLimit = { kind: "unreadable", text: "10, 12" } as const;
+      record({ rateLimit }, { sentAtMs: 20 });
+      expect(monitor.limitPerSecond).to.equal(10);
+      expect(entries.at(-1)!.event).to.equal("backend_limit_unreadable");
+      expect(entries.at(-1)!.fields).to.deep.include({
+        value: "10, 12",
+        in_force: 10,
+      });
+    });
+  });
+
+  describe("when the server has restarted", () => {
+    // Guards against a new process that is limited, or drained, because of what the earlier one stated.
+    it("forgets what the earlier process stated, and ignores its late responses", () => {
+      const { monitor, record, leaving } = createMonitor();
+      record({ rateLimit: stated(10) });
+      monitor.setIncarnation(RESTARTED);
+      expect(monitor.limitPerSecond).to.equal(undefined);
+      record({ rateLimit: stated(5), isLeaving: true });
+      expect(monitor.limitPerSecond).to.equal(undefined);
+      expect(leaving).to.deep.equal([]);
+    });
+  });
+
+  describe("when the server is leaving", () => {
+    it("reports it once for each process", () => {
+      const { monitor, record, leaving } = createMonitor();
+      record({ isLeaving: true });
+      record({ isLeaving: true });
+      monitor.setIncarnation(RESTARTED);
+      record({ isLeaving: true }, { incarnation: RESTARTED });
+      expect(leaving).to.deep.equal([FIRST, RESTARTED]);
+    });
+  });
+});
