Count a limited server's capacity as the smaller of its slots and limit

The daemon reports the slots that requests can keep busy: the limit times the mean estimated service time, at most the slots. Placement, the rebalance of keys and assignments after a takeover use it, and the utilization relates to it. The field is the last of a report; reports without it, of earlier versions, count all slots.

--- a/packages/keyspace/src/balance_loads.ts
+++ b/packages/keyspace/src/balance_loads.ts
@@ -10,8 +10,9 @@
 /** The load of one owner of keys. */
 export interface OwnerLoad {
   readonly daemon: string;
-  /** Offered work per slot: 1 keeps all slots busy; more than that can't be served. */
+  /** Offered work relative to `slots`: 1 keeps them all busy; more than that can't be served. */
   readonly utilization: number;
+  /** Slots that requests can keep busy: fewer than it has if it limits the rate of requests. */
   readonly slots: number;
   /** Typical service time of a request, in milliseconds; 0 where too few were served yet. */
   readonly serviceMs: number;
@@ -23,6 +24,7 @@
 export interface BalancedLoad {
   readonly daemon: string;
   readonly utilization: number;
+  readonly slots: number;
   /** Standard deviation of the utilization's random error. */
   readonly deviation: number;
   /** Work that it can do, in slots of an owner of average speed. */
@@ -92,6 +94,7 @@
     return {
       daemon,
       utilization,
+      slots,
       deviation,
       slowness,
       capacity: slots / slowness,
--- a/packages/keyspace/src/plan_rebalance.ts
+++ b/packages/keyspace/src/plan_rebalance.ts
@@ -25,7 +25,8 @@
 const MOVED_SHARE_OVERLOADED = 1;
 /**
  * Minimum work that is worth a move, in milliseconds of slot time per second: one or two requests. Below it the profile
- * shows random variation rather than load, and moves by chance would split the key space into single keys.
+ * shows random variation rather than load, and moves by chance would split the key space into single keys. At an owner
+ * that can keep less than one slot busy, it is this share of what it can.
  */
 const MIN_MOVED_WORK_MS = MIN_HEADROOM * 1_000;
 /**
@@ -191,7 +192,8 @@
     ? MOVED_SHARE_OVERLOADED
     : MOVED_SHARE;
   const load = allocation.amount * movedShare * source.slowness * 1_000;
-  if (load < MIN_MOVED_WORK_MS && !isKeyless) {
+  const minMovedWorkMs = MIN_MOVED_WORK_MS * Math.min(1, source.slots);
+  if (load < minMovedWorkMs && !isKeyless) {
     return undefined;
   }
   const window = profile.findSmallestWindow(movable.segments, { load });
@@ -207,7 +209,7 @@
   }
   const heaviestWindow = profile.findHeaviestWindow(movable.segments, { load });
   return heaviestWindow !== undefined &&
-      profile.loadOf([heaviestWindow]) >= MIN_MOVED_WORK_MS
+      profile.loadOf([heaviestWindow]) >= minMovedWorkMs
     ? heaviestWindow
     : undefined;
 }
--- a/packages/keyspace/src/plan_rebalance_test.ts
+++ b/packages/keyspace/src/plan_rebalance_test.ts
@@ -213,3 +213,87 @@
       .to.equal(false);
   });
 });
+
+describe("rebalance away from an owner that limits the rate of requests", () => {
+  /** Each of five owners gets 40 requests a second of 20 ms; one takes a quarter of that. */
+  const SERVICE_MS = 20;
+  const REQUESTS_PER_SECOND = 40;
+  const LIMIT_PER_SECOND = 10;
+  const FREE_SLOTS = 4;
+  const LIMITED_SLOTS = LIMIT_PER_SECOND * SERVICE_MS / 1_000;
+  const ranges = [{ from: 0, to: REQUESTS_PER_SECOND * 10 - 1 }];
+  const loadOf = (slots: number) =>
+    REQUESTS_PER_SECOND * SERVICE_MS / 1_000 / slots;
+
+  function planFor(limitedPerSecond: number, requestShare = 1) {
+    const profile = LoadProfile.create();
+    advanceToSteadyState(profile);
+    Array.from(
+      { length: REQUESTS_PER_SECOND * 10 },
+      (_, key) =>
+        profile.record(key, SERVICE_MS * requestShare / 10 / Math.LN2),
+    );
+    const slots = limitedPerSecond * SERVICE_MS / 1_000;
+    const limited = {
+      daemon: "limited",
+      utilization: loadOf(slots) * requestShare,
+      deviation: 0,
+      slots,
+      serviceMs: SERVICE_MS,
+    };
+    const others = ["one", "two", "three", "four"].map((daemon) => ({
+      daemon,
+      utilization: loadOf(FREE_SLOTS),
+      slots: FREE_SLOTS,
+      serviceMs: SERVICE_MS,
+    }));
+    const moves = planRebalance(limited, others, {
+      ranges,
+      profile,
+      keyless: new Set(),
+    });
+    return { moves, movedMs: profile.loadOf(moves) };
+  }
+
+  // Guards against keys that stay where most of their requests are refused, since the owner has free slots.
+  it("moves about what exceeds the limit", () => {
+    const { movedMs } = planFor(LIMIT_PER_SECOND);
+    const excess = REQUESTS_PER_SECOND - LIMIT_PER_SECOND;
+    expect(movedMs / SERVICE_MS).to.be.within(0.7 * excess, 1.2 * excess);
+  });
+
+  // Guards against an excess that counts as too little work to move because the requests are short.
+  it("moves a few short requests, too", () => {
+    const { movedMs } = planFor(LIMIT_PER_SECOND / 4, 0.25);
+    expect(movedMs / SERVICE_MS).to.be.above(4);
+  });
+
+  it("gives a limited owner no keys beyond its limit", () => {
+    const profile = LoadProfile.create();
+    advanceToSteadyState(profile);
+    ranges.forEach(({ to }) =>
+      Array.from(
+        { length: to + 1 },
+        (_, key) => profile.record(key, 10 / Math.LN2),
+      )
+    );
+    const hot = {
+      daemon: "hot",
+      utilization: 1,
+      slots: FREE_SLOTS,
+      serviceMs: SERVICE_MS,
+    };
+    const limited = {
+      daemon: "limited",
+      utilization: 0,
+      slots: LIMITED_SLOTS,
+      serviceMs: SERVICE_MS,
+    };
+    const moves = planRebalance(hot, [limited], {
+      ranges,
+      profile,
+      keyless: new Set(),
+    });
+    expect(profile.loadOf(moves)).to.be.at.most(LIMITED_SLOTS * 1_000);
+  });
+});
--- a/packages/membership/src/member.ts
+++ b/packages/membership/src/member.ts
@@ -54,6 +54,8 @@
   ownershipRevision: z.int().min(0),
   /** Whether the daemon can reach the store. */
   reachesStore: z.boolean(),
+  /** Slots that requests can keep busy: fewer than `slots` if the backend server limits the rate of requests. */
+  capacity: z.number().min(0),
 });
 /** Status report of one daemon, which other daemons forward. */
 export type MemberReport = z.infer<typeof MemberReport>;
--- a/packages/membership/src/membership_test.ts
+++ b/packages/membership/src/membership_test.ts
@@ -27,6 +27,7 @@
     configurationVersion: 3,
     ownershipRevision: 8,
     reachesStore: true,
+    capacity: 6,
     ...changes,
   };
 }
--- a/packages/membership/src/report_row.ts
+++ b/packages/membership/src/report_row.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
-import { MemberPhase, type MemberReport } from "./member.ts";
+import { MemberPhase, MemberReport } from "./member.ts";
 
+const REPORT_LENGTH = Object.keys(MemberReport.shape).length;
 const MEMBER_PHASES: ReadonlySet<unknown> = new Set(MemberPhase.options);
 
 /**
@@ -34,6 +35,8 @@
     ownershipRevision,
     reachesStore,
   ] = row;
+  // Earlier versions report no capacity.
+  const capacity = row.length < REPORT_LENGTH ? slots : row[REPORT_LENGTH - 1];
   const isValid = isString(address) && address !== "" &&
     isNonNegativeInteger(incarnation) && isNonNegativeInteger(sequence) &&
     isString(availabilityZone) && isString(peerAddress) &&
@@ -44,7 +47,8 @@
     isNonNegativeNumber(failureShare) && failureShare <= 1 &&
     isNonNegativeNumber(configurationVersion) &&
     isNonNegativeInteger(ownershipRevision) &&
-    typeof reachesStore === "boolean";
+    typeof reachesStore === "boolean" &&
+    isNonNegativeNumber(capacity);
   return isValid
     ? {
       address,
@@ -62,6 +66,7 @@
       configurationVersion,
       ownershipRevision,
       reachesStore,
+      capacity,
     }
     : undefined;
 }
--- a/packages/placement/src/choose_backend.ts
+++ b/packages/placement/src/choose_backend.ts
@@ -11,11 +11,12 @@
   /** Whether it runs on the host of the daemon that chooses. */
   readonly isLocal: boolean;
   readonly isSameZone: boolean;
-  readonly slots: number;
+  /** Slots that requests can keep busy: fewer than it has if it limits the rate of requests. */
+  readonly capacity: number;
   /** Wait for a slot at the time of the report, in milliseconds. */
   readonly waitMs: number;
   /**
-   * Recent offered work per slot (half-life 1 s), or the used share of a cold server's rate limit if that is higher; 1
+   * Recent offered work relative to the capacity (half-life 1 s), or the used share of a cold server's rate limit if that is higher; 1
    * is saturated.
    */
   readonly utilization: number;
@@ -72,6 +73,8 @@
  * It is sent requests soon after it has joined, so its service time becomes known.
  */
 const NEW_SERVER_TIME_FACTOR = 0.7;
+/** Lower bound of a capacity, in slots, so that no expected wait is infinite. */
+const MIN_CAPACITY = 0.01;
 /** Service time assumed where no server has served a request yet, in milliseconds. */
 const DEFAULT_SERVICE_MS = 50;
 
@@ -119,11 +122,11 @@
 /** Expected latency of a request at a candidate, including wait and network, in milliseconds. */
 export function expectedLatencyMs(candidate: PlacementCandidate): number {
   const { serviceMs, reportAgeMs } = candidate;
-  const slots = Math.max(1, candidate.slots);
   const freshness = 0.5 ** (reportAgeMs / REPORTED_WAIT_HALF_LIFE_MS);
   const waitMs = candidate.waitMs * freshness +
     typicalWaitMs(candidate) * (1 - freshness);
-  const unreportedMs = candidate.sentSinceReport * serviceMs / slots;
+  const unreportedMs = candidate.sentSinceReport * serviceMs /
+    usableCapacity(candidate);
   return serviceMs + waitMs + unreportedMs + networkMs(candidate);
 }
 
@@ -132,12 +135,16 @@
  * exponentially distributed interarrival and service times).
  */
 function typicalWaitMs(candidate: PlacementCandidate): number {
-  const slots = Math.max(1, candidate.slots);
+  const capacity = usableCapacity(candidate);
   const busy = Math.min(MAX_UTILIZATION, candidate.utilization);
-  const exponent = Math.sqrt(2 * (slots + 1)) - 1;
+  const exponent = Math.sqrt(2 * (capacity + 1)) - 1;
   // A short call waits for slots that long requests hold, so the mean over all routes counts.
   const meanMs = candidate.meanServiceMs || candidate.serviceMs;
-  return meanMs * busy ** exponent / (slots * (1 - busy));
+  return meanMs * busy ** exponent / (capacity * (1 - busy));
+}
+
+function usableCapacity({ capacity }: PlacementCandidate): number {
+  return Math.max(MIN_CAPACITY, capacity);
 }
 
 /** Expected latency plus the penalties for other zones and for failures, in milliseconds. */
--- a/packages/router/src/assignment_manager.ts
+++ b/packages/router/src/assignment_manager.ts
@@ -18,6 +18,7 @@
 import type { MemberView } from "@bamboolink/membership";
 import type { BackendManager } from "./backend_manager.ts";
 import { bootMs, monotonicMs } from "./clock.ts";
+import type { LocalBackend } from "./local_backend.ts";
 import type { OwnershipDirectory } from "./ownership_directory.ts";
 import type { RecordInspector } from "./record_inspector.ts";
 import type { RecordWriter } from "./record_writer.ts";
@@ -35,6 +36,7 @@
   readonly directory: OwnershipDirectory;
   readonly inspector: RecordInspector;
   readonly writer: RecordWriter;
+  readonly backend: LocalBackend;
   readonly backendManager: () => BackendManager;
 }
 
@@ -289,14 +291,14 @@
   }
 
   private allCandidates(service: string): Candidate[] {
-    const { view, backendManager } = this.context;
+    const { view, backend, backendManager } = this.context;
     const ownBackend = backendManager();
     const isCandidate = ownBackend.service === service &&
       ownBackend.phase === "ready";
     return [
       ...this.candidatesFor(service),
       ...(isCandidate
-        ? [{ daemon: view.ownReport.address, weight: ownBackend.slots }]
+        ? [{ daemon: view.ownReport.address, weight: backend.capacity }]
         : []),
     ];
   }
@@ -315,5 +317,5 @@
 export function findCandidates(view: MemberView, service: string): Candidate[] {
   return view.alive(monotonicMs())
     .filter((report) => report.service === service && report.phase === "ready")
-    .map(({ address, slots }) => ({ daemon: address, weight: slots }));
+    .map(({ address, capacity }) => ({ daemon: address, weight: capacity }));
 }
--- a/packages/router/src/backend_load_tracker.ts
+++ b/packages/router/src/backend_load_tracker.ts
@@ -110,7 +110,7 @@
       daemon: report.address,
       isLocal: report.address === origin.daemon,
       isSameZone: report.availabilityZone === origin.availabilityZone,
-      slots: report.slots,
+      capacity: report.capacity,
       ...load,
       serviceMs: this.times.estimateMs(
         report.address,
--- a/packages/router/src/decoders_test.ts
+++ b/packages/router/src/decoders_test.ts
@@ -73,6 +73,7 @@
       configurationVersion: 2,
       ownershipRevision: 9,
       reachesStore: true,
+      capacity: 6,
     };
 
     it("reject them or return reports of the right types", () => {
--- a/packages/router/src/gossip_node_test.ts
+++ b/packages/router/src/gossip_node_test.ts
@@ -35,6 +35,7 @@
   configurationVersion: 2,
   ownershipRevision: 9,
   reachesStore: true,
+  capacity: 6,
 };
 
 /** Starts a node; `events` collects the names of the events that it logs. */
--- a/packages/router/src/key_rebalancer.ts
+++ b/packages/router/src/key_rebalancer.ts
@@ -5,6 +5,7 @@
  */
 import {
   type GrantTracker,
+  type OwnerLoad,
   type PlannedMove,
   planRebalance,
 } from "@bamboolink/keyspace";
@@ -86,7 +87,7 @@
       daemon: view.ownReport.address,
       utilization: this.utilization,
       deviation: this.deviation,
-      slots: backendManager().slots,
+      slots: backend.capacity,
       serviceMs: backend.serviceMs,
     };
     const record = this.context.directory.record(service);
@@ -118,22 +119,21 @@
   }
 
   /**
-   * Load of this daemon's keys per slot. Keys that have just been moved away don't count any more, so that an owner
+   * Load of this daemon's keys relative to the capacity of its backend server. Keys that have just been moved away don't count any more, so that an owner
    * does not rebalance a second time because of them.
    */
   get utilization(): number {
-    const { backend, backendManager } = this.context;
-    return this.context.ownService() === undefined ||
-        backendManager().slots === 0
+    const { backend } = this.context;
+    return this.context.ownService() === undefined || backend.capacity === 0
       ? backend.utilization
-      : this.load / backendManager().slots;
+      : this.load / backend.capacity;
   }
 
   /** Standard deviation of the utilization. */
   private get deviation(): number {
-    const { backend, backendManager } = this.context;
-    return backend.profile.standardDeviationOf(this.load) /
-      Math.max(1, backendManager().slots);
+    const { backend } = this.context;
+    const deviation = backend.profile.standardDeviationOf(this.load);
+    return backend.capacity === 0 ? deviation : deviation / backend.capacity;
   }
 
   /** Load of this daemon's keys, in slots. */
@@ -167,6 +167,7 @@
   }
 }
 
-function toOwnerLoad({ address, utilization, slots, serviceMs }: MemberReport) {
-  return { daemon: address, utilization, slots, serviceMs };
+function toOwnerLoad(report: MemberReport): OwnerLoad {
+  const { address, utilization, capacity, serviceMs } = report;
+  return { daemon: address, utilization, slots: capacity, serviceMs };
 }
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -190,11 +190,19 @@
     return this.meter.failureShare;
   }
 
-  /** Offered load per slot, or the used share of a cold server's rate limit, whichever is higher; 1 is saturated. */
+  /** Slots that requests can keep busy: fewer than there are if the server limits the rate of requests. */
+  get capacity(): number {
+    return this.queue.capacity;
+  }
+
+  /**
+   * Offered load relative to the capacity, or the used share of a cold server's rate limit, whichever is higher; 1 is
+   * saturated.
+   */
   get utilization(): number {
-    const slots = this.identity?.slots ?? 0;
-    return slots === 0 ? 0 : Math.max(
-      this.meter.offeredPerSecondMs / (slots * 1_000),
+    const { capacity } = this;
+    return capacity === 0 ? 0 : Math.max(
+      this.meter.offeredPerSecondMs / (capacity * 1_000),
       this.limiter.coldUtilization(monotonicMs()),
     );
   }
--- a/packages/router/src/ownership_manager.ts
+++ b/packages/router/src/ownership_manager.ts
@@ -190,7 +190,7 @@
     return this.assignmentManager.findReader() === this.ownAddress;
   }
 
-  /** Load of this daemon's keys per slot. */
+  /** Load of this daemon's keys relative to the capacity of its backend server. */
   get utilization(): number {
     return this.rebalancer.utilization;
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -472,6 +472,7 @@
       service: this.backendManager.service ?? this.settings.service,
       phase: this.isStopping ? "stopping" : this.backendManager.phase,
       slots: this.backendManager.slots,
+      capacity: Math.round(this.backend.capacity * 100) / 100,
       waitMs: Math.round(this.backend.waitMs),
       serviceMs: Math.round(this.backend.serviceMs),
       utilization: this.ownership.utilization,
@@ -797,6 +798,7 @@
     configurationVersion: 0,
     ownershipRevision: 0,
     reachesStore: false,
+    capacity: 0,
   };
 }
 
--- a/scripts/bench.mjs
+++ b/scripts/bench.mjs
@@ -6,6 +6,7 @@
 const BENCHMARKS = {
   ownership: () => import("./bench/ownership.mjs"),
   capacity: () => import("./bench/capacity.mjs"),
+  limit: () => import("./bench/limit.mjs"),
   hop: () => import("./bench/hop.mjs"),
   requests: () => import("./bench/requests.mjs"),
   processor: () => import("./bench/processor.mjs"),
