State limits and leavings in the soak, and check what servers get

Backend servers of the soak state a limit of 2.5 requests a second, or that they are leaving while their heartbeats report them ready; both overlap the other faults. Drawn last, so the earlier faults of a seed stay the same; the regression seed runs without them. A server may get one and a half times its limit and 5 requests in any 4 s from 3 s after it first stated it, from all hosts, restarted or not; nothing later than its drain time, unless the daemon beside it was stopped or paused meanwhile (it then has forgotten).

--- a/soak/src/fault_schedule.ts
+++ b/soak/src/fault_schedule.ts
@@ -32,11 +32,17 @@
   "store_goes_back",
   "lethal_request",
 ] as const;
+/** What backend servers state in their responses only; drawn last for the same reason. */
+export const STATED_STATUS_FAULT_KINDS = [
+  "state_limit",
+  "state_leaving",
+] as const;
 /** A kind of fault. */
 export type FaultKind =
   | typeof FAULT_KINDS[number]
   | typeof RESTART_FAULT_KINDS[number]
-  | typeof ROLLBACK_AND_LETHAL_FAULT_KINDS[number];
+  | typeof ROLLBACK_AND_LETHAL_FAULT_KINDS[number]
+  | typeof STATED_STATUS_FAULT_KINDS[number];
 
 /** One fault of a schedule. */
 export interface Fault {
@@ -66,6 +72,7 @@
     durationMs: number;
     hasRestarts: boolean;
     hasRollbacksAndLethalRequests: boolean;
+    hasStatedStatus: boolean;
   },
 ): Fault[] {
   const faultCount = Math.max(2, Math.round(options.durationMs / 1_500));
@@ -86,5 +93,9 @@
       ROLLBACK_AND_LETHAL_FAULT_KINDS,
       options.hasRollbacksAndLethalRequests ? Math.round(faultCount / 4) : 0,
     ),
+    ...drawSeries(
+      STATED_STATUS_FAULT_KINDS,
+      options.hasStatedStatus ? Math.round(faultCount / 4) : 0,
+    ),
   ].sort((left, right) => left.atMs - right.atMs);
 }
--- a/soak/src/regression_seeds.ts
+++ b/soak/src/regression_seeds.ts
@@ -12,6 +12,8 @@
   readonly hasRestarts: boolean;
   /** Whether its run has restores of the store from an older snapshot, and requests that crash backend servers. */
   readonly hasRollbacksAndLethalRequests: boolean;
+  /** Whether backend servers in its run state limits and their leaving in responses. */
+  readonly hasStatedStatus: boolean;
 }
 
 export const REGRESSION_SEEDS: readonly RegressionSeed[] = [
@@ -19,6 +21,7 @@
     seed: 309,
     hasRestarts: false,
     hasRollbacksAndLethalRequests: false,
+    hasStatedStatus: false,
     cause:
       "open: the fleet once did not serve everything again within 25 s after a drain and a cut of the store",
   },
--- a/soak/src/soak_run.ts
+++ b/soak/src/soak_run.ts
@@ -23,6 +23,7 @@
   findRequestViolations,
 } from "./guarantee_check.ts";
 import { Relay, type RelayMode } from "./relay.ts";
+import { stateLeaving, stateLimit } from "./stated_status_fault.ts";
 
 /** The service on each host. */
 const SERVICES = ["plain", "plain", "keyed", "keyed", "keyed"];
@@ -45,6 +46,8 @@
 const LETHAL_REQUEST_PAUSE_MS = 250;
 /** Time from such a crash to the restart of the backend server, in milliseconds. */
 const CRASH_RESTART_DELAY_MS = 500;
+/** Requests per second that a backend server states it takes, a fraction of what callers send. */
+const STATED_LIMIT = 2.5;
 /** Callers that pipeline requests on a connection until it is closed. */
 const PIPELINING_CALLER_COUNT = 2;
 
@@ -64,7 +67,8 @@
  * @param options `durationMs`: time within which faults start, in milliseconds; `network`: second byte of the loopback
  *   addresses, different for runs at the same time; `hasRestarts`: whether backend servers restart under their ids and
  *   callers pipeline requests; `hasRollbacksAndLethalRequests`: whether the store is restored from older snapshots and
- *   requests crash backend servers. Both are on by default; older seeds were found without them.
+ *   requests crash backend servers; `hasStatedStatus`: whether backend servers state limits and their leaving in
+ *   responses. All are on by default; older seeds were found without them.
  */
 export async function runSoak(
   seed: number,
@@ -73,6 +77,7 @@
     network: number;
     hasRestarts?: boolean;
     hasRollbacksAndLethalRequests?: boolean;
+    hasStatedStatus?: boolean;
   },
 ): Promise<SoakResult> {
   const draw = createDraw(seed);
@@ -89,6 +94,7 @@
     return await run.execute(seed, {
       hasRestarts: true,
       hasRollbacksAndLethalRequests: true,
+      hasStatedStatus: true,
       ...options,
     });
   } finally {
@@ -104,6 +110,8 @@
   private unservedRequests: string[] = [];
   /** Hosts whose backend servers are being started; prevents a second start, since series of faults overlap. */
   private readonly startingHosts = new Set<FleetHost>();
+  /** When the daemon of a host was last stopped or paused, in Unix milliseconds. */
+  private readonly disturbedAtMs = new Map<FleetHost, number>();
   private isOver = false;
   private configurationVersion = 1;
 
@@ -119,6 +127,7 @@
       durationMs: number;
       hasRestarts: boolean;
       hasRollbacksAndLethalRequests: boolean;
+      hasStatedStatus: boolean;
     },
   ): Promise<SoakResult> {
     const faults = drawFaults(this.draw, {
@@ -236,9 +245,11 @@
       case "stop_daemon":
         return await this.restartDaemon(host, "SIGTERM");
       case "pause_daemon":
+        this.disturbedAtMs.set(host, Date.now());
         host.daemon.kill("SIGSTOP");
         await sleep(fault.forMs);
         host.daemon.kill("SIGCONT");
+        this.disturbedAtMs.set(host, Date.now());
         return;
       case "crash_backend":
         return await this.replaceBackend(host, fault.forMs);
@@ -285,6 +296,22 @@
         return;
       case "lethal_request":
         return await this.sendLethalRequests();
+      case "state_limit":
+        return this.addViolations(
+          await stateLimit(host, {
+            perSecond: STATED_LIMIT,
+            forMs: fault.forMs,
+          }),
+        );
+      case "state_leaving":
+        this.addViolations(
+          await stateLeaving(
+            host,
+            fault.forMs,
+            (sinceMs) => (this.disturbedAtMs.get(host) ?? 0) >= sinceMs,
+          ),
+        );
+        return await this.replaceBackend(host, 100);
       case "change_configuration":
         this.configurationVersion += 1;
         this.fleet.store.write(
@@ -308,6 +335,10 @@
     }
   }
 
+  private addViolations(violations: readonly string[]): void {
+    violations.forEach((violation) => this.violations.add(violation));
+  }
+
   private async enableDuring(
     fault: Fault,
     set: (isOn: boolean) => void,
@@ -333,6 +364,7 @@
     signal: "SIGKILL" | "SIGTERM",
   ): Promise<void> {
     const { daemon } = host;
+    this.disturbedAtMs.set(host, Date.now());
     const exited = daemon.exitCode !== null || daemon.signalCode !== null
       ? Promise.resolve()
       : new Promise((resolve) => daemon.once("exit", resolve));
