Split the admission to slots from the local backend server

SlotAdmission holds the queue, the limiter, the waiting requests and the timer of the next start; LocalBackend keeps checks, exchanges and statistics.

--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -4,12 +4,7 @@
  *
  * @module
  */
-import {
-  type QueueChanges,
-  ServiceTimes,
-  StartRateLimiter,
-  WorkQueue,
-} from "@bamboolink/admission";
+import { ServiceTimes } from "@bamboolink/admission";
 import {
   type GrantTracker,
   type Incarnation,
@@ -28,6 +23,7 @@
 import { LoadMeter } from "./load_meter.ts";
 import type { BackendProtocol } from "./ports/backend_protocol.ts";
 import { Probation } from "./probation.ts";
+import { type ServerLimits, SlotAdmission } from "./slot_admission.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import {
   Destination,
@@ -51,15 +47,6 @@
 /** Maximum wait of a request for a key that the backend server is about to be granted, in milliseconds. */
 const MAX_GRANT_WAIT_MS = 1_200;
 
-/**
- * For how long a computed queue wait is reported unchanged, in milliseconds. Every response carries it, and computing
- * it simulates the slots.
- */
-const WAIT_CACHE_TTL_MS = 5;
-
-/** Start of this process on the monotonic clock, in milliseconds. */
-const PROCESS_START_MS = 0;
-
 /** Evidence against the assumed state of the backend server. */
 export type BackendSuspicion =
   /** It refuses connections. */
@@ -83,17 +70,12 @@
 }
 
 /** The backend server's identity and state, as far as requests depend on them. */
-export interface BackendIdentity extends Incarnation {
+export interface BackendIdentity extends Incarnation, ServerLimits {
   readonly service: string;
-  readonly slots: number;
   readonly phase: MemberPhase;
   readonly isKeyed: boolean;
   /** Until when requests are forwarded to it, on the monotonic clock; infinite while it accepts new requests. */
   readonly forwardUntilMs: number;
-  /** End of its cold start, on the monotonic clock. */
-  readonly coldUntilMs: number;
-  /** Maximum requests per second during its cold start; 0 where that is not known. */
-  readonly coldLimit: number;
 }
 
 /** An exchange that has been sent. */
@@ -103,28 +85,19 @@
   readonly sentAtMs: number;
 }
 
-interface Waiting {
-  readonly resolve: (outcome: "run" | Outcome) => void;
-}
-
 /** The backend server on this host: its queue, its connections and its load statistics. */
 export class LocalBackend extends Destination {
   /** Load of each key. */
   readonly profile = LoadProfile.create();
-  private readonly limiter = StartRateLimiter.create(PROCESS_START_MS);
-  private readonly queue = WorkQueue.create(this.limiter);
+  private readonly admission = SlotAdmission.create();
   private readonly times = ServiceTimes.create();
   private readonly meter = LoadMeter.create();
-  private readonly waiting = new Map<number, Waiting>();
   private readonly grantWaits = new Set<() => void>();
   private readonly probation = Probation.create();
   private readonly statusMonitor: BackendStatusMonitor;
   private connections: ConnectionPool;
   private identity: BackendIdentity | undefined;
-  private lastId = 0;
   private totals = { offered: 0, finished: 0 };
-  private startTimer: NodeJS.Timeout | undefined;
-  private wait = { waitMs: 0, computedAtMs: -Infinity };
 
   private constructor(private context: LocalBackendContext) {
     super();
@@ -148,12 +121,9 @@
     this.identity = identity;
     if (identity !== undefined) {
       this.statusMonitor.setIncarnation(identity);
-      this.limiter.setColdLimit(identity.coldLimit);
-      this.limiter.setColdUntil(identity.coldUntilMs);
-      this.limiter.setAdvertisedLimit(this.statusMonitor.limitPerSecond);
+      this.admission.setAdvertisedLimit(this.statusMonitor.limitPerSecond);
     }
-    this.queue.setSlots(identity?.slots ?? 0);
-    this.applyQueueChanges(this.queue.advance(monotonicMs()));
+    this.admission.setServerLimits(identity);
   }
 
   /** Returns the backend server's load, and the average time of a route's requests there. */
@@ -168,16 +138,7 @@
 
   /** Estimated wait of a request that arrives now, in milliseconds. */
   get waitMs(): number {
-    const nowMs = monotonicMs();
-    if (nowMs - this.wait.computedAtMs > WAIT_CACHE_TTL_MS) {
-      // Without slots the wait is infinite, which can't be encoded. The phase already keeps others from sending.
-      const hasSlots = (this.identity?.slots ?? 0) > 0;
-      this.wait = {
-        waitMs: hasSlots ? this.queue.waitMs(nowMs) : 0,
-        computedAtMs: nowMs,
-      };
-    }
-    return this.wait.waitMs;
+    return this.admission.waitMs;
   }
 
   /** Typical service time over all routes, in milliseconds; 0 until enough requests were served. */
@@ -192,7 +153,7 @@
 
   /** Slots that requests can keep busy: fewer than there are if the server limits the rate of requests. */
   get capacity(): number {
-    return this.queue.capacity;
+    return this.admission.capacity;
   }
 
   /**
@@ -203,7 +164,7 @@
     const { capacity } = this;
     return capacity === 0 ? 0 : Math.max(
       this.meter.offeredPerSecondMs / (capacity * 1_000),
-      this.limiter.coldUtilization(monotonicMs()),
+      this.admission.coldUtilization,
     );
   }
 
@@ -211,16 +172,14 @@
   get startRate(): { limitPerSecond: number; startedPerSecond: number } {
     return {
       limitPerSecond: this.statusMonitor.limitPerSecond ?? Infinity,
-      startedPerSecond: this.limiter.startsInLastSecond(monotonicMs()),
+      startedPerSecond: this.admission.startsInLastSecond,
     };
   }
 
   /** Numbers of running and of waiting requests. */
   get counts(): { running: number; waiting: number } {
-    return {
-      running: this.queue.runningCount,
-      waiting: this.queue.waitingCount + this.grantWaits.size,
-    };
+    const { running, waiting } = this.admission.counts;
+    return { running, waiting: waiting + this.grantWaits.size };
   }
 
   /** Returns the fields of a log entry on the load since the last call. */
@@ -232,7 +191,7 @@
       offered,
       finished,
       slots: this.identity?.slots ?? 0,
-      is_cold: this.limiter.isCold(monotonicMs()) ? 1 : 0,
+      is_cold: this.admission.isCold ? 1 : 0,
       ...this.describeLimit(),
       wait_ms: Math.round(this.waitMs),
       service_ms: Math.round(this.times.averageMs),
@@ -255,7 +214,7 @@
    */
   tick(): void {
     const nowMs = monotonicMs();
-    this.applyQueueChanges(this.queue.advance(nowMs));
+    this.admission.advance();
     this.meter.decay(nowMs);
     this.profile.decay(nowMs);
     this.connections.prune({ nowMs, maxIdleMs: IDEMPOTENT_MAX_IDLE_MS });
@@ -268,7 +227,7 @@
 
   /** Closes all connections. */
   close(): Promise<void> {
-    clearTimeout(this.startTimer);
+    this.admission.close();
     return this.connections.destroy();
   }
 
@@ -327,15 +286,16 @@
     if (request.key !== undefined) {
       this.profile.record(request.key, estimateMs);
     }
-    this.lastId += 1;
-    const id = this.lastId;
-    const admitted = await this.awaitSlot(request, {
-      id,
+    const admitted = await this.admission.admit(request, {
       estimateMs,
       cancellation,
     });
-    return admitted === "run"
-      ? await this.exchange(request, { id, cancellation, isOnProbation })
+    return admitted.kind === "admitted"
+      ? await this.exchange(request, {
+        release: admitted.release,
+        cancellation,
+        isOnProbation,
+      })
       : admitted;
   }
 
@@ -414,53 +374,19 @@
     });
   }
 
-  private awaitSlot(
-    request: RoutedRequest,
-    entry: { id: number; estimateMs: number; cancellation: Cancellation },
-  ): Promise<"run" | Outcome> {
-    const { id, estimateMs, cancellation } = entry;
-    if (cancellation.isCancelled) {
-      return Promise.resolve(notRun("cancelled"));
-    }
-    const { rank, objectiveAtMs, deadlineAtMs, mayEndLate } = request;
-    const decision = this.queue.offer(
-      { id, rank, objectiveAtMs, deadlineAtMs, estimateMs, mayEndLate },
-      monotonicMs(),
-    );
-    if (decision.kind === "run") {
-      return Promise.resolve("run");
-    }
-    if (decision.kind === "refuse") {
-      return Promise.resolve(
-        notRun(decision.reason, { waitMs: decision.waitMs }),
-      );
-    }
-    return new Promise((resolve) => {
-      const cancelWait = () => {
-        if (this.queue.cancel(id)) {
-          this.resolveWaiting(id, notRun("cancelled"));
-        }
-      };
-      cancellation.onCancel(cancelWait);
-      this.waiting.set(id, {
-        resolve: (outcome) => {
-          cancellation.remove(cancelWait);
-          resolve(outcome);
-        },
-      });
-      this.scheduleNextStart();
-    });
-  }
-
   /** Sends a request to the backend server. Only from here on may bytes of it reach the server. */
   private async exchange(
     request: RoutedRequest,
-    slot: { id: number; cancellation: Cancellation; isOnProbation: boolean },
+    slot: {
+      release: () => void;
+      cancellation: Cancellation;
+      isOnProbation: boolean;
+    },
   ): Promise<Outcome> {
     const startedAtMs = monotonicMs();
     const refused = this.recheck(request);
     if (refused !== undefined) {
-      this.releaseSlot(slot.id);
+      this.releaseSlot(slot.release);
       return refused;
     }
     const sent = { incarnation: this.identity!, sentAtMs: startedAtMs };
@@ -474,7 +400,7 @@
       this.toExchangeRequest(request, startedAtMs),
       { cancellation: slot.cancellation, nowMs: monotonicMs },
     );
-    this.releaseSlot(slot.id);
+    this.releaseSlot(slot.release);
     const outcome = this.toOutcome(request, { result, connection, sent });
     this.updateQuarantine(request, {
       outcome,
@@ -578,7 +504,7 @@
         requestId: request.id,
         receivedAtMs: monotonicMs(),
       });
-      this.limiter.setAdvertisedLimit(this.statusMonitor.limitPerSecond);
+      this.admission.setAdvertisedLimit(this.statusMonitor.limitPerSecond);
     }
     if (verdict === "answer") {
       return { ...response, headers: selectResponseHeaders(response.headers) };
@@ -601,7 +527,7 @@
     if (outcome.kind === "unknown" && outcome.reason === "backend_lost") {
       quarantine.recordBrokenConnection(request, isOnProbation);
       // While other requests keep running, only this connection has broken.
-      if (this.queue.runningCount === 0) {
+      if (this.admission.counts.running === 0) {
         onSuspicion("lost");
       }
     }
@@ -621,33 +547,9 @@
     this.meter.recordResult(isFailure);
   }
 
-  private releaseSlot(id: number): void {
+  private releaseSlot(release: () => void): void {
     this.totals.finished += 1;
-    this.applyQueueChanges(this.queue.finish(id, monotonicMs()));
-  }
-
-  private applyQueueChanges(changes: QueueChanges): void {
-    changes.run.forEach((id) => this.resolveWaiting(id, "run"));
-    changes.refuse.forEach(({ id, reason }) =>
-      this.resolveWaiting(id, notRun(reason, { waitMs: this.waitMs }))
-    );
-    this.scheduleNextStart();
-  }
-
-  /** Sets a timer for the next request that only the rate limit holds back. */
-  private scheduleNextStart(): void {
-    clearTimeout(this.startTimer);
-    const delayMs = this.queue.nextStartDelayMs(monotonicMs());
-    this.startTimer = delayMs === 0 ? undefined : setTimeout(
-      () => this.applyQueueChanges(this.queue.advance(monotonicMs())),
-      Math.ceil(delayMs),
-    );
-  }
-
-  private resolveWaiting(id: number, outcome: "run" | Outcome): void {
-    const waiting = this.waiting.get(id);
-    this.waiting.delete(id);
-    waiting?.resolve(outcome);
+    release();
   }
 }
 
