Apply a limit before the slot of its response is reused

The slot was released first, so the next waiting request started before the limit that the response states was known: one request too many at each first statement. Found by reading; seen in no test, far within what is allowed.

--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -400,8 +400,8 @@
       this.toExchangeRequest(request, startedAtMs),
       { cancellation: slot.cancellation, nowMs: monotonicMs },
     );
-    this.releaseSlot(slot.release);
     const outcome = this.toOutcome(request, { result, connection, sent });
+    this.releaseSlot(slot.release);
     this.updateQuarantine(request, {
       outcome,
       isOnProbation: slot.isOnProbation,
