Don't begin the drain time of a leaving server again when its daemon restarts

A daemon that restarts beside a leaving server learns of it by the server's next heartbeat or response, and forwarded requests for its keys for another three quarters of the drain time, counted from then. Other daemons had passed on answers that state the leaving long before, so these requests came too late. Now a server that is leaving by the first heartbeat or the first response that a process sees from it has no drain time left.

Found by going through what a restart forgets; unit tests with the last heartbeat's and the response's word, which failed before with 2,471 ms where no time may be left. What remains: requests that run before the first response, at most as many as the server has slots, if heartbeats say ready.

--- a/packages/router/src/backend_manager.ts
+++ b/packages/router/src/backend_manager.ts
@@ -248,22 +248,36 @@
 
   /** Handles a notification of departure; the backend server drains from then on. */
   handleDeparture(departure: BackendDeparture): void {
-    this.beginLeaving(departure, "departure");
+    this.beginLeaving(departure, {
+      sinceMs: monotonicMs(),
+      cause: "departure",
+    });
   }
 
-  /** Handles a response that states that its sender is leaving; the backend server drains from then on. */
-  handleStatedLeaving(incarnation: Incarnation): void {
-    this.beginLeaving(incarnation, "response");
+  /**
+   * Handles a response that states that its sender is leaving; the backend server drains from then on.
+   *
+   * @param options.isRecent whether the leaving has just begun. Otherwise its drain time may be over.
+   */
+  handleStatedLeaving(
+    incarnation: Incarnation,
+    { isRecent }: { isRecent: boolean },
+  ): void {
+    const sinceMs = isRecent ? monotonicMs() : -Infinity;
+    this.beginLeaving(incarnation, { sinceMs, cause: "response" });
   }
 
   /** Drains an incarnation for good: neither a delayed heartbeat nor one that reports it ready makes it ready again. */
-  private beginLeaving(sender: Incarnation, cause: string): void {
+  private beginLeaving(
+    sender: Incarnation,
+    { sinceMs, cause }: { sinceMs: number; cause: string },
+  ): void {
     const { current } = this.incarnations;
     if (current === undefined || !this.isFromCurrent(sender)) {
       return;
     }
     if (!this.isLeaving(current)) {
-      this.leaving = { incarnation: current, sinceMs: monotonicMs() };
+      this.leaving = { incarnation: current, sinceMs };
     }
     this.setPhase("draining", cause);
   }
@@ -321,6 +335,8 @@
     succession: Succession | undefined,
   ): Promise<Grant | undefined> {
     const { grants, lease, backend, isKeyed } = this.context;
+    const isFirst = this.lastHeartbeat === undefined ||
+      succession !== undefined;
     const nowMs = bootMs();
     if (succession === undefined) {
       this.incarnations.accept(heartbeat, nowMs);
@@ -355,6 +371,10 @@
     if (released.length > 0) {
       this.context.onReleased(released);
     }
+    if (heartbeat.isDraining && isFirst) {
+      // Its drain began before this process knew it, and may be over.
+      this.drainStartedAtMs = -Infinity;
+    }
     const isDraining = heartbeat.isDraining || this.isLeaving(heartbeat);
     const phase = isDraining ? "draining" : this.undrainedPhase;
     this.setPhase(phase, "heartbeat");
--- a/packages/router/src/backend_manager_test.ts
+++ b/packages/router/src/backend_manager_test.ts
@@ -152,7 +152,7 @@
     const incarnation = { instance: "i-1", born: undefined };
     const announce = {
       response: (manager: BackendManager) =>
-        manager.handleStatedLeaving(incarnation),
+        manager.handleStatedLeaving(incarnation, { isRecent: true }),
       notification: (manager: BackendManager) =>
         manager.handleDeparture({ kind: "departure", ...incarnation }),
     };
@@ -180,7 +180,7 @@
       const { grants, lease } = createOwner();
       const manager = createManager(grants, lease);
       await manager.handleHeartbeat(heartbeat);
-      manager.handleStatedLeaving(incarnation);
+      manager.handleStatedLeaving(incarnation, { isRecent: true });
       const { forwardUntilMs } = manager;
       await manager.handleSuspicion("wrong_instance");
       expect(manager.phase).to.equal("absent");
@@ -197,7 +197,7 @@
         beforeDrain: () => false,
       });
       await manager.handleHeartbeat(heartbeat);
-      manager.handleStatedLeaving(incarnation);
+      manager.handleStatedLeaving(incarnation, { isRecent: true });
       await manager.handleHeartbeat({
         ...heartbeat,
         sequence: 2,
@@ -206,6 +206,18 @@
       expect(manager.phase).to.equal("draining");
     });
 
+    // Guards against a drain time that begins again when the daemon restarts beside a leaving server.
+    it("has no drain time left if it was leaving before this process knew it", async () => {
+      const { grants, lease } = createOwner();
+      const manager = createManager(grants, lease);
+      await manager.handleHeartbeat({ ...heartbeat, isDraining: true });
+      expect(manager.forwardUntilMs).to.equal(-Infinity);
+      const restarted = createManager(grants, lease);
+      await restarted.handleHeartbeat(heartbeat);
+      restarted.handleStatedLeaving(incarnation, { isRecent: false });
+      expect(restarted.forwardUntilMs).to.equal(-Infinity);
+    });
+
     it("is ready once another incarnation has replaced it", async () => {
       const { grants, lease } = createOwner();
       const manager = createManager(grants, lease, {
@@ -217,10 +229,10 @@
           }),
       });
       await manager.handleHeartbeat(heartbeat);
-      manager.handleStatedLeaving(incarnation);
+      manager.handleStatedLeaving(incarnation, { isRecent: true });
       await manager.handleHeartbeat({ ...heartbeat, instance: "i-2" });
       expect(manager.phase).to.equal("ready");
-      manager.handleStatedLeaving(incarnation);
+      manager.handleStatedLeaving(incarnation, { isRecent: true });
       expect(manager.phase).to.equal("ready");
     });
   });
--- a/packages/router/src/backend_status_monitor.ts
+++ b/packages/router/src/backend_status_monitor.ts
@@ -23,13 +23,23 @@
 export interface BackendStatusMonitorContext {
   readonly logger: Logger;
   /** Called when an incarnation states for the first time that it is leaving. */
-  readonly onLeaving: (incarnation: Incarnation) => void;
+  readonly onLeaving: StatedLeavingListener;
 }
 
+/**
+ * Receives the incarnation that states that it is leaving; `isRecent`: whether an earlier response did not, so that the
+ * leaving has just begun.
+ */
+export type StatedLeavingListener = (
+  incarnation: Incarnation,
+  options: { isRecent: boolean },
+) => void;
+
 /** Holds the stated status of the current incarnation, and logs its changes. */
 export class BackendStatusMonitor {
   private limit = AdvertisedLimitTracker.create();
   private isLeaving = false;
+  private hasResponded = false;
   private current: Incarnation | undefined;
 
   private constructor(
@@ -52,6 +62,7 @@
     if (current === undefined || !isSameIncarnation(incarnation, current)) {
       this.limit = AdvertisedLimitTracker.create();
       this.isLeaving = false;
+      this.hasResponded = false;
     }
     this.current = incarnation;
   }
@@ -71,8 +82,9 @@
         instance: current.instance,
         request_id: source.requestId,
       });
-      this.context.onLeaving(current);
+      this.context.onLeaving(current, { isRecent: this.hasResponded });
     }
+    this.hasResponded = true;
   }
 
   private recordLimit(
--- a/packages/router/src/backend_status_monitor_test.ts
+++ b/packages/router/src/backend_status_monitor_test.ts
@@ -17,14 +17,15 @@
 
 function createMonitor() {
   const entries: { event: string; fields: Record<string, unknown> }[] = [];
-  const leaving: Incarnation[] = [];
+  const leaving: { incarnation: Incarnation; isRecent: boolean }[] = [];
   const logger = {
     log: (event: string, fields: Record<string, unknown>) =>
       entries.push({ event, fields }),
   } as unknown as Logger;
   const monitor = BackendStatusMonitor.create({
     logger,
-    onLeaving: (incarnation) => leaving.push(incarnation),
+    onLeaving: (incarnation, { isRecent }) =>
+      leaving.push({ incarnation, isRecent }),
   });
   monitor.setIncarnation(FIRST);
   const record = (
@@ -103,11 +104,19 @@
   describe("when the server is leaving", () => {
     it("reports it once for each process", () => {
       const { monitor, record, leaving } = createMonitor();
+      record({});
       record({ isLeaving: true });
       record({ isLeaving: true });
       monitor.setIncarnation(RESTARTED);
       record({ isLeaving: true }, { incarnation: RESTARTED });
-      expect(leaving).to.deep.equal([FIRST, RESTARTED]);
+      expect(leaving.map(({ incarnation }) => incarnation))
+        .to.deep.equal([FIRST, RESTARTED]);
+    });
+
+    it("reports that it may have been leaving for long if its first known response states it", () => {
+      const { record, leaving } = createMonitor();
+      record({ isLeaving: true });
+      expect(leaving).to.deep.equal([{ incarnation: FIRST, isRecent: false }]);
     });
   });
 });
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -13,7 +13,10 @@
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { MemberPhase } from "@bamboolink/membership";
-import { BackendStatusMonitor } from "./backend_status_monitor.ts";
+import {
+  BackendStatusMonitor,
+  type StatedLeavingListener,
+} from "./backend_status_monitor.ts";
 import type { Cancellation } from "./cancellation.ts";
 import { bootMs, monotonicMs } from "./clock.ts";
 import { ConnectionPool } from "./connection_pool.ts";
@@ -66,7 +69,7 @@
   /** Called on evidence against the assumed state of the backend server. */
   readonly onSuspicion: (suspicion: BackendSuspicion) => void;
   /** Called when the backend server states in a response that it is leaving. */
-  readonly onLeaving: (incarnation: Incarnation) => void;
+  readonly onLeaving: StatedLeavingListener;
 }
 
 /** The backend server's identity and state, as far as requests depend on them. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -191,8 +191,8 @@
       quarantine: this.quarantine,
       onSuspicion: (suspicion) =>
         void this.backendManager.handleSuspicion(suspicion),
-      onLeaving: (incarnation) =>
-        this.backendManager.handleStatedLeaving(incarnation),
+      onLeaving: (incarnation, { isRecent }) =>
+        this.backendManager.handleStatedLeaving(incarnation, { isRecent }),
     });
     this.backendManager = BackendManager.create({
       logger,
