Believe heartbeats again 5 s after a departure that doesn't state its process

A departure without the start time of its process may be a delayed one of an earlier process with the same id; since it was made to last it would have drained a new process for good. Heartbeats are delayed by seconds at most, so 5 s outweigh those. Departures that state their process, and responses, last.

--- a/packages/router/src/backend_manager.ts
+++ b/packages/router/src/backend_manager.ts
@@ -31,6 +31,11 @@
 const MIN_HOLD_MS = 1_200;
 /** A backend server that still refuses connections after this time, in milliseconds, has ended. */
 const REFUSAL_PROBE_DELAY_MS = 150;
+/**
+ * For how long a departure that doesn't state its process outweighs heartbeats, in milliseconds: they may be delayed by
+ * seconds, while the departure may be a delayed one of an earlier process with the same id.
+ */
+const UNPROVEN_LEAVING_MS = 5_000;
 /** Maximum accepted cold time, in milliseconds; longer ones are capped, as each heartbeat reports the rest of it. */
 const MAX_COLD_MS = 60_000;
 
@@ -104,14 +109,21 @@
   /** Treated as not received, so the backend server sends its state again. */
   | { readonly kind: "unacknowledged" };
 
+/** An incarnation that has announced its departure other than by heartbeats; times are on the monotonic clock. */
+interface LeavingIncarnation {
+  readonly incarnation: Incarnation;
+  readonly sinceMs: number;
+  /** From when on heartbeats that report it ready are believed again. */
+  readonly endsAtMs: number;
+}
+
 /** Tracks the backend server on this host by its heartbeats, and decides its grants. */
 export class BackendManager {
   private readonly incarnations = IncarnationTracker.create();
   private lastHeartbeat: BackendHeartbeat | undefined;
   private currentPhase: MemberPhase = "absent";
   private drainStartedAtMs = Infinity;
-  /** The incarnation that has announced its departure other than by heartbeats, and when, on the monotonic clock. */
-  private leaving: { incarnation: Incarnation; sinceMs: number } | undefined;
+  private leaving: LeavingIncarnation | undefined;
   /** End of the cold time that the backend server has reported, on the monotonic clock. */
   private coldEndsAtMs = -Infinity;
   /**
@@ -248,8 +260,11 @@
 
   /** Handles a notification of departure; the backend server drains from then on. */
   handleDeparture(departure: BackendDeparture): void {
+    const nowMs = monotonicMs();
+    const isProven = departure.born !== undefined;
     this.beginLeaving(departure, {
-      sinceMs: monotonicMs(),
+      sinceMs: nowMs,
+      endsAtMs: isProven ? Infinity : nowMs + UNPROVEN_LEAVING_MS,
       cause: "departure",
     });
   }
@@ -264,26 +279,35 @@
     { isRecent }: { isRecent: boolean },
   ): void {
     const sinceMs = isRecent ? monotonicMs() : -Infinity;
-    this.beginLeaving(incarnation, { sinceMs, cause: "response" });
+    this.beginLeaving(incarnation, {
+      sinceMs,
+      endsAtMs: Infinity,
+      cause: "response",
+    });
   }
 
-  /** Drains an incarnation for good: neither a delayed heartbeat nor one that reports it ready makes it ready again. */
+  /** Drains an incarnation: neither a delayed heartbeat nor one that reports it ready makes it ready again. */
   private beginLeaving(
     sender: Incarnation,
-    { sinceMs, cause }: { sinceMs: number; cause: string },
+    announcement: { sinceMs: number; endsAtMs: number; cause: string },
   ): void {
     const { current } = this.incarnations;
     if (current === undefined || !this.isFromCurrent(sender)) {
       return;
     }
-    if (!this.isLeaving(current)) {
-      this.leaving = { incarnation: current, sinceMs };
-    }
+    const { sinceMs, endsAtMs, cause } = announcement;
+    const known = this.isLeaving(current) ? this.leaving : undefined;
+    this.leaving = {
+      incarnation: current,
+      sinceMs: Math.min(sinceMs, known?.sinceMs ?? Infinity),
+      endsAtMs: Math.max(endsAtMs, known?.endsAtMs ?? -Infinity),
+    };
     this.setPhase("draining", cause);
   }
 
   private isLeaving(incarnation: Incarnation): boolean {
     return this.leaving !== undefined &&
+      monotonicMs() < this.leaving.endsAtMs &&
       isSameIncarnation(incarnation, this.leaving.incarnation);
   }
 
