--- a/packages/membership/src/member.ts
+++ b/packages/membership/src/member.ts
@@ -44,7 +44,7 @@
   waitMs: z.number().min(0),
   /** Typical service time of a request, in milliseconds. */
   serviceMs: z.number().min(0),
-  /** Offered load per slot; 1 when all slots are busy. */
+  /** Offered load relative to `capacity`; 1 when all of it is used. */
   utilization: z.number().min(0),
   /** Share of recent requests that failed at the backend server. */
   failureShare: z.number().min(0).max(1),
--- a/packages/router/src/key_rebalancer.ts
+++ b/packages/router/src/key_rebalancer.ts
@@ -119,8 +119,8 @@
   }
 
   /**
-   * Load of this daemon's keys relative to the capacity of its backend server. Keys that have just been moved away don't count any more, so that an owner
-   * does not rebalance a second time because of them.
+   * Load of this daemon's keys relative to the capacity of its backend server. Keys that have just been moved away don't
+   * count any more, so that an owner does not rebalance a second time because of them.
    */
   get utilization(): number {
     const { backend } = this.context;
