Keep a limited server's reported capacity above nothing

With a limit near 0 and short requests the capacity was rounded to 0 in reports, and servers without capacity own no keys: with all servers of a service so limited, keys that lose their owner would have got none.

--- a/packages/admission/src/late_request_queue.ts
+++ b/packages/admission/src/late_request_queue.ts
@@ -21,8 +21,8 @@
  */
 const ESTIMATE_MARGIN = 0.25;
 
-/** Lower bound of the capacity, in slots, so that no wait is infinite. */
-const MIN_CAPACITY = 0.01;
+/** Lower bound of a capacity, in slots: without any, waits would be infinite, and no server could own keys. */
+export const MIN_CAPACITY = 0.01;
 
 /** When slots are expected to become free for late requests. */
 interface StartForecast {
--- a/packages/admission/src/start_rate_limiter_test.ts
+++ b/packages/admission/src/start_rate_limiter_test.ts
@@ -247,6 +247,23 @@
     });
   });
 
+  describe("with an advertised limit of 0 and short requests", () => {
+    // Guards against keys without an owner because all servers of a service report no capacity.
+    it("leaves the queue a capacity that is not rounded to nothing", () => {
+      const { queue, limiter } = createQueue(-60_000);
+      limiter.setAdvertisedLimit(0);
+      queue.offer({
+        id: 1,
+        rank: 2,
+        objectiveAtMs: 100,
+        deadlineAtMs: 200,
+        estimateMs: 1,
+        mayEndLate: true,
+      }, 0);
+      expect(queue.capacity).to.be.at.least(0.01);
+    });
+  });
+
   describe("with a limit beyond the starts that it remembers", () => {
     it("still applies its rate", () => {
       const limiter = StartRateLimiter.create(0);
--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -14,7 +14,7 @@
  * @module
  */
 import { StartRateLimiter } from "./start_rate_limiter.ts";
-import { LateRequestQueue } from "./late_request_queue.ts";
+import { LateRequestQueue, MIN_CAPACITY } from "./late_request_queue.ts";
 import type { WorkRequest } from "./work_request.ts";
 
 /** Why a request was refused. A refused request has certainly not run. */
@@ -103,10 +103,12 @@
 
   /** Slots that requests can keep busy: fewer than there are if the rate limit allows too few starts. */
   get capacity(): number {
-    return this.meanEstimateMs === 0 ? this.slots : Math.min(
-      this.slots,
-      this.limiter.advertisedPerSecond * this.meanEstimateMs / 1_000,
-    );
+    if (this.meanEstimateMs === 0) {
+      return this.slots;
+    }
+    const atLimit = this.limiter.advertisedPerSecond * this.meanEstimateMs /
+      1_000;
+    return Math.min(this.slots, Math.max(MIN_CAPACITY, atLimit));
   }
 
   /** Number of running requests. */
