--- a/packages/keyspace/src/mod.ts
+++ b/packages/keyspace/src/mod.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export { type DepartureAnnouncement, DrainTracker } from "./drain_tracker.ts";
 export {
   intersect,
   KEY_COUNT,
--- a/packages/router/src/backend_manager.ts
+++ b/packages/router/src/backend_manager.ts
@@ -5,11 +5,11 @@
  * @module
  */
 import {
+  DrainTracker,
   type Grant,
   type GrantTracker,
   type Incarnation,
   IncarnationTracker,
-  isSameIncarnation,
   type OwnershipLease,
   type ProbeResult,
   type Succession,
@@ -31,11 +31,6 @@
 const MIN_HOLD_MS = 1_200;
 /** A backend server that still refuses connections after this time, in milliseconds, has ended. */
 const REFUSAL_PROBE_DELAY_MS = 150;
-/**
- * For how long a departure that doesn't state its process outweighs heartbeats, in milliseconds: they may be delayed by
- * seconds, while the departure may be a delayed one of an earlier process with the same id.
- */
-const UNPROVEN_LEAVING_MS = 5_000;
 /** Maximum accepted cold time, in milliseconds; longer ones are capped, as each heartbeat reports the rest of it. */
 const MAX_COLD_MS = 60_000;
 
@@ -109,21 +104,12 @@
   /** Treated as not received, so the backend server sends its state again. */
   | { readonly kind: "unacknowledged" };
 
-/** An incarnation that has announced its departure other than by heartbeats; times are on the monotonic clock. */
-interface LeavingIncarnation {
-  readonly incarnation: Incarnation;
-  readonly sinceMs: number;
-  /** From when on heartbeats that report it ready are believed again. */
-  readonly endsAtMs: number;
-}
-
 /** Tracks the backend server on this host by its heartbeats, and decides its grants. */
 export class BackendManager {
   private readonly incarnations = IncarnationTracker.create();
   private lastHeartbeat: BackendHeartbeat | undefined;
   private currentPhase: MemberPhase = "absent";
-  private drainStartedAtMs = Infinity;
-  private leaving: LeavingIncarnation | undefined;
+  private readonly drain = DrainTracker.create();
   /** End of the cold time that the backend server has reported, on the monotonic clock. */
   private coldEndsAtMs = -Infinity;
   /**
@@ -161,7 +147,7 @@
   /** Until when requests may be forwarded to a draining or evacuated backend server, on the monotonic clock. */
   get forwardUntilMs(): number {
     const { evacuation, drainMs } = this.context;
-    const drainForwardEndMs = this.drainStartedAtMs +
+    const drainForwardEndMs = this.drain.startedAtMs +
       drainMs() * DRAIN_FORWARD_SHARE;
     return evacuation.isEvacuated
       ? Math.min(drainForwardEndMs, evacuation.handoverEndsAtMs)
@@ -260,12 +246,10 @@
 
   /** Handles a notification of departure; the backend server drains from then on. */
   handleDeparture(departure: BackendDeparture): void {
-    const nowMs = monotonicMs();
-    const isProven = departure.born !== undefined;
     this.beginLeaving(departure, {
-      sinceMs: nowMs,
-      endsAtMs: isProven ? Infinity : nowMs + UNPROVEN_LEAVING_MS,
       cause: "departure",
+      isProven: departure.born !== undefined,
+      isRecent: true,
     });
   }
 
@@ -278,37 +262,30 @@
     incarnation: Incarnation,
     { isRecent }: { isRecent: boolean },
   ): void {
-    const sinceMs = isRecent ? monotonicMs() : -Infinity;
     this.beginLeaving(incarnation, {
-      sinceMs,
-      endsAtMs: Infinity,
       cause: "response",
+      isProven: true,
+      isRecent,
     });
   }
 
   /** Drains an incarnation: neither a delayed heartbeat nor one that reports it ready makes it ready again. */
   private beginLeaving(
     sender: Incarnation,
-    announcement: { sinceMs: number; endsAtMs: number; cause: string },
+    announcement: { cause: string; isProven: boolean; isRecent: boolean },
   ): void {
     const { current } = this.incarnations;
     if (current === undefined || !this.isFromCurrent(sender)) {
       return;
     }
-    const { sinceMs, endsAtMs, cause } = announcement;
-    const known = this.isLeaving(current) ? this.leaving : undefined;
-    this.leaving = {
-      incarnation: current,
-      sinceMs: Math.min(sinceMs, known?.sinceMs ?? Infinity),
-      endsAtMs: Math.max(endsAtMs, known?.endsAtMs ?? -Infinity),
-    };
+    const { cause, isProven, isRecent } = announcement;
+    const nowMs = monotonicMs();
+    this.drain.recordDeparture(current, { nowMs, isProven, isRecent });
     this.setPhase("draining", cause);
   }
 
   private isLeaving(incarnation: Incarnation): boolean {
-    return this.leaving !== undefined &&
-      monotonicMs() < this.leaving.endsAtMs &&
-      isSameIncarnation(incarnation, this.leaving.incarnation);
+    return this.drain.isLeaving(incarnation, monotonicMs());
   }
 
   /** Handles outcomes of requests that contradict the assumed state of the backend server. */
@@ -397,7 +374,7 @@
     }
     if (heartbeat.isDraining && isFirst) {
       // Its drain began before this process knew it, and may be over.
-      this.drainStartedAtMs = -Infinity;
+      this.drain.beginUnknown();
     }
     const isDraining = heartbeat.isDraining || this.isLeaving(heartbeat);
     const phase = isDraining ? "draining" : this.undrainedPhase;
@@ -444,14 +421,11 @@
   private setPhase(phase: MemberPhase, cause: string): void {
     const { backend, logger, isKeyed, onChange } = this.context;
     const { lastHeartbeat } = this;
-    const isDraining = phase === "draining";
-    const leavingSinceMs =
-      lastHeartbeat !== undefined && this.isLeaving(lastHeartbeat)
-        ? this.leaving!.sinceMs
-        : Infinity;
-    this.drainStartedAtMs = isDraining
-      ? Math.min(this.drainStartedAtMs, leavingSinceMs, monotonicMs())
-      : Infinity;
+    if (phase === "draining") {
+      this.drain.begin(lastHeartbeat, monotonicMs());
+    } else {
+      this.drain.end();
+    }
     backend.updateIdentity(
       lastHeartbeat === undefined || phase === "absent" ? undefined : {
         instance: lastHeartbeat.instance,
