Keep the soak seed in which a restarted daemon forgets a leaving server

Its daemon was asked to stop at 1.4 s, the server began to leave at 3.3 s, and the new daemon came up while it was leaving; until the first response nobody tells it. Concluded from the faults of the seed, not from a log.

Regression seeds may name their duration, since another one draws other faults.

--- a/soak/src/regression_seeds.ts
+++ b/soak/src/regression_seeds.ts
@@ -14,6 +14,8 @@
   readonly hasRollbacksAndLethalRequests: boolean;
   /** Whether backend servers in its run state limits and their leaving in responses. */
   readonly hasStatedStatus: boolean;
+  /** Time within which faults start, in milliseconds, if it is not the default; another time draws other faults. */
+  readonly durationMs?: number;
 }
 
 export const REGRESSION_SEEDS: readonly RegressionSeed[] = [
@@ -25,4 +27,13 @@
     cause:
       "open: the fleet once did not serve everything again within 25 s after a drain and a cut of the store",
   },
+  {
+    seed: 91_046,
+    hasRestarts: true,
+    hasRollbacksAndLethalRequests: true,
+    hasStatedStatus: true,
+    durationMs: 10_000,
+    cause:
+      "open: a daemon that restarts beside a server that is leaving by its responses only sends it requests again",
+  },
 ];
--- a/soak/src/soak_test.ts
+++ b/soak/src/soak_test.ts
@@ -28,8 +28,8 @@
     REGRESSION_SEEDS.forEach(({ seed, cause, ...parts }) => {
       it(`keeps all promises with ${seed}: ${cause}`, async () => {
         const result = await runSoak(seed, {
-          ...parts,
           durationMs: DURATION_MS,
+          ...parts,
           network: 58,
         });
         expect(result.violations).to.deep.equal([]);
