Answer 404 and 413 only from a configuration that is known to be current

What callers saw: a proper request on a route that an operator had added was ended with 404, which is never repeated, as long as the daemon had not heard of the change: watches that hear nothing, a store out of reach, a restart beside peers that are behind.

Cause: the most final response of all rested on the absence of a record in a table whose age nothing checked. The renewals of watches shorten the time for one way in which a table gets old; they leave the class.

Change: a daemon keeps the time at which no newer version than its own certainly existed (ConfigurationEvidence, no I/O). If that is more than a second ago, an unknown route or a body over the limit is checked first: by one datagram to the daemon that reads the store for all, or else by one read of the store, shared by all requests that wait, for at most 600 ms and a third of the caller's time. A newer configuration that is found is in force at once and serves the request. Without evidence in time the answer is 503 with Retry-After, which is true: it has not run. After a failed read there is a pause of 500 ms, in which such requests are refused at once; at most 1,000 wait.

The time of evidence is the asker's own clock before it asked, less the age at the reader, so that a datagram that a frozen process reads late proves nothing.

Ruled out: trusting reports of other daemons as they arrive (a frozen process reads old ones late); a read by each daemon for each unknown route (470 daemons).

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -354,7 +354,7 @@
     number: 1849,
     severity: "info",
     meaning:
-      "A request was rejected because it can't be served as it was sent: `reason` is `no_route`, `too_large` or `malformed`. `version` is the configuration that was used, in force on this daemon for `version_age_ms`.",
+      "A request was rejected because it can't be served as it was sent: `reason` is `no_route`, `too_large` or `malformed`. `version` is the configuration that was used, in force on this daemon for `version_age_ms`; `evidence_age_ms` is how long ago it was certainly the newest one.",
     action:
       "With `no_route`: compare `host` and `path` with the routes of that version.",
   },
@@ -602,6 +602,14 @@
       "The store was restored from an older snapshot (`store_era`): its ownership record is of an earlier era (`era`) and not in force. Owners keep the keys that they hold; the leading daemon restores the newest known record within a second or two.",
     action: "If no `ownership_restored` follows within 10 s, check the store.",
   },
+  configuration_check_failed: {
+    number: 1855,
+    severity: "warn",
+    meaning:
+      "This daemon could not find out whether `version` is the newest configuration; the last evidence is `evidence_age_ms` old (absent: there is none). Requests that no route of it matches are not answered with 404 meanwhile, but refused as not run (`unconfirmed_configuration`).",
+    action:
+      "Check the store and the network to it, unless `configuration_unreadable` names the document as the cause.",
+  },
   ownership_restored: {
     number: 1843,
     severity: "warn",
--- a/packages/router/src/configuration_manager.ts
+++ b/packages/router/src/configuration_manager.ts
@@ -32,7 +32,7 @@
 /** Holds the configuration of one daemon. */
 export class ConfigurationManager {
   private current: ConfigurationInForce | undefined;
-  private isFetching = false;
+  private fetching: Promise<void> | undefined;
   private inForceSinceMs = monotonicMs();
 
   private constructor(private readonly context: ConfigurationManagerContext) {}
@@ -61,33 +61,47 @@
    * Applies a document if its version is newer. One that can't be decoded is logged and ignored.
    *
    * @param source where the document came from, for the log: `store` or a peer's address.
+   * @returns the document's version; `undefined` if it can't be decoded.
    */
-  applyDocument(text: string, source: string): void {
+  applyDocument(text: string, source: string): number | undefined {
     const { document, logger } = this.context;
-    document.decode(text).match(
-      (configuration) => this.apply(configuration, { text, source }),
-      (cause) => logger.log("configuration_unreadable", { source, cause }),
+    if (text === this.current?.text) {
+      return this.version;
+    }
+    return document.decode(text).match(
+      (configuration) => {
+        this.apply(configuration, { text, source });
+        return configuration.version;
+      },
+      (cause) => {
+        logger.log("configuration_unreadable", { source, cause });
+        return undefined;
+      },
     );
   }
 
-  /** Fetches the document from a peer if its report shows a newer version; only one fetch runs at a time. */
+  /** Fetches the document from a peer if its report shows a newer version. */
   handlePeerReport(report: MemberReport): void {
-    if (report.configurationVersion <= this.version || this.isFetching) {
-      return;
+    if (report.configurationVersion > this.version) {
+      void this.fetch(report.peerAddress);
     }
-    this.isFetching = true;
-    void this.context.peerClient.fetchConfiguration(report.peerAddress)
-      .match(
-        (text) => this.applyDocument(text, report.address),
-        (cause) =>
-          this.context.logger.log("peer_question_failed", {
-            peer: report.address,
-            cause,
-          }),
-      )
-      .finally(() => {
-        this.isFetching = false;
-      });
+  }
+
+  /** Fetches the document from a peer; resolves when it was applied or has failed. Only one fetch runs at a time. */
+  fetch(peerAddress: string): Promise<void> {
+    this.fetching ??= this.fetchAndApply(peerAddress).finally(() => {
+      this.fetching = undefined;
+    });
+    return this.fetching;
+  }
+
+  private async fetchAndApply(peer: string): Promise<void> {
+    const { peerClient, logger } = this.context;
+    const fetched = await peerClient.fetchConfiguration(peer);
+    fetched.match(
+      (text) => void this.applyDocument(text, peer),
+      (cause) => logger.log("peer_question_failed", { peer, cause }),
+    );
   }
 
   private apply(
--- a/packages/router/src/datagram_codec.ts
+++ b/packages/router/src/datagram_codec.ts
@@ -85,6 +85,23 @@
   revision: z.int().min(0),
 });
 
+/** Requests the newest version of the configuration from the daemon that reads the store for the others. */
+const ConfigurationCheckRequest = z.object({
+  kind: z.literal("ask_configuration"),
+  sender: z.string(),
+  /** The sender's clock, in milliseconds; the response repeats it. */
+  askedAtMs: z.number(),
+});
+
+/** The newest version of the configuration that the store held `ageMs` before the request arrived. */
+const ConfigurationCheckResponse = z.object({
+  kind: z.literal("configuration"),
+  sender: z.string(),
+  askedAtMs: z.number(),
+  version: z.number().min(0),
+  ageMs: z.number().min(0),
+});
+
 /** Identifies a request by its content. */
 const Fingerprint = z.string().min(1).max(64);
 
@@ -125,6 +142,8 @@
 });
 
 const Datagram = z.discriminatedUnion("kind", [
+  ConfigurationCheckRequest,
+  ConfigurationCheckResponse,
   ZonesEvacuated,
   EvacuationRequest,
   CrashReports,
--- a/packages/router/src/http_body.ts
+++ b/packages/router/src/http_body.ts
@@ -11,18 +11,22 @@
   | { readonly kind: "too_large" }
   | { readonly kind: "cut" };
 
+/** The length of a message's body according to its header, in bytes; 0 if it declares none. */
+export function declaredLength(message: IncomingMessage): number {
+  return Number(message.headers["content-length"] ?? 0);
+}
+
 /** Reads the body of a message into memory, up to a limit in bytes; `undefined` where it has none. */
 export function readBody(
   message: IncomingMessage,
   limit: { bytes: number },
 ): Promise<BodyResult> {
-  const declaredLength = message.headers["content-length"];
-  const hasBody = declaredLength !== undefined ||
+  const hasBody = message.headers["content-length"] !== undefined ||
     message.headers["transfer-encoding"] !== undefined;
   if (!hasBody) {
     return Promise.resolve({ kind: "body", body: undefined });
   }
-  if (Number(declaredLength ?? 0) > limit.bytes) {
+  if (declaredLength(message) > limit.bytes) {
     return Promise.resolve({ kind: "too_large" });
   }
   return new Promise((resolve) => {
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -26,11 +26,15 @@
 import type { FinalOutcome } from "./attempt_history.ts";
 import { Cancellation } from "./cancellation.ts";
 import { monotonicMs } from "./clock.ts";
+import {
+  type ConfigurationChecker,
+  toLoggedAge,
+} from "./configuration_checker.ts";
 import type {
   ConfigurationInForce,
   ConfigurationManager,
 } from "./configuration_manager.ts";
-import { hasDisconnected, readBody } from "./http_body.ts";
+import { declaredLength, hasDisconnected, readBody } from "./http_body.ts";
 import { selectRequestHeaders } from "./http_headers.ts";
 import type {
   CallerProtocol,
@@ -65,6 +69,8 @@
 const FIRST_FAILURE_STATUS = 500;
 /** Retry delay for callers of a daemon that has no configuration yet, in milliseconds. */
 const NO_CONFIGURATION_RETRY_MS = 200;
+/** Retry delay for callers of a daemon that can't confirm its configuration, in milliseconds. */
+const UNCONFIRMED_CONFIGURATION_RETRY_MS = 500;
 
 /** Refusals whose cause is transient: after a handover, the keys soon have a holder again. */
 const TRANSIENT_REASONS: ReadonlySet<RefusalReason> = new Set([
@@ -78,6 +84,7 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly configuration: ConfigurationManager;
+  readonly configurationChecker: ConfigurationChecker;
   readonly runner: RequestRunner;
   readonly lag: LoopLag;
   readonly random: () => number;
@@ -93,6 +100,19 @@
   readonly callerDeadlineAtMs: number;
 }
 
+/** A request's route and the configuration that contains it. */
+interface FoundRoute {
+  readonly kind: "found";
+  readonly inForce: ConfigurationInForce;
+  readonly route: TrafficRoute;
+}
+
+/** The result of looking up a request's route; `unconfirmed` if the absence of a route is not certain. */
+type RouteMatch =
+  | FoundRoute
+  | { readonly kind: "absent" }
+  | { readonly kind: "unconfirmed" };
+
 /** HTTP server for the callers of one daemon. */
 export class Ingress {
   /** Accepts the callers' connections. */
@@ -211,8 +231,7 @@
       this.reject(response, { kind: "malformed", reason });
       return undefined;
     }
-    const inForce = configuration.inForce;
-    if (inForce === undefined) {
+    if (configuration.inForce === undefined) {
       this.refuse(response, {
         kind: "not_run",
         reason: "no_configuration",
@@ -225,21 +244,23 @@
       }, request);
       return undefined;
     }
-    const route = inForce.router.find(
-      incoming.headers.host ?? "",
-      incoming.url ?? "",
-    );
-    if (route === undefined) {
+    const match = await this.matchRoute(incoming, request);
+    if (match.kind === "absent") {
       this.reject(response, { kind: "no_route" }, request);
       return undefined;
     }
+    if (match.kind === "unconfirmed") {
+      this.refuseUnconfirmed(response, request);
+      return undefined;
+    }
+    const { route } = match;
     if (lag.isOverloaded(route.rank)) {
       this.refuseOverloaded(response, { request, route });
       return undefined;
     }
     const ended = await this.run(
       { incoming, response, request, arrivedAtMs },
-      { inForce, route },
+      match,
     );
     metrics.count("bamboolink_requests", { route: route.name, ended });
     metrics.recordLatency(
@@ -250,13 +271,85 @@
     return route.name;
   }
 
+  /** Finds a request's route; concludes that there is none only from a configuration that is known to be current. */
+  private async matchRoute(
+    incoming: IncomingMessage,
+    request: CallerRequest,
+  ): Promise<RouteMatch> {
+    const known = this.findRoute(incoming);
+    if (known !== undefined) {
+      return known;
+    }
+    const isConfirmed = await this.context.configurationChecker.confirm(
+      request.deadlineMs ?? Infinity,
+    );
+    return this.findRoute(incoming) ??
+      { kind: isConfirmed ? "absent" : "unconfirmed" };
+  }
+
+  private findRoute(incoming: IncomingMessage): FoundRoute | undefined {
+    const { inForce } = this.context.configuration;
+    const route = inForce?.router.find(
+      incoming.headers.host ?? "",
+      incoming.url ?? "",
+    );
+    return inForce === undefined || route === undefined
+      ? undefined
+      : { kind: "found", inForce, route };
+  }
+
+  /** The limit on the request's body, confirmed to be current if the declared length exceeds it, in bytes. */
+  private async findBodyLimit(
+    incoming: IncomingMessage,
+    { request, inForce }: {
+      request: CallerRequest;
+      inForce: ConfigurationInForce;
+    },
+  ): Promise<number> {
+    const { configuration, configurationChecker } = this.context;
+    const { bodyBytes } = inForce.configuration.limits;
+    if (declaredLength(incoming) <= bodyBytes) {
+      return bodyBytes;
+    }
+    await configurationChecker.confirm(request.deadlineMs ?? Infinity);
+    return configuration.inForce?.configuration.limits.bodyBytes ?? bodyBytes;
+  }
+
+  /** Refuses a request whose rejection would rest on a configuration that may be outdated. */
+  private refuseUnconfirmed(
+    response: ServerResponse,
+    request: CallerRequest,
+  ): void {
+    const { logger, metrics, configuration, configurationChecker } =
+      this.context;
+    const reason = "unconfirmed_configuration";
+    const retryAfterMs = this.sampleRetryAfterMs({
+      waitMs: UNCONFIRMED_CONFIGURATION_RETRY_MS,
+      objectiveRemainingMs: 0,
+      remainingMs: request.deadlineMs ?? Infinity,
+      isTransient: true,
+    });
+    logger.log("request_not_run", {
+      request_id: request.id,
+      reason,
+      host: response.req.headers.host,
+      path: withoutQuery(response.req.url ?? ""),
+      retry_after_ms: Math.round(retryAfterMs),
+      version: configuration.version,
+      evidence_age_ms: toLoggedAge(configurationChecker.evidenceAgeMs),
+    });
+    metrics.count("bamboolink_rejected_requests", { reason });
+    this.refuse(response, { kind: "not_run", reason, retryAfterMs }, request);
+  }
+
   /** Logs and refuses a request that can't be served as it is. */
   private reject(
     response: ServerResponse,
     outcome: RouterRejection,
     request?: Pick<CallerRequest, "id">,
   ): void {
-    const { logger, metrics, configuration } = this.context;
+    const { logger, metrics, configuration, configurationChecker } =
+      this.context;
     const { headers, url = "" } = response.req;
     logger.log("request_rejected", {
       request_id: request?.id,
@@ -265,11 +358,23 @@
       path: withoutQuery(url),
       version: configuration.version,
       version_age_ms: Math.round(configuration.ageMs(monotonicMs())),
+      evidence_age_ms: toLoggedAge(configurationChecker.evidenceAgeMs),
     });
     metrics.count("bamboolink_rejected_requests", { reason: outcome.kind });
     this.refuse(response, outcome, request);
   }
 
+  private rejectTooLarge(
+    response: ServerResponse,
+    request: CallerRequest,
+  ): void {
+    if (this.context.configurationChecker.isConfirmed) {
+      this.reject(response, { kind: "too_large" }, request);
+    } else {
+      this.refuseUnconfirmed(response, request);
+    }
+  }
+
   private logMalformedInput({ code, pendingResponses }: MalformedInput): void {
     const { logger, metrics } = this.context;
     logger.log("caller_bytes_unreadable", {
@@ -321,16 +426,17 @@
       request: CallerRequest;
       arrivedAtMs: number;
     },
-    match: { inForce: ConfigurationInForce; route: TrafficRoute },
+    match: FoundRoute,
   ): Promise<string> {
     const { incoming, response, request, arrivedAtMs } = arrival;
-    const { limits } = match.inForce.configuration;
-    const read = await readBody(incoming, { bytes: limits.bodyBytes });
+    const { inForce } = match;
+    const bytes = await this.findBodyLimit(incoming, { request, inForce });
+    const read = await readBody(incoming, { bytes });
     if (read.kind === "cut") {
       return "cut";
     }
     if (read.kind === "too_large") {
-      this.reject(response, { kind: "too_large" }, request);
+      this.rejectTooLarge(response, request);
       return "too_large";
     }
     if (this.isBehindLastResponse(response)) {
@@ -361,7 +467,7 @@
       arrivedAtMs: number;
       body: Buffer | undefined;
     },
-    match: { inForce: ConfigurationInForce; route: TrafficRoute },
+    match: FoundRoute,
   ): CallerRoutedRequest {
     const { incoming, request, arrivedAtMs, body } = arrival;
     const { route } = match;
--- a/packages/router/src/ownership_manager.ts
+++ b/packages/router/src/ownership_manager.ts
@@ -185,9 +185,14 @@
     return this.assignmentManager.mayPromise(service, request);
   }
 
+  /** Address of the daemon that reads the store for all; `undefined` if there is none. */
+  findReader(): string | undefined {
+    return this.assignmentManager.findReader();
+  }
+
   /** Whether this daemon reads the store for all owners. */
   get isSharedReader(): boolean {
-    return this.assignmentManager.findReader() === this.ownAddress;
+    return this.findReader() === this.ownAddress;
   }
 
   /** Load of this daemon's keys relative to the capacity of its backend server. */
--- a/packages/router/src/routed_request.ts
+++ b/packages/router/src/routed_request.ts
@@ -40,6 +40,8 @@
 export type RefusalReason =
   /** The daemon has no configuration yet. */
   | "no_configuration"
+  /** Its rejection depends on a configuration that the daemon can't confirm to be current. */
+  | "unconfirmed_configuration"
   /** No backend server of its service is available. */
   | "no_backend"
   /** The key has no owner at present. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -23,10 +23,12 @@
 } from "@bamboolink/membership";
 import { Metrics } from "@bamboolink/metrics";
 import type { Store } from "@bamboolink/store";
+import { ConfigurationEvidence } from "@bamboolink/traffic";
 import { ResponseSender } from "./response_sender.ts";
 import { BackendLoadTracker } from "./backend_load_tracker.ts";
 import { BackendManager } from "./backend_manager.ts";
 import { bootMs, monotonicMs } from "./clock.ts";
+import { ConfigurationChecker } from "./configuration_checker.ts";
 import { ConfigurationManager } from "./configuration_manager.ts";
 import type { Datagram } from "./datagram_codec.ts";
 import { EvacuationManager } from "./evacuation_manager.ts";
@@ -117,6 +119,7 @@
   private readonly backendManager: BackendManager;
   private readonly ownership: OwnershipManager;
   private readonly configuration: ConfigurationManager;
+  private readonly configurationChecker: ConfigurationChecker;
   private readonly members: MemberDirectory;
   private readonly gossip: GossipNode;
   private readonly forwarder: Forwarder;
@@ -253,6 +256,18 @@
         this.ingress.setLimits(configuration.limits);
       },
     });
+    this.configurationChecker = ConfigurationChecker.create({
+      address: settings.gossipAddress,
+      logger,
+      store: this.store,
+      documentKey: ports.document.key,
+      configuration: this.configuration,
+      evidence: ConfigurationEvidence.create(),
+      nowMs: bootMs,
+      findReader: () => this.ownership.findReader(),
+      findPeerAddress: (daemon) => this.view.find(daemon)?.peerAddress,
+      send: (datagram, daemon) => this.gossip.sendDatagram(datagram, daemon),
+    });
     this.members = MemberDirectory.create({
       store: this.store,
       view: this.view,
@@ -302,6 +317,7 @@
       logger,
       metrics: this.metrics,
       configuration: this.configuration,
+      configurationChecker: this.configurationChecker,
       runner,
       lag: this.lag,
       random,
@@ -527,6 +543,12 @@
       case "read":
         this.ownership.onSharedRead(datagram);
         return;
+      case "ask_configuration":
+        void this.configurationChecker.handleRequest(datagram);
+        return;
+      case "configuration":
+        void this.configurationChecker.handleResponse(datagram);
+        return;
       case "crash_reports":
       case "cleared":
         this.quarantine.applyUpdate(datagram);
--- a/packages/traffic/src/mod.ts
+++ b/packages/traffic/src/mod.ts
@@ -4,6 +4,11 @@
  *
  * @module
  */
+export {
+  ConfigurationEvidence,
+  type ConfigurationObservation,
+  MAX_EVIDENCE_AGE_MS,
+} from "./configuration_evidence.ts";
 export { PipelineTracker } from "./pipeline_tracker.ts";
 export { PrefixRouter } from "./prefix_router.ts";
 export { TrafficSplit } from "./traffic_split.ts";
