Repeat crash reports until all daemons know them

What callers saw: a request that had crashed three servers was sent to further ones, since most daemons did not know of the crashes.

Cause: a crash report was broadcast once. Only the reports of quarantined requests were repeated (1 s, two daemons each); a suspect's report and a clearing never. If the burst of 58 datagrams is lost, the crash is unknown for good, and the third crash is not seen as the third.

Now each daemon for which a report or a clearing is new repeats it to two others, 11 times in 3.2 s at growing intervals, so that the number of daemons that know it grows exponentially. Stale reports of answered requests are answered to their reporter alone while the clearing is being repeated, and crashes beyond the 16 that are kept are no news: both would otherwise cause datagrams without end or in floods.

Price: 22 datagrams of about 100 to 200 bytes for each daemon and crash, none without one. The first copy is sent at once, as before (tested).

--- a/packages/quarantine/src/poison_request_tracker.ts
+++ b/packages/quarantine/src/poison_request_tracker.ts
@@ -188,10 +188,16 @@
     return this.entries.delete(fingerprint);
   }
 
+  /** Returns reports of those of the given requests that are tracked, with all their crashes. */
+  findReports(fingerprints: readonly string[], nowMs: number): CrashReport[] {
+    return fingerprints.flatMap((fingerprint) =>
+      this.createReports(fingerprint, nowMs)
+    );
+  }
+
   /** Returns all known quarantines, including expired ones, for daemons that have just started. */
   findQuarantines(nowMs: number): CrashReport[] {
-    return [...this.entries.keys()]
-      .flatMap((fingerprint) => this.createReports(fingerprint, nowMs))
+    return this.findReports([...this.entries.keys()], nowMs)
       .filter(({ quarantines }) => quarantines > 0);
   }
 
@@ -233,9 +239,9 @@
     const { fingerprint, crashes, quarantines, remainingMs } = report;
     const known = this.find(fingerprint, nowMs);
     const isNewQuarantine = quarantines > (known?.quarantines ?? 0);
-    const hasNewCrash = crashes.some((crash) =>
-      known?.crashes.has(crash) !== true
-    );
+    // Daemons keep different crashes of a request with more than `MAX_CRASHES`, and would always be new to each other.
+    const hasNewCrash = (known?.crashes.size ?? 0) < MAX_CRASHES &&
+      crashes.some((crash) => known?.crashes.has(crash) !== true);
     this.addCrashes(fingerprint, crashes, nowMs);
     if (isNewQuarantine) {
       const expiresAtMs = nowMs + Math.min(remainingMs, MAX_QUARANTINE_MS);
--- a/packages/quarantine/src/poison_request_tracker_test.ts
+++ b/packages/quarantine/src/poison_request_tracker_test.ts
@@ -13,6 +13,8 @@
 const SEED = 20_261_203;
 const SECOND_MS = 1_000;
 const MINUTE_MS = 60_000;
+/** Ids of as many crashes as are kept of one request. */
+const CRASHES = Array.from({ length: 16 }, (_, index) => index);
 
 const createRun = (
   fingerprint: string,
@@ -298,6 +300,25 @@
     });
   });
 
+  // Guards against daemons that repeat reports of one request to each other without end, each with crashes that the other
+  // has dropped.
+  describe("when more crashes are reported than are kept", () => {
+    it("takes none of them for new", () => {
+      const tracker = createTracker();
+      const createReport = (crash: number) => ({
+        fingerprint: "popular",
+        crashes: [crash],
+        quarantines: 0,
+        remainingMs: 0,
+      });
+      const countNew = (crash: number) =>
+        tracker.recordReports([createReport(crash)], 0).newReports.length;
+      expect(CRASHES.map(countNew)).to.deep.equal(CRASHES.map(() => 1));
+      expect([...CRASHES, ...CRASHES].map((crash) => countNew(crash + 100)))
+        .to.deep.equal([...CRASHES, ...CRASHES].map(() => 0));
+    });
+  });
+
   describe("after a period without reports", () => {
     it("is empty again", () => {
       const tracker = createTracker();
--- a/packages/router/src/backend_manager_test.ts
+++ b/packages/router/src/backend_manager_test.ts
@@ -67,6 +67,7 @@
         nowMs: bootMs,
         broadcast: () => undefined,
         sendToSome: () => undefined,
+        sendTo: () => undefined,
       }),
       onSuspicion: () => undefined,
       onLeaving: () => undefined,
--- a/packages/router/src/local_backend_test.ts
+++ b/packages/router/src/local_backend_test.ts
@@ -67,6 +67,7 @@
     nowMs: monotonicMs,
     broadcast: () => undefined,
     sendToSome: () => undefined,
+    sendTo: () => undefined,
   });
   const { port } = server.address() as AddressInfo;
   const backend = LocalBackend.create({
--- a/packages/router/src/request_quarantine.ts
+++ b/packages/router/src/request_quarantine.ts
@@ -11,6 +11,7 @@
   InterruptedRuns,
   PoisonRequestTracker,
   RecentResponses,
+  RepeatSchedule,
   type RequestClassification,
 } from "@bamboolink/quarantine";
 import type { BackendProcessEnd } from "./backend_manager.ts";
@@ -21,6 +22,11 @@
 const REPEAT_INTERVAL_MS = 1_000;
 /** Maximum number of requests in one datagram, so that it is not fragmented. */
 const MAX_REQUESTS_PER_UPDATE = 16;
+/**
+ * Maximum number of requests whose changed state is repeated in one tick; the others follow in the next ones, so that a
+ * crash of many servers does not fill a slow network link.
+ */
+const MAX_REPEATS_PER_TICK = 64;
 /** A request is not retried once this many connections broke while it was running, in one attempt of its caller. */
 const MAX_BROKEN_CONNECTIONS = 2;
 /** A crash is identified by a random integer below this. */
@@ -43,6 +49,8 @@
   readonly broadcast: (update: QuarantineUpdate) => void;
   /** Sends an update to a few alive daemons, different ones each time. */
   readonly sendToSome: (update: QuarantineUpdate) => void;
+  /** Sends an update to one daemon. */
+  readonly sendTo: (update: QuarantineUpdate, address: string) => void;
 }
 
 const CLEAR: RequestClassification = { kind: "clear" };
@@ -52,6 +60,8 @@
 export class RequestQuarantine {
   private readonly interruptedRuns = InterruptedRuns.create();
   private readonly recentResponses = RecentResponses.create();
+  /** The requests whose state has changed, and is repeated for daemons that missed the broadcast. */
+  private readonly changes = RepeatSchedule.create();
   private readonly tracker: PoisonRequestTracker;
   /** Cached fingerprints of requests in flight: each request is classified several times. */
   private readonly fingerprintCache = new WeakMap<RoutedRequest, string>();
@@ -115,7 +125,7 @@
 
   /** Records that the local backend server has responded to a request. */
   recordResponse(request: RoutedRequest): void {
-    const { address: sender, nowMs, broadcast, logger } = this.context;
+    const { nowMs, logger } = this.context;
     // A process that refused connections for a moment may be the one that responds now.
     this.hasCrashed = false;
     this.interruptedRuns.recordAnswered(nowMs());
@@ -126,7 +136,7 @@
     const fingerprint = this.fingerprintOf(request);
     if (this.tracker.recordResponse(fingerprint, nowMs())) {
       logger.log("request_cleared", { request_id: request.id, fingerprint });
-      broadcast({ kind: "cleared", sender, fingerprints: [fingerprint] });
+      this.broadcastCleared([fingerprint]);
     }
   }
 
@@ -170,7 +180,10 @@
       { id: Math.floor(random() * CRASH_ID_RANGE), runs },
       nowMs(),
     );
-    reports.forEach((report) => this.logReport(report));
+    reports.forEach((report) => {
+      this.changes.add(report.fingerprint, nowMs());
+      this.logReport(report);
+    });
     this.sendReports(reports, this.context.broadcast);
     this.broadcastCleared(cleared);
   }
@@ -182,6 +195,7 @@
       update.fingerprints.forEach((fingerprint) => {
         if (this.tracker.recordResponse(fingerprint, nowMs)) {
           const { sender: peer } = update;
+          this.changes.add(fingerprint, nowMs);
           this.context.logger.log("request_cleared", { peer, fingerprint });
         }
       });
@@ -192,18 +206,20 @@
       return { fingerprint, crashes, quarantines, remainingMs };
     });
     const merged = this.tracker.recordReports(reports, nowMs);
-    merged.newReports.forEach((report) =>
-      this.logReport(report, update.sender)
-    );
-    this.broadcastCleared(merged.cleared);
+    merged.newReports.forEach((report) => {
+      this.changes.add(report.fingerprint, nowMs);
+      this.logReport(report, update.sender);
+    });
+    this.respondToStaleReports(merged.cleared, update.sender);
   }
 
   /**
-   * Repeats the reports of quarantined requests, for daemons that missed them, and removes expired state. Called by a
-   * timer.
+   * Repeats what has changed recently, for daemons that missed it, and the reports of quarantined requests, for daemons
+   * that have just started. Removes expired state. Called by a timer.
    */
   tick(): void {
     const nowMs = this.context.nowMs();
+    this.repeatChanges(nowMs);
     if (nowMs - this.lastRepeatAtMs < REPEAT_INTERVAL_MS) {
       return;
     }
@@ -215,6 +231,35 @@
     );
   }
 
+  private repeatChanges(nowMs: number): void {
+    const changed = this.changes.takeDue(nowMs, MAX_REPEATS_PER_TICK);
+    const { sendToSome } = this.context;
+    this.sendReports(this.tracker.findReports(changed, nowMs), sendToSome);
+    this.sendCleared(
+      changed.filter((fingerprint) =>
+        this.tracker.isCleared(fingerprint, nowMs)
+      ),
+      sendToSome,
+    );
+  }
+
+  /** Informs a daemon, or all of them unless this was done lately, that reported requests have been answered. */
+  private respondToStaleReports(
+    fingerprints: readonly string[],
+    reporter: string,
+  ): void {
+    const [announced, unannounced] = [true, false].map((isAnnounced) =>
+      fingerprints.filter((fingerprint) =>
+        this.changes.has(fingerprint) === isAnnounced
+      )
+    );
+    this.sendCleared(
+      announced!,
+      (update) => this.context.sendTo(update, reporter),
+    );
+    this.broadcastCleared(unannounced!);
+  }
+
   private fingerprintOf(request: RoutedRequest): string {
     const known = this.fingerprintCache.get(request);
     if (known !== undefined) {
@@ -251,9 +296,18 @@
   }
 
   private broadcastCleared(fingerprints: readonly string[]): void {
-    const { address: sender, broadcast } = this.context;
+    const nowMs = this.context.nowMs();
+    fingerprints.forEach((fingerprint) => this.changes.add(fingerprint, nowMs));
+    this.sendCleared(fingerprints, this.context.broadcast);
+  }
+
+  private sendCleared(
+    fingerprints: readonly string[],
+    send: (update: QuarantineUpdate) => void,
+  ): void {
+    const { address: sender } = this.context;
     toChunks(fingerprints).forEach((chunk) =>
-      broadcast({ kind: "cleared", sender, fingerprints: chunk })
+      send({ kind: "cleared", sender, fingerprints: chunk })
     );
   }
 
--- a/packages/router/src/request_quarantine_test.ts
+++ b/packages/router/src/request_quarantine_test.ts
@@ -96,6 +96,7 @@
       nowMs: () => this.nowMs,
       broadcast: send,
       sendToSome: send,
+      sendTo: (update, to) => this.sent.push({ to, update }),
     });
   }
 }
@@ -191,6 +192,27 @@
     });
   });
 
+  // Guards against a flood: each of many daemons that still repeat the report of an answered request would make each
+  // daemon that knows of the response inform all others.
+  describe("when a request that was answered is reported repeatedly", () => {
+    it("informs all daemons once, then only those that report it", () => {
+      fleet.at(1).recordResponse(createRequest("/beside", 1));
+      fleet.crash(0, [createRequest("/beside")]);
+      const reports = fleet.sent.splice(0).filter(({ to }) =>
+        to === DAEMONS[1]
+      );
+      const recipients = reports.concat(reports, reports).map(({ update }) => {
+        fleet.at(1).applyUpdate(update);
+        return fleet.sent.splice(0).map(({ to }) => to);
+      });
+      expect(recipients).to.deep.equal([
+        [DAEMONS[0], DAEMONS[2]],
+        [DAEMONS[0]],
+        [DAEMONS[0]],
+      ]);
+    });
+  });
+
   describe("when a second server has crashed while running a suspect", () => {
     const quarantine = () => {
       fleet.crash(0, [createRequest("/lethal"), createRequest("/beside")]);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -170,6 +170,7 @@
       nowMs: monotonicMs,
       broadcast: (update) => this.gossip.broadcast(update),
       sendToSome: (update) => this.gossip.sendToSome(update),
+      sendTo: (update, address) => this.gossip.sendDatagram(update, address),
     });
     this.evacuation = EvacuationManager.create({
       address: settings.gossipAddress,
