Send broadcasts at the bandwidth of a slow network link

Reports of crashed servers reached none of 58 daemons.

Cause, by reading and measured sizes: when a server is found to have ended, the daemon first announces the new phase, 58 datagrams of gossip of 1,600 bytes (93 kB, 49 ms of a link of 15 Mbit/s), and sends the crash report to the same 58 at that very moment, behind them. A full link drops datagrams.

Broadcasts and announcements now go through a pacer: what takes 10 ms of the link at once, then 0.8 of its bandwidth, small datagrams first, and a newer announcement replaces what is left of an older one. What would wait for more than 1 s is sent at once. Datagrams to one or a few daemons are not paced. A daemon that stops waits until its last announcement is sent.

Before, with a link whose queue holds 15 ms (28 kB, a model): of one burst of 58 datagrams of gossip and 58 reports 13 of gossip arrive if the reports go first, and 45 of gossip are lost. After: all 116 arrive.

The same cause elsewhere: ownership records (up to 4,096 bytes for each daemon, 238 kB, 127 ms of such a link) and evacuations go the same way and are paced, too.

--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -11,6 +11,7 @@
   type GossipMessage,
 } from "./gossip_codec.ts";
 export type { HeartbeatDigest } from "./heartbeat_digest.ts";
+export { DatagramPacer, type OutgoingDatagram } from "./datagram_pacer.ts";
 export { MemberView } from "./member_view.ts";
 export { chooseGossipTargets } from "./gossip_targets.ts";
 export { sampleWithoutReplacement } from "./sample_without_replacement.ts";
--- a/packages/router/src/gossip_node.ts
+++ b/packages/router/src/gossip_node.ts
@@ -9,6 +9,7 @@
 import type { Logger } from "@bamboolink/logger";
 import {
   chooseGossipTargets,
+  DatagramPacer,
   decodeGossip,
   encodeGossip,
   type MemberReport,
@@ -32,6 +33,8 @@
  * it to this many, so each receives it about this often per interval.
  */
 const REPEAT_FANOUT = 2;
+/** Interval at which the datagrams of a broadcast are sent on a slow network link, in milliseconds. */
+const PACING_INTERVAL_MS = 5;
 const MAX_PORT = 65_535;
 
 /** Dependencies of a gossip node. */
@@ -40,6 +43,8 @@
   readonly view: MemberView;
   readonly logger: Logger;
   readonly random: () => number;
+  /** Bandwidth of the host's network link, in bytes per second; `Infinity` if unknown. */
+  readonly linkBytesPerSecond: number;
   /** Returns the current values of this daemon's own report. */
   readonly describeSelf: () => Partial<MemberReport>;
   /** Called with reports that are newer than the known ones. */
@@ -51,15 +56,24 @@
 /** Sends and receives one daemon's gossip and other datagrams. */
 export class GossipNode {
   private readonly socket: Socket = createSocket("udp4");
+  private readonly pacer: DatagramPacer;
+  private pacingTimer: NodeJS.Timeout | undefined;
   private requestedAtMs = -Infinity;
 
-  private constructor(private readonly context: GossipNodeContext) {}
+  private constructor(private readonly context: GossipNodeContext) {
+    this.pacer = DatagramPacer.create(context.linkBytesPerSecond);
+  }
 
   /** Creates a node that is not listening yet. */
   static create(context: GossipNodeContext): GossipNode {
     return new GossipNode(context);
   }
 
+  /** Whether datagrams of a broadcast have not been sent yet. */
+  get isSending(): boolean {
+    return this.pacer.waitingCount > 0;
+  }
+
   /** Starts listening. Rejects if the address can't be bound. */
   start(): Promise<void> {
     const { host, port } = splitAddress(this.context.address);
@@ -80,16 +94,18 @@
   /** Sends gossip to a few daemons. */
   runRound(): void {
     const { view, random } = this.context;
-    view.updateOwnReport(this.context.describeSelf());
-    const targets = chooseGossipTargets(view, { nowMs: monotonicMs(), random });
-    this.sendGossip(targets);
+    const bytes = this.createGossip();
+    chooseGossipTargets(view, { nowMs: monotonicMs(), random })
+      .forEach((address) => this.send(bytes, address));
   }
 
-  /** Sends gossip to all alive daemons at once, for changes that others must know soon. */
+  /**
+   * Sends gossip to all alive daemons, for changes that others must know soon: at once, or, on a slow network link, at
+   * its bandwidth.
+   */
   announce(): void {
-    const { view } = this.context;
-    view.updateOwnReport(this.context.describeSelf());
-    this.sendGossip(view.alive(monotonicMs()).map(({ address }) => address));
+    this.pacer.remove(({ bytes }) => isGossip(bytes));
+    this.sendToAll(this.createGossip());
   }
 
   /** Sends a datagram that is not gossip to one daemon. */
@@ -97,11 +113,9 @@
     this.send(encodeDatagram(datagram), address);
   }
 
-  /** Sends a datagram that is not gossip to all alive daemons. */
+  /** Sends a datagram that is not gossip to all alive daemons: at once, or at the bandwidth of the network link. */
   broadcast(datagram: Datagram): void {
-    const bytes = encodeDatagram(datagram);
-    this.context.view.alive(monotonicMs())
-      .forEach(({ address }) => this.send(bytes, address));
+    this.sendToAll(encodeDatagram(datagram));
   }
 
   /** Sends a datagram that is not gossip to a few alive daemons, chosen at random each time. */
@@ -113,16 +127,32 @@
   }
 
   close(): void {
+    clearTimeout(this.pacingTimer);
     this.socket.close();
   }
 
-  private sendGossip(addresses: readonly string[]): void {
+  private createGossip(): Uint8Array {
     const { view, random } = this.context;
+    view.updateOwnReport(this.context.describeSelf());
     const sender = view.ownReport.address;
     const reports = view.chooseReports({ nowMs: monotonicMs(), random });
     const digests = view.chooseDigests({ nowMs: monotonicMs(), random });
-    const bytes = encodeGossip({ sender, reports, digests });
-    addresses.forEach((address) => this.send(bytes, address));
+    return encodeGossip({ sender, reports, digests });
+  }
+
+  private sendToAll(bytes: Uint8Array): void {
+    const alive = this.context.view.alive(monotonicMs());
+    this.pacer.add(alive.map(({ address }) => ({ bytes, address })));
+    this.sendDue();
+  }
+
+  private sendDue(): void {
+    clearTimeout(this.pacingTimer);
+    this.pacer.takeDue(monotonicMs())
+      .forEach(({ bytes, address }) => this.send(bytes, address));
+    if (this.isSending) {
+      this.pacingTimer = setTimeout(() => this.sendDue(), PACING_INTERVAL_MS);
+    }
   }
 
   /** Addresses come from the store and from datagrams, so they may be invalid. */
--- a/packages/router/src/gossip_node_test.ts
+++ b/packages/router/src/gossip_node_test.ts
@@ -13,9 +13,15 @@
   type MemberReport,
   MemberView,
 } from "@bamboolink/membership";
+import { monotonicMs } from "./clock.ts";
+import { isGossip } from "./datagram_codec.ts";
 import { GossipNode, isAddress } from "./gossip_node.ts";
 
 const ADDRESS = "127.0.0.1:21777";
+const PEER_PORT = 21_779;
+const PEER_COUNT = 58;
+/** Bandwidth of a network link of 15 Mbit/s, in bytes per second. */
+const SLOW_LINK = 1_875_000;
 /** Time within which a datagram on loopback arrives, in milliseconds. */
 const ARRIVAL_MS = 50;
 
@@ -39,7 +45,7 @@
 };
 
 /** Starts a node; `events` collects the names of the events that it logs. */
-async function startNode() {
+async function startNode(linkBytesPerSecond = Infinity) {
   const events: EventName[] = [];
   const logger = Logger.createRateLimited("test", { level: "error" });
   logger.log = (event: EventName) => void events.push(event);
@@ -49,6 +55,7 @@
     view,
     logger,
     random: () => 0,
+    linkBytesPerSecond,
     describeSelf: () => ({}),
     onReports: () => undefined,
     onDatagram: () => undefined,
@@ -67,7 +74,61 @@
   socket.close();
 }
 
+/** Starts a socket that receives the datagrams to all addresses of peers; `kinds` collects what arrives. */
+async function startPeers() {
+  const socket = createSocket("udp4");
+  const kinds: ("gossip" | "other")[] = [];
+  socket.on(
+    "message",
+    (bytes) => kinds.push(isGossip(bytes) ? "gossip" : "other"),
+  );
+  await new Promise<void>((resolve) => socket.bind(PEER_PORT, resolve));
+  const reports = Array.from({ length: PEER_COUNT }, (_, index) => ({
+    ...REPORT,
+    address: `127.0.0.${index + 2}:${PEER_PORT}`,
+  }));
+  return { socket, kinds, reports };
+}
+
 describe("GossipNode", () => {
+  describe("on a slow network link", () => {
+    // Guards against a crash report that reaches no daemon, because it is sent right after gossip to all of them, which
+    // fills the queue of the network link.
+    it("sends a broadcast before the rest of an announcement, and both to all daemons", async () => {
+      const { socket, kinds, reports } = await startPeers();
+      const { node, view } = await startNode(SLOW_LINK);
+      view.merge(reports, monotonicMs());
+      node.announce();
+      node.broadcast({ kind: "cleared", sender: ADDRESS, fingerprints: ["f"] });
+      expect(node.isSending).to.equal(true);
+      while (node.isSending) {
+        await sleep(ARRIVAL_MS);
+      }
+      await sleep(ARRIVAL_MS);
+      node.close();
+      socket.close();
+      const count = (kind: string) =>
+        kinds.filter((arrived) => arrived === kind).length;
+      expect([count("gossip"), count("other")]).to.deep.equal(
+        [PEER_COUNT, PEER_COUNT],
+      );
+      expect(kinds.lastIndexOf("other")).to.be.below(
+        kinds.lastIndexOf("gossip"),
+      );
+    });
+
+    it("sends nothing after it was closed", async () => {
+      const { socket, kinds, reports } = await startPeers();
+      const { node, view } = await startNode(SLOW_LINK);
+      view.merge(reports, monotonicMs());
+      node.announce();
+      node.close();
+      await sleep(ARRIVAL_MS * 4);
+      socket.close();
+      expect(kinds.length).to.be.below(PEER_COUNT);
+    });
+  });
+
   describe("given reports with invalid addresses", () => {
     // Guards against a daemon crashing with an error about a port: the sender of a datagram, or a daemon in its
     // reports, has an invalid port, and the socket throws when the node responds or sends gossip there.
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -266,6 +266,7 @@
       view: this.view,
       logger,
       random,
+      linkBytesPerSecond: settings.linkBytesPerSecond ?? Infinity,
       describeSelf: () => this.describeSelf(),
       onReports: (reports) => this.handleReports(reports),
       onDatagram: (datagram) => this.handleDatagram(datagram),
@@ -433,7 +434,8 @@
   private hasPendingWork(): boolean {
     const requests = this.ingress.busyCount + this.linkServer.activeCount +
       this.peerConnections.busyCount;
-    return requests > 0 || this.ownership.mustReleaseKeys;
+    return requests > 0 || this.ownership.mustReleaseKeys ||
+      this.gossip.isSending;
   }
 
   private async close(): Promise<void> {
