Report a crash before the phase of its server is announced

The test failed before: ready, absent, ended. Both calls are made in one turn of the event loop, before and after, so nothing else can see the other order.

--- a/packages/router/src/backend_manager.ts
+++ b/packages/router/src/backend_manager.ts
@@ -313,9 +313,10 @@
     if (found.kind === "refused") {
       // Nothing listens at the address: the process has ended, and all its holds with it.
       this.context.grants.recordProcessEnd();
-      this.setPhase("absent", suspicion);
       const { instance } = this.lastHeartbeat ?? {};
+      // Before the phase is announced: crash reports must not wait behind that on a slow network link.
       this.context.onProcessEnded({ instance, proof: "refused" });
+      this.setPhase("absent", suspicion);
     }
   }
 
--- a/packages/router/src/backend_manager_test.ts
+++ b/packages/router/src/backend_manager_test.ts
@@ -45,6 +45,8 @@
     probe?: () => Promise<ProbeResult>;
     heartbeatMs?: number;
     evacuation?: LocalEvacuation;
+    onChange?: () => void;
+    onProcessEnded?: () => void;
   } = {},
 ): BackendManager {
   const releaseAll = () => {
@@ -82,10 +84,10 @@
     heartbeatIntervalMs: () => options.heartbeatMs ?? 1_000,
     probe: options.probe ?? (() => Promise.resolve({ kind: "silent" })),
     mayGrant: () => true,
-    onChange: () => undefined,
+    onChange: options.onChange ?? (() => undefined),
     onReleased: () => undefined,
     beforeDrain: () => Promise.resolve((options.beforeDrain ?? releaseAll)()),
-    onProcessEnded: () => undefined,
+    onProcessEnded: options.onProcessEnded ?? (() => undefined),
     beforeGrant: () => Promise.resolve(),
   });
 }
@@ -238,6 +240,23 @@
     });
   });
 
+  // Guards against a crash report that reaches no daemon, because gossip to all of them goes first and fills the queue of
+  // a slow network link.
+  describe("when nothing listens at the backend server's address any more", () => {
+    it("reports the end of its process before it announces its phase", async () => {
+      const { grants, lease } = createOwner();
+      const calls: string[] = [];
+      const manager = createManager(grants, lease, {
+        probe: () => Promise.resolve({ kind: "refused" }),
+        onChange: () => calls.push(manager.phase),
+        onProcessEnded: () => calls.push("ended"),
+      });
+      await manager.handleHeartbeat(heartbeat);
+      await manager.handleSuspicion("lost");
+      expect(calls).to.deep.equal(["ready", "ended", "absent"]);
+    });
+  });
+
   describe("when operators evacuate the availability zone", () => {
     it("releases the keys with the next response, and is ready again once the evacuation ends", async () => {
       const { grants, lease } = createOwner();
