Repeat evacuations at short intervals after a change

What callers would see: requests are sent to an evacuated zone beyond the time that the settings allow (evacuate_ms, 2 s).

Cause: an evacuation is broadcast by each daemon that hears of it from the store, then repeated to two daemons each second. If the watches of all but one are silent and the datagrams of that one are lost, two repeats in 2 s inform few.

The other broadcasts, by reading: a phase is part of each periodic gossip of its daemon; an ownership record that was missed is fetched as soon as gossip shows a newer revision, which spreads with the daemons that have it; planned handovers are sent once to one daemon and cost only time if lost; promises and shared reads are asked for again.

--- a/packages/quarantine/src/mod.ts
+++ b/packages/quarantine/src/mod.ts
@@ -7,7 +7,6 @@
 export { chooseProbationDaemon } from "./choose_probation_daemon.ts";
 export { type InterruptedRun, InterruptedRuns } from "./interrupted_runs.ts";
 export { ProbationQueue } from "./probation_queue.ts";
-export { RepeatSchedule } from "./repeat_schedule.ts";
 export { RecentResponses } from "./recent_responses.ts";
 export {
   fingerprintRequest,
--- a/packages/router/src/evacuation_manager.ts
+++ b/packages/router/src/evacuation_manager.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Logger } from "@bamboolink/logger";
+import { RepeatSchedule } from "@bamboolink/membership";
 import {
   type EvacuationChange,
   type EvacuationState,
@@ -15,6 +16,8 @@
 const UPDATE_REQUEST_INTERVAL_MS = 200;
 /** Interval between repeated updates to other daemons, in milliseconds. */
 const REPEAT_INTERVAL_MS = 1_000;
+/** Identifies the evacuated zones, the only item that is repeated. */
+const ZONES_KEY = "zones";
 /**
  * How long updates are repeated after a change, in milliseconds: a daemon may have missed that an evacuation was
  * cleared.
@@ -61,6 +64,8 @@
 /** The evacuated zones as known to one daemon. */
 export class EvacuationManager {
   private readonly evacuations = ZoneEvacuations.create();
+  /** Repeats a change at short intervals, for daemons that missed the broadcast. */
+  private readonly changes = RepeatSchedule.create();
   private readonly startedAtMs: number;
   private requestedAtMs = -Infinity;
   private repeatedAtMs = -Infinity;
@@ -146,7 +151,8 @@
       this.requestedAtMs = nowMs;
       this.context.requestUpdate();
     }
-    if (nowMs - this.repeatedAtMs < REPEAT_INTERVAL_MS) {
+    const hasChanged = this.changes.takeDue(nowMs, 1).length > 0;
+    if (!hasChanged && nowMs - this.repeatedAtMs < REPEAT_INTERVAL_MS) {
       return;
     }
     this.repeatedAtMs = nowMs;
@@ -171,6 +177,7 @@
       this.context;
     const { revision, zones } = state;
     this.changedAtMs = nowMs();
+    this.changes.add(ZONES_KEY, this.changedAtMs);
     logger.log("zones_evacuated", { revision, zones, source });
     zones.filter((zone) => !isKnownZone(zone)).forEach((zone) =>
       logger.log("evacuation_of_unknown_zone", { zone, revision })
--- a/packages/router/src/request_quarantine.ts
+++ b/packages/router/src/request_quarantine.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Logger } from "@bamboolink/logger";
+import { RepeatSchedule } from "@bamboolink/membership";
 import {
   chooseProbationDaemon,
   type CrashReport,
@@ -11,7 +12,6 @@
   InterruptedRuns,
   PoisonRequestTracker,
   RecentResponses,
-  RepeatSchedule,
   type RequestClassification,
 } from "@bamboolink/quarantine";
 import type { BackendProcessEnd } from "./backend_manager.ts";
