--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -173,6 +173,7 @@
       nowMs: monotonicMs,
       broadcast: (update) => this.gossip.broadcast(update),
       sendToSome: (update) => this.gossip.sendToSome(update),
+      sendTo: (update, address) => this.gossip.sendDatagram(update, address),
     });
     this.evacuation = EvacuationManager.create({
       address: settings.gossipAddress,
@@ -280,6 +281,7 @@
       view: this.view,
       logger,
       random,
+      linkBytesPerSecond: settings.linkBytesPerSecond ?? Infinity,
       describeSelf: () => this.describeSelf(),
       onReports: (reports) => this.handleReports(reports),
       onDatagram: (datagram) => this.handleDatagram(datagram),
@@ -448,7 +450,8 @@
   private hasPendingWork(): boolean {
     const requests = this.ingress.busyCount + this.linkServer.activeCount +
       this.peerConnections.busyCount;
-    return requests > 0 || this.ownership.mustReleaseKeys;
+    return requests > 0 || this.ownership.mustReleaseKeys ||
+      this.gossip.isSending;
   }
 
   private async close(): Promise<void> {
