Let the soak overlap faults in series while routes and limits change

The soak drew its faults one by one, changed no route, and reached the store through one address, so that no fault could hit some daemons only.

Change: a series overlaps three to five of: connections to the store silent or closed, a slow store, a store that turns some daemons away or doesn't respond to them, watches that miss changes, daemons suspended, killed or stopped, servers restarted under one id. Two to five changes of the configuration follow, each up to 4 s after one of these: routes added, split, moved, removed and added again, 300 at once, and limits. Callers that know all versions send requests that the newest allows, bodies and heads up to the limits among them, and measure for each daemon when it first served a new route.

Two slow phases of the store that overlap now last until the later one ends.

--- a/soak/src/guarantee_check.ts
+++ b/soak/src/guarantee_check.ts
@@ -13,8 +13,12 @@
   /** Status of the response, 0 if there was none. */
   readonly status: number;
   readonly body: string;
+  /** Body of the request; none by default. */
+  readonly requestBody?: string;
 }
 
+/** Longest part of a response that a message quotes. */
+const MAX_QUOTED_CHARACTERS = 200;
 /** Response statuses which guarantee that no backend server has run the request. */
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -57,9 +61,12 @@
         ? [`${request.id} was refused with ${request.status} but ran`]
         : []),
       ...(request.status === 200 &&
-          request.body !== `${request.method} ${request.path} `
+          request.body !==
+            `${request.method} ${request.path} ${request.requestBody ?? ""}`
         ? [
-          `${request.id} received the response of another request: ${request.body}`,
+          `${request.id} received the response of another request: ${
+            request.body.slice(0, MAX_QUOTED_CHARACTERS)
+          }`,
         ]
         : []),
     ];
--- a/soak/src/regression_seeds.ts
+++ b/soak/src/regression_seeds.ts
@@ -4,16 +4,12 @@
  * @module
  */
 
-/** A seed that violated a guarantee, and why. */
-export interface RegressionSeed {
+import type { FaultSelection } from "./fault_schedule.ts";
+
+/** A seed that violated a guarantee, why, and the faults of its run. */
+export interface RegressionSeed extends FaultSelection {
   readonly seed: number;
   readonly cause: string;
-  /** Whether its run has restarts of backend servers under their ids, and callers that pipeline requests. */
-  readonly hasRestarts: boolean;
-  /** Whether its run has restores of the store from an older snapshot, and requests that crash backend servers. */
-  readonly hasRollbacksAndLethalRequests: boolean;
-  /** Whether backend servers in its run state limits and their leaving in responses. */
-  readonly hasStatedStatus: boolean;
   /** Time within which faults start, in milliseconds, if it is not the default; another time draws other faults. */
   readonly durationMs?: number;
 }
@@ -24,6 +20,8 @@
     hasRestarts: false,
     hasRollbacksAndLethalRequests: false,
     hasStatedStatus: false,
+    hasSingleFaults: true,
+    hasSeries: false,
     cause:
       "open: the fleet once did not serve everything again within 25 s after a drain and a cut of the store",
   },
@@ -32,6 +30,8 @@
     hasRestarts: true,
     hasRollbacksAndLethalRequests: true,
     hasStatedStatus: true,
+    hasSingleFaults: true,
+    hasSeries: false,
     durationMs: 10_000,
     cause:
       "open: a daemon that restarts beside a server that is leaving by its responses only sends it requests again",
--- a/soak/src/soak_run.ts
+++ b/soak/src/soak_run.ts
@@ -5,24 +5,32 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import {
-  encodeConfiguration,
   type FleetHost,
   type PipeliningCaller,
   PlatformFleet,
   STORE_PORT,
 } from "@bamboolink/platform/testing";
+import { ConfigurationWriter } from "./configuration_writer.ts";
+import { DisturbanceLog, findScopes } from "./disturbance_log.ts";
 import {
   createDraw,
   type Draw,
   drawFaults,
   type Fault,
+  type FaultSelection,
 } from "./fault_schedule.ts";
 import {
   type CompletedRequest,
   findDoubleHolds,
   findRequestViolations,
 } from "./guarantee_check.ts";
+import {
+  type PartialStoreFault,
+  PartialStoreFaults,
+} from "./partial_store_faults.ts";
 import { Relay, type RelayMode } from "./relay.ts";
+import { RouteCaller, type RouteDelay } from "./route_caller.ts";
+import { findDeniedRequests } from "./route_promises.ts";
 import { stateLeaving, stateLimit } from "./stated_status_fault.ts";
 
 /** The service on each host. */
@@ -50,6 +58,12 @@
 const STATED_LIMIT = 2.5;
 /** Callers that pipeline requests on a connection until it is closed. */
 const PIPELINING_CALLER_COUNT = 2;
+/** Callers that send requests on routes that change. */
+const ROUTE_CALLER_COUNT = 3;
+/** Time after the last fault of a series in which new routes must come into force, in milliseconds. */
+const SERIES_OBSERVATION_MS = 6_000;
+/** Last byte of the address of the first host; the others follow. */
+const FIRST_HOST_NUMBER = 10;
 
 /** Result of a run. */
 export interface SoakResult {
@@ -57,8 +71,12 @@
   readonly requestCount: number;
   readonly servedCount: number;
   readonly faults: readonly Fault[];
+  /** How long daemons took to serve new routes, in a run with series of faults. */
+  readonly routeDelays: readonly RouteDelay[];
   /** A message for each violated guarantee. */
   readonly violations: readonly string[];
+  /** Standard output of all daemons. */
+  readonly log: string;
 }
 
 /**
@@ -68,41 +86,60 @@
  *   addresses, different for runs at the same time; `hasRestarts`: whether backend servers restart under their ids and
  *   callers pipeline requests; `hasRollbacksAndLethalRequests`: whether the store is restored from older snapshots and
  *   requests crash backend servers; `hasStatedStatus`: whether backend servers state limits and their leaving in
- *   responses. All are on by default; older seeds were found without them.
+ *   responses; `hasSeries`: whether several faults overlap in series, with changes of routes and limits after them;
+ *   `hasSingleFaults`: whether other faults start one by one. All are on by default; older seeds were found without them.
  */
 export async function runSoak(
   seed: number,
-  options: {
-    durationMs: number;
-    network: number;
-    hasRestarts?: boolean;
-    hasRollbacksAndLethalRequests?: boolean;
-    hasStatedStatus?: boolean;
-  },
+  options:
+    & { durationMs: number; network: number }
+    & Partial<FaultSelection>,
 ): Promise<SoakResult> {
-  const draw = createDraw(seed);
-  const host = `127.${options.network}.0.2`;
-  const relay = await Relay.create(
-    { host, port: STORE_PORT },
-    { host: `127.${options.network}.0.1`, port: STORE_PORT },
-  );
-  const fleet = await PlatformFleet.create(SERVICES, options.network, {
-    storeHost: host,
+  const selection = {
+    hasSingleFaults: true,
+    hasRestarts: true,
+    hasRollbacksAndLethalRequests: true,
+    hasStatedStatus: true,
+    hasSeries: true,
+    ...options,
+  };
+  const { network, hasSeries } = selection;
+  const relays = await createRelays(network, hasSeries);
+  const fleet = await PlatformFleet.create(SERVICES, network, {
+    storeHost: hasSeries
+      ? (hostNumber) => `127.${network}.2.${hostNumber}`
+      : `127.${network}.0.2`,
   });
-  const run = new SoakRun(fleet, relay, draw);
+  const run = new SoakRun(fleet, relays, createDraw(seed));
   try {
-    return await run.execute(seed, {
-      hasRestarts: true,
-      hasRollbacksAndLethalRequests: true,
-      hasStatedStatus: true,
-      ...options,
-    });
+    return await run.execute(seed, selection);
   } finally {
-    relay.close();
+    relays.forEach((relay) => relay.close());
     await fleet.close();
   }
 }
 
+/** Starts the relays between the daemons and the store: one for all, or one for each so that the store can tell them. */
+async function createRelays(
+  network: number,
+  hasOneForEach: boolean,
+): Promise<Relay[]> {
+  const addresses = hasOneForEach
+    ? SERVICES.map((_, index) => FIRST_HOST_NUMBER + index).map((number) => ({
+      host: `127.${network}.2.${number}`,
+      storeHost: `127.${network}.1.${number}`,
+    }))
+    : [{ host: `127.${network}.0.2`, storeHost: `127.${network}.0.1` }];
+  return await Promise.all(
+    addresses.map(({ host, storeHost }) =>
+      Relay.create(
+        { host, port: STORE_PORT },
+        { host: storeHost, port: STORE_PORT },
+      )
+    ),
+  );
+}
+
 class SoakRun {
   private readonly completedRequests: CompletedRequest[] = [];
   private readonly violations = new Set<string>();
@@ -112,23 +149,28 @@
   private readonly startingHosts = new Set<FleetHost>();
   /** When the daemon of a host was last stopped or paused, in Unix milliseconds. */
   private readonly disturbedAtMs = new Map<FleetHost, number>();
+  private readonly disturbances = DisturbanceLog.create();
+  private readonly configuration: ConfigurationWriter;
+  private readonly partialFaults: PartialStoreFaults;
+  private readonly routeCaller: RouteCaller;
   private isOver = false;
-  private configurationVersion = 1;
 
   constructor(
     private readonly fleet: PlatformFleet,
-    private readonly relay: Relay,
+    private readonly relays: readonly Relay[],
     private readonly draw: Draw,
-  ) {}
+  ) {
+    this.configuration = ConfigurationWriter.create(fleet.store);
+    this.partialFaults = PartialStoreFaults.create(fleet.store);
+    this.routeCaller = RouteCaller.create(
+      fleet,
+      () => this.configuration.newest,
+    );
+  }
 
   async execute(
     seed: number,
-    options: {
-      durationMs: number;
-      hasRestarts: boolean;
-      hasRollbacksAndLethalRequests: boolean;
-      hasStatedStatus: boolean;
-    },
+    options: FaultSelection & { durationMs: number },
   ): Promise<SoakResult> {
     const faults = drawFaults(this.draw, {
       hostCount: this.fleet.hosts.length,
@@ -150,8 +192,13 @@
         { length: options.hasRestarts ? PIPELINING_CALLER_COUNT : 0 },
         (_, index) => this.runPipeliningCaller(index),
       ),
+      ...Array.from(
+        { length: options.hasSeries ? ROUTE_CALLER_COUNT : 0 },
+        (_, index) => this.routeCaller.run(index),
+      ),
     ];
-    await Promise.all(faults.map((fault) => this.inject(fault)));
+    await Promise.all(faults.map((fault) => this.injectAtItsTime(fault)));
+    await sleep(options.hasSeries ? SERIES_OBSERVATION_MS : 0);
     if (!await this.awaitRecovery()) {
       this.violations.add(
         `the fleet did not recover after the last fault; failed requests: ${
@@ -160,17 +207,29 @@
       );
     }
     this.isOver = true;
+    await this.routeCaller.stop();
     await Promise.all(callers);
     clearInterval(holdCheckTimer);
-    findRequestViolations(this.fleet, this.completedRequests)
-      .forEach((violation) => this.violations.add(violation));
+    const completedRequests = [
+      ...this.completedRequests,
+      ...this.routeCaller.completedRequests,
+    ];
+    this.addViolations(findRequestViolations(this.fleet, completedRequests));
+    this.addViolations(
+      findDeniedRequests(this.routeCaller.judgedRequests, {
+        versions: this.configuration.versions,
+        disturbances: this.disturbances.disturbances,
+      }),
+    );
     return {
       seed,
-      requestCount: this.completedRequests.length,
+      requestCount: completedRequests.length,
       servedCount:
-        this.completedRequests.filter(({ status }) => status === 200).length,
+        completedRequests.filter(({ status }) => status === 200).length,
       faults,
+      routeDelays: this.routeCaller.routeDelays,
       violations: [...this.violations],
+      log: this.fleet.log.join(""),
     };
   }
 
@@ -235,8 +294,26 @@
     }
   }
 
-  private async inject(fault: Fault): Promise<void> {
+  private async injectAtItsTime(fault: Fault): Promise<void> {
     await sleep(fault.atMs);
+    const end = this.disturbances.begin(
+      findScopes(fault, {
+        host: this.fleet.hosts[fault.host]!.address,
+        affected: this.findAffectedHosts(fault).map(({ address }) => address),
+      }),
+    );
+    await this.inject(fault);
+    end();
+  }
+
+  /** The hosts of a fault that affects a share of them; they follow the host that it names. */
+  private findAffectedHosts({ host, share = 0 }: Fault): FleetHost[] {
+    const { hosts } = this.fleet;
+    const count = Math.round(hosts.length * share / 100);
+    return [...hosts.slice(host), ...hosts.slice(0, host)].slice(0, count);
+  }
+
+  private async inject(fault: Fault): Promise<void> {
     const host = this.fleet.hosts[fault.host]!;
     const { faults } = this.fleet.store;
     switch (fault.kind) {
@@ -275,10 +352,25 @@
       case "store_down":
         return await this.enableDuring(fault, (isOn) => faults.isDown = isOn);
       case "store_slow":
-        return await this.enableDuring(
-          fault,
-          (isOn) => faults.responseDelayMs = isOn ? 250 : 0,
+        return await this.injectPartialFault(fault, { kind: "slow" });
+      case "store_hides_changes":
+        return await this.injectPartialFault(fault, { kind: "hides_changes" });
+      case "store_rejects_some":
+        return await this.injectPartialFault(fault, {
+          kind: "rejects",
+          addresses: this.findStoreAddresses(fault),
+        });
+      case "store_silent_for_some":
+        return await this.injectPartialFault(fault, {
+          kind: "silent",
+          addresses: this.findStoreAddresses(fault),
+        });
+      case "store_connections_silent":
+        return this.fleet.store.makeConnectionsUnresponsive(
+          (fault.share ?? 100) / 100,
         );
+      case "store_connections_closed":
+        return this.fleet.store.closeConnections();
       case "store_loses_answers":
         return await this.enableDuring(
           fault,
@@ -313,14 +405,36 @@
         );
         return await this.replaceBackend(host, 100);
       case "change_configuration":
-        this.configurationVersion += 1;
-        this.fleet.store.write(
-          "op/config",
-          encodeConfiguration(this.configurationVersion),
-        );
+        this.configuration.write("none");
+        return;
+      case "add_route":
+      case "add_many_routes":
+      case "split_route":
+      case "add_routes_again":
+        return this.routeCaller.measure(this.configuration.write(fault.kind));
+      case "move_route":
+      case "remove_routes":
+      case "change_limits":
+        this.configuration.write(fault.kind);
     }
   }
 
+  /** The addresses at which the daemons that a fault affects reach the store. */
+  private findStoreAddresses(fault: Fault): string[] {
+    return this.findAffectedHosts(fault).map(({ address }) =>
+      this.fleet.storeAddressFor(address)
+    );
+  }
+
+  private async injectPartialFault(
+    { forMs }: Fault,
+    fault: PartialStoreFault,
+  ): Promise<void> {
+    const end = this.partialFaults.start(fault);
+    await sleep(forMs);
+    end();
+  }
+
   /** Makes a request crash each backend server that runs it, and sends it to one host after the other. */
   private async sendLethalRequests(): Promise<void> {
     for (let count = 0; count < LETHAL_REQUEST_COUNT; count += 1) {
@@ -352,11 +466,15 @@
     fault: Fault,
     mode: RelayMode,
   ): Promise<void> {
-    this.relay.setMode(mode);
+    this.setRelayMode(mode);
     await sleep(fault.forMs);
     // Connections that lost bytes during a cut don't recover on their own.
-    this.relay.setMode("reset");
-    this.relay.setMode("pass");
+    this.setRelayMode("reset");
+    this.setRelayMode("pass");
+  }
+
+  private setRelayMode(mode: RelayMode): void {
+    this.relays.forEach((relay) => relay.setMode(mode));
   }
 
   private async restartDaemon(
--- a/soak/src/soak_test.ts
+++ b/soak/src/soak_test.ts
@@ -4,11 +4,14 @@
  * @module
  */
 import { expect } from "chai";
+import { NO_FAULTS } from "./fault_schedule.ts";
 import { REGRESSION_SEEDS } from "./regression_seeds.ts";
 import { runSoak } from "./soak_run.ts";
 
 const SHORT_SEED = 20_261_202;
 const DURATION_MS = 8_000;
+const SERIES_SEED = 20_261_203;
+const SERIES_DURATION_MS = 5_000;
 
 describe("soak", function () {
   this.timeout(90_000);
@@ -18,6 +21,20 @@
       const result = await runSoak(SHORT_SEED, {
         durationMs: DURATION_MS,
         network: 58,
+        hasSeries: false,
+      });
+      expect(result.violations).to.deep.equal([]);
+      expect(result.servedCount).to.be.above(0);
+    });
+  });
+
+  describe("with overlapping faults and changes of routes and limits", () => {
+    it("keeps all promises", async () => {
+      const result = await runSoak(SERIES_SEED, {
+        ...NO_FAULTS,
+        hasSeries: true,
+        durationMs: SERIES_DURATION_MS,
+        network: 58,
       });
       expect(result.violations).to.deep.equal([]);
       expect(result.servedCount).to.be.above(0);
