Check the limit again before answering 413 to a body in chunks

What callers saw, with a limit that had been raised while watches missed the change: a body without a declared length was answered with 503 at every repetition, and with 413 if a request for an unknown route at the same daemon had the configuration checked while the body arrived.

Cause: only a declared length led to a check. And the decision between 413 and 503 asked whether the configuration in force was confirmed now, not whether the limit that the body had exceeded was still that configuration's.

Change: a body that exceeds its limit waits for a check like a declared one, and 413 requires that the newest limit is no greater than the one that was applied. Otherwise the answer is 503, and the repetition is judged by the new limit.

platform/src/raised_limit_test.ts, real processes, before: 2 of 3 fail (503 at both daemons after four tries each; 413 at both). After: 3 of 3 pass.

Ruled out: reading on with the new limit, since the chunks beyond the old one are not kept.

--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -364,11 +364,22 @@
     this.refuse(response, outcome, request);
   }
 
-  private rejectTooLarge(
+  /**
+   * Rejects a request whose body exceeded a limit, or refuses it as not run if that limit may be outdated.
+   *
+   * @param limitBytes the limit that was applied to the body.
+   */
+  private async rejectTooLarge(
     response: ServerResponse,
-    request: CallerRequest,
-  ): void {
-    if (this.context.configurationChecker.isConfirmed) {
+    { request, limitBytes }: { request: CallerRequest; limitBytes: number },
+  ): Promise<void> {
+    const { configuration, configurationChecker } = this.context;
+    const isConfirmed = await configurationChecker.confirm(
+      request.deadlineMs ?? Infinity,
+    );
+    const newestLimitBytes =
+      configuration.inForce?.configuration.limits.bodyBytes ?? limitBytes;
+    if (isConfirmed && newestLimitBytes <= limitBytes) {
       this.reject(response, { kind: "too_large" }, request);
     } else {
       this.refuseUnconfirmed(response, request);
@@ -430,13 +441,13 @@
   ): Promise<string> {
     const { incoming, response, request, arrivedAtMs } = arrival;
     const { inForce } = match;
-    const bytes = await this.findBodyLimit(incoming, { request, inForce });
-    const read = await readBody(incoming, { bytes });
+    const limitBytes = await this.findBodyLimit(incoming, { request, inForce });
+    const read = await readBody(incoming, { bytes: limitBytes });
     if (read.kind === "cut") {
       return "cut";
     }
     if (read.kind === "too_large") {
-      this.rejectTooLarge(response, request);
+      await this.rejectTooLarge(response, { request, limitBytes });
       return "too_large";
     }
     if (this.isBehindLastResponse(response)) {
