Decode the rows of the operators' document one by one

What callers saw: one route or service that a daemon could not decode dropped the whole document. The daemon kept the version before until the next change; requests on routes added by that version got 404, and moved routes ran at the services that they had been moved away from.

Cause: `OperatorDocument.decode` validated all rows with one schema, and any error rejected all.

Change: each row is decoded on its own. What an odd row costs: - A route keeps its host and prefix. If its kind, service (or split) and attempts are readable and the version before has a route of the same name, host and prefix, only the times and the priority come from there and it is served. Otherwise its requests get 503 with Retry-After (`unreadable_configuration`): the earlier kind or service could repeat a request that must run once, or run it where it no longer belongs. - Without a readable host or prefix the table is incomplete: a request that no readable route matches gets 503, not 404. - A service with keys stays one. A service that may have got keys is refused (503) rather than sent to any of its backend servers; if the name is unreadable, all services with keys that are missing are kept. BL1856 names version, table, row, fields, and whether it was completed.

Ruled out: serving the earlier row as it was, for the reason above. A document without a readable version, limits or tables is still rejected as a whole.

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -416,6 +416,13 @@
       "The configuration document could not be read; the last valid one remains in force.",
     action: "Correct the document; `cause` names the field.",
   },
+  configuration_row_unreadable: {
+    number: 1856,
+    severity: "error",
+    meaning:
+      "A row of the configuration document's `table` could not be decoded; all others are in force. `completed`: its missing fields were taken from the version before. Otherwise requests of the route or service are refused as not run (`unreadable_configuration`), and so are requests without a route if the row's host or prefix is unreadable.",
+    action: "Correct the row; `reason` names the fields.",
+  },
   settings_reloaded: {
     number: 1813,
     severity: "info",
--- a/packages/router/src/configuration_manager.ts
+++ b/packages/router/src/configuration_manager.ts
@@ -6,7 +6,11 @@
  */
 import type { Logger } from "@bamboolink/logger";
 import type { MemberReport } from "@bamboolink/membership";
-import { PrefixRouter } from "@bamboolink/traffic";
+import {
+  PrefixRouter,
+  restoreUnreadableRows,
+  UnreadableRows,
+} from "@bamboolink/traffic";
 import type { TrafficConfiguration, TrafficService } from "@bamboolink/types";
 import { monotonicMs } from "./clock.ts";
 import type { PeerClient } from "./peer_client.ts";
@@ -17,6 +21,8 @@
   readonly configuration: TrafficConfiguration;
   readonly router: PrefixRouter;
   readonly services: ReadonlyMap<string, TrafficService>;
+  /** The rows of the document that neither it nor the version before it could supply. */
+  readonly unreadable: UnreadableRows;
   /** The document as received, for peers that can't reach the store. */
   readonly text: string;
 }
@@ -58,7 +64,8 @@
   }
 
   /**
-   * Applies a document if its version is newer. One that can't be decoded is logged and ignored.
+   * Applies a document if its version is newer. One that can't be decoded is logged and ignored; rows that can't be
+   * decoded are logged and completed from the version before, where that is safe.
    *
    * @param source where the document came from, for the log: `store` or a peer's address.
    * @returns the document's version; `undefined` if it can't be decoded.
@@ -105,12 +112,17 @@
   }
 
   private apply(
-    configuration: TrafficConfiguration,
+    decoded: TrafficConfiguration,
     origin: { text: string; source: string },
   ): void {
-    if (configuration.version <= this.version) {
+    if (decoded.version <= this.version) {
       return;
     }
+    const configuration = restoreUnreadableRows(
+      decoded,
+      this.current?.configuration,
+    );
+    this.logUnreadableRows(decoded, configuration);
     this.context.logger.log("traffic_configuration_in_force", {
       version: configuration.version,
       before: this.version,
@@ -123,9 +135,37 @@
       services: new Map(
         configuration.services.map((service) => [service.name, service]),
       ),
+      unreadable: UnreadableRows.create(configuration),
       text: origin.text,
     };
     this.inForceSinceMs = monotonicMs();
     this.context.onChange(this.current);
   }
+
+  private logUnreadableRows(
+    decoded: TrafficConfiguration,
+    restored: TrafficConfiguration,
+  ): void {
+    const { logger } = this.context;
+    const logRows = (
+      table: string,
+      rows: readonly { name?: string | undefined; reason: string }[],
+      missingRows: readonly unknown[],
+    ) =>
+      rows.forEach((row) =>
+        logger.log("configuration_row_unreadable", {
+          version: decoded.version,
+          table,
+          row: row.name,
+          reason: row.reason,
+          completed: !missingRows.includes(row),
+        })
+      );
+    logRows("routes", decoded.unreadableRoutes, restored.unreadableRoutes);
+    logRows(
+      "services",
+      decoded.unreadableServices,
+      restored.unreadableServices,
+    );
+  }
 }
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -44,10 +44,11 @@
 } from "./ports/caller_protocol.ts";
 import type { LoopLag } from "./loop_lag.ts";
 import type { RequestRunner } from "./request_runner.ts";
-import type {
-  Outcome,
-  RefusalReason,
-  RoutedRequest,
+import {
+  notRun,
+  type Outcome,
+  type RefusalReason,
+  type RoutedRequest,
 } from "./routed_request.ts";
 
 /** Time reserved for delivering the response, in milliseconds: the deadline applies at the caller. */
@@ -69,8 +70,12 @@
 const FIRST_FAILURE_STATUS = 500;
 /** Retry delay for callers of a daemon that has no configuration yet, in milliseconds. */
 const NO_CONFIGURATION_RETRY_MS = 200;
-/** Retry delay for callers of a daemon that can't confirm its configuration, in milliseconds. */
-const UNCONFIRMED_CONFIGURATION_RETRY_MS = 500;
+/** Retry delays for callers whose requests the configuration in force can neither serve nor reject, in milliseconds. */
+const UNCERTAINTY_RETRY_MS = {
+  unconfirmed_configuration: 500,
+  unreadable_configuration: 1_000,
+} as const satisfies Partial<Record<RefusalReason, number>>;
+type UncertaintyReason = keyof typeof UNCERTAINTY_RETRY_MS;
 
 /** Refusals whose cause is transient: after a handover, the keys soon have a holder again. */
 const TRANSIENT_REASONS: ReadonlySet<RefusalReason> = new Set([
@@ -107,9 +112,15 @@
   readonly route: TrafficRoute;
 }
 
+/** A row of the configuration that can't be read covers the request, or may cover it. */
+interface UnreadableMatch {
+  readonly kind: "unreadable";
+}
+
 /** The result of looking up a request's route; `unconfirmed` if the absence of a route is not certain. */
 type RouteMatch =
   | FoundRoute
+  | UnreadableMatch
   | { readonly kind: "absent" }
   | { readonly kind: "unconfirmed" };
 
@@ -249,8 +260,11 @@
       this.reject(response, { kind: "no_route" }, request);
       return undefined;
     }
-    if (match.kind === "unconfirmed") {
-      this.refuseUnconfirmed(response, request);
+    if (match.kind !== "found") {
+      this.refuseUncertain(response, {
+        request,
+        reason: `${match.kind}_configuration`,
+      });
       return undefined;
     }
     const { route } = match;
@@ -287,12 +301,16 @@
       { kind: isConfirmed ? "absent" : "unconfirmed" };
   }
 
-  private findRoute(incoming: IncomingMessage): FoundRoute | undefined {
+  private findRoute(
+    incoming: IncomingMessage,
+  ): FoundRoute | UnreadableMatch | undefined {
     const { inForce } = this.context.configuration;
-    const route = inForce?.router.find(
-      incoming.headers.host ?? "",
-      incoming.url ?? "",
-    );
+    const { host = "" } = incoming.headers;
+    const target = incoming.url ?? "";
+    const route = inForce?.router.find(host, target);
+    if (inForce?.unreadable.coversRequest({ host, target, route }) === true) {
+      return { kind: "unreadable" };
+    }
     return inForce === undefined || route === undefined
       ? undefined
       : { kind: "found", inForce, route };
@@ -315,16 +333,16 @@
     return configuration.inForce?.configuration.limits.bodyBytes ?? bodyBytes;
   }
 
-  /** Refuses a request whose rejection would rest on a configuration that may be outdated. */
-  private refuseUnconfirmed(
+  /** Refuses a request whose rejection would rest on a configuration that may be outdated or incomplete. */
+  private refuseUncertain(
     response: ServerResponse,
-    request: CallerRequest,
+    refusal: { request: CallerRequest; reason: UncertaintyReason },
   ): void {
     const { logger, metrics, configuration, configurationChecker } =
       this.context;
-    const reason = "unconfirmed_configuration";
+    const { request, reason } = refusal;
     const retryAfterMs = this.sampleRetryAfterMs({
-      waitMs: UNCONFIRMED_CONFIGURATION_RETRY_MS,
+      waitMs: UNCERTAINTY_RETRY_MS[reason],
       objectiveRemainingMs: 0,
       remainingMs: request.deadlineMs ?? Infinity,
       isTransient: true,
@@ -371,7 +389,8 @@
     if (this.context.configurationChecker.isConfirmed) {
       this.reject(response, { kind: "too_large" }, request);
     } else {
-      this.refuseUnconfirmed(response, request);
+      const reason = "unconfirmed_configuration";
+      this.refuseUncertain(response, { request, reason });
     }
   }
 
@@ -446,7 +465,9 @@
       { incoming, request, arrivedAtMs, body: read.body },
       match,
     );
-    const final = await this.runUntilDeadline(routed, response, match.route);
+    const final = inForce.unreadable.hidesService(routed.service)
+      ? refuseUnreadable()
+      : await this.runUntilDeadline(routed, response, match.route);
     return this.respond(response, { final, routed });
   }
 
@@ -714,6 +735,16 @@
   }
 }
 
+/** The outcome of a request to a service of which it is not known whether its keys have owners. */
+function refuseUnreadable(): FinalOutcome {
+  const reason = "unreadable_configuration";
+  return {
+    outcome: notRun(reason, { waitMs: UNCERTAINTY_RETRY_MS[reason] }),
+    peer: undefined,
+    attempts: 0,
+  };
+}
+
 /** Removes the query, which may contain data that must not be logged. */
 function withoutQuery(target: string): string {
   return target.split("?", 1)[0]!;
--- a/packages/router/src/routed_request.ts
+++ b/packages/router/src/routed_request.ts
@@ -42,6 +42,8 @@
   | "no_configuration"
   /** Its rejection depends on a configuration that the daemon can't confirm to be current. */
   | "unconfirmed_configuration"
+  /** Its route or its service is in a row of the configuration that can't be decoded. */
+  | "unreadable_configuration"
   /** No backend server of its service is available. */
   | "no_backend"
   /** The key has no owner at present. */
--- a/packages/traffic/src/prefix_router.ts
+++ b/packages/traffic/src/prefix_router.ts
@@ -5,21 +5,24 @@
  */
 import type { TrafficRoute } from "@bamboolink/types";
 
+/** The requests that a route covers. */
+type RouteScope = Pick<TrafficRoute, "host" | "prefix">;
+
 /** Index of the routes of one configuration version. */
-export class PrefixRouter {
+export class PrefixRouter<T extends RouteScope = TrafficRoute> {
   private constructor(
     private readonly hosts: ReadonlyMap<
       string,
-      ReadonlyMap<string, TrafficRoute>
+      ReadonlyMap<string, T>
     >,
   ) {}
 
   /** Indexes the routes by host and prefix. */
-  static create(routes: readonly TrafficRoute[]): PrefixRouter {
-    const hosts = new Map<string, Map<string, TrafficRoute>>();
+  static create<T extends RouteScope>(routes: readonly T[]): PrefixRouter<T> {
+    const hosts = new Map<string, Map<string, T>>();
     routes.forEach((route) => {
       const host = route.host.toLowerCase();
-      const prefixes = hosts.get(host) ?? new Map<string, TrafficRoute>();
+      const prefixes = hosts.get(host) ?? new Map<string, T>();
       hosts.set(host, prefixes);
       prefixes.set(route.prefix, route);
     });
@@ -36,7 +39,7 @@
    * @param target the request target; its query is ignored.
    * @returns `undefined` where no route matches.
    */
-  find(host: string, target: string): TrafficRoute | undefined {
+  find(host: string, target: string): T | undefined {
     const prefixes = this.hosts.get(stripPort(host).toLowerCase());
     if (prefixes === undefined) {
       return undefined;
--- a/packages/types/src/traffic.ts
+++ b/packages/types/src/traffic.ts
@@ -67,12 +67,45 @@
 /** Limits on what a caller sends. */
 export type CallerLimits = z.infer<typeof CallerLimits>;
 
+/** The fields of a route that determine where, and how often, a request may run. */
+export const RouteExecution = TrafficRoute.pick({
+  idempotent: true,
+  maximumAttempts: true,
+  targets: true,
+});
+
+/** A route that could not be decoded, with those of its fields that could. */
+export const UnreadableRoute = z.object({
+  name: TrafficRoute.shape.name.optional(),
+  host: TrafficRoute.shape.host.optional(),
+  prefix: TrafficRoute.shape.prefix.optional(),
+  execution: RouteExecution.optional(),
+  /** The fields that could not be decoded, for operators. */
+  reason: z.string(),
+});
+/** A route that could not be decoded, with those of its fields that could. */
+export type UnreadableRoute = z.infer<typeof UnreadableRoute>;
+
+/** A service that could not be decoded, with those of its fields that could. */
+export const UnreadableService = z.object({
+  name: TrafficService.shape.name.optional(),
+  keyed: TrafficService.shape.keyed.optional(),
+  /** The fields that could not be decoded, for operators. */
+  reason: z.string(),
+});
+/** A service that could not be decoded, with those of its fields that could. */
+export type UnreadableService = z.infer<typeof UnreadableService>;
+
 /** One version of the complete traffic configuration. */
 export const TrafficConfiguration = z.object({
   /** Increases with each change; a version is never applied after a higher one. */
   version: z.number().min(0),
   routes: z.array(TrafficRoute),
   services: z.array(TrafficService),
+  /** Routes of this version that are missing in `routes` because they could not be decoded. */
+  unreadableRoutes: z.array(UnreadableRoute),
+  /** Services of this version that are missing in `services` because they could not be decoded. */
+  unreadableServices: z.array(UnreadableService),
   limits: CallerLimits,
 });
 /** One version of the complete traffic configuration. */
