--- a/packages/router/src/frame_socket.ts
+++ b/packages/router/src/frame_socket.ts
@@ -20,6 +20,12 @@
  */
 const LINGER_TIMEOUT_MS = 400;
 
+/**
+ * Idle time after which a link is probed, in milliseconds; Node.js then sends up to ten probes, one each second. The
+ * receiving end of a link sends nothing without a request, so it would keep the links of lost hosts open for good.
+ */
+const PROBE_IDLE_MS = 10_000;
+
 /** Callbacks of one end of a link. */
 export interface FrameSocketEvents {
   readonly onFrame: (frame: Frame) => void;
@@ -49,6 +55,7 @@
   ): FrameSocket {
     const frames = new FrameSocket(socket, peer, events);
     socket.setNoDelay(true);
+    socket.setKeepAlive(true, PROBE_IDLE_MS);
     socket.on("data", (bytes: Buffer) => frames.read(bytes));
     socket.on(
       "error",
