Forward only responses that bear the backend server's signature

What callers saw: any response from the backend server's address that echoed the id of the request reached its caller, whatever its status: an unsigned 404, 413 or 301 ends a proper request for good, and an unsigned 2xx counts as its result.

Cause: only the id was compared. Every response of a backend server to a request that it has run is signed; the exceptions are statements that it did not run it (X-Not-Executed, 421), which have verdicts of their own.

Change: an unsigned response is foreign: its connection is closed, the outcome is unknown, and an idempotent request is sent once more. BL1805 states the status.

Ruled out: requiring the signature for 3xx and 4xx only; an unsigned 2xx or 500 from another process is as wrong.

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -333,7 +333,7 @@
     number: 1805,
     severity: "warn",
     meaning:
-      "A backend server sent the response to a different request; the connection was closed.",
+      "A response that is not the backend server's response to the request arrived from its address: it belongs to another request, bears no signature, or has a `status` by which callers would wrongly take the request for not run. It was not forwarded; the connection was closed.",
     action: "Check the backend server.",
   },
   attempt_failed: {
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -496,7 +496,10 @@
     if (verdict === "foreign") {
       // The right response may still follow on this connection, and must not be matched to another request.
       this.connections.discard(connection);
-      this.context.logger.log("foreign_answer", { request_id: request.id });
+      this.context.logger.log("foreign_answer", {
+        request_id: request.id,
+        status: response.status,
+      });
       return unknown("foreign_answer");
     }
     this.connections.release(connection);
--- a/packages/router/src/ports/backend_protocol.ts
+++ b/packages/router/src/ports/backend_protocol.ts
@@ -29,7 +29,7 @@
   | "not_executed"
   /** Another incarnation or another server responded at the address; it has not run the request. */
   | "wrong_instance"
-  /** The response to another request, or to none. */
+  /** The response to another request or to none, or one that the backend server itself did not make. */
   | "foreign";
 
 /** A limit that a backend server advertises in a response, in requests per second from all hosts together. */
