Route and forward targets in absolute form

What callers saw: 404 for GET http://shop.example/plain/x, which RFC 9112 (section 3.2.2) makes every server accept.

Cause: the target was compared with the prefixes as it came, scheme and host included.

Change: RequestTarget splits such a target. Its authority selects the route and replaces the Host header, as the RFC demands; path and query go on unchanged, an empty path as "/". It holds for HTTP/1.0 without a Host header, too.

Ruled out: forwarding the absolute form (RFC 9112, section 3.2.1, asks for the origin form towards a server that is no proxy).

--- a/packages/router/src/http_headers.ts
+++ b/packages/router/src/http_headers.ts
@@ -38,6 +38,17 @@
   );
 }
 
+/** Replaces the `Host` header among alternating names and values. */
+export function replaceHost(
+  headers: readonly string[],
+  host: string,
+): string[] {
+  const others = headers.filter((_text, index) =>
+    headers[index - index % 2]!.toLowerCase() !== "host"
+  );
+  return ["host", host, ...others];
+}
+
 /** Selects the headers of a response that are forwarded. */
 export function selectResponseHeaders(
   headers: ResponseHeaders,
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -21,7 +21,11 @@
 import type { Logger } from "@bamboolink/logger";
 import type { Metrics } from "@bamboolink/metrics";
 import { fingerprintRequest } from "@bamboolink/quarantine";
-import { PipelineTracker, TrafficSplit } from "@bamboolink/traffic";
+import {
+  PipelineTracker,
+  RequestTarget,
+  TrafficSplit,
+} from "@bamboolink/traffic";
 import type { CallerLimits, TrafficRoute } from "@bamboolink/types";
 import type { FinalOutcome } from "./attempt_history.ts";
 import { Cancellation } from "./cancellation.ts";
@@ -35,7 +39,7 @@
   ConfigurationManager,
 } from "./configuration_manager.ts";
 import { declaredLength, hasDisconnected, readBody } from "./http_body.ts";
-import { selectRequestHeaders } from "./http_headers.ts";
+import { replaceHost, selectRequestHeaders } from "./http_headers.ts";
 import type {
   CallerProtocol,
   CallerRequest,
@@ -289,10 +293,8 @@
 
   private findRoute(incoming: IncomingMessage): FoundRoute | undefined {
     const { inForce } = this.context.configuration;
-    const route = inForce?.router.find(
-      incoming.headers.host ?? "",
-      incoming.url ?? "",
-    );
+    const { host, pathAndQuery } = parseTarget(incoming);
+    const route = inForce?.router.find(host, pathAndQuery);
     return inForce === undefined || route === undefined
       ? undefined
       : { kind: "found", inForce, route };
@@ -332,8 +334,7 @@
     logger.log("request_not_run", {
       request_id: request.id,
       reason,
-      host: response.req.headers.host,
-      path: withoutQuery(response.req.url ?? ""),
+      ...describeTarget(response.req),
       retry_after_ms: Math.round(retryAfterMs),
       version: configuration.version,
       evidence_age_ms: toLoggedAge(configurationChecker.evidenceAgeMs),
@@ -350,12 +351,10 @@
   ): void {
     const { logger, metrics, configuration, configurationChecker } =
       this.context;
-    const { headers, url = "" } = response.req;
     logger.log("request_rejected", {
       request_id: request?.id,
       reason: outcome.kind,
-      host: headers.host,
-      path: withoutQuery(url),
+      ...describeTarget(response.req),
       version: configuration.version,
       version_age_ms: Math.round(configuration.ageMs(monotonicMs())),
       evidence_age_ms: toLoggedAge(configurationChecker.evidenceAgeMs),
@@ -481,6 +480,11 @@
       : this.waitEstimator.recordDeadline(route.name, request.deadlineMs);
     const service = this.trafficSplit.choose(route);
     const isKeyed = match.inForce.services.get(service)?.keyed === true;
+    const target = parseTarget(incoming);
+    const headers = selectRequestHeaders(
+      incoming.rawHeaders,
+      protocol.reservedHeaders,
+    );
     return {
       id: request.id,
       service,
@@ -501,11 +505,8 @@
       ),
       callerDeadlineAtMs: arrivedAtMs + (request.deadlineMs ?? route.timeoutMs),
       method: incoming.method ?? "GET",
-      target: incoming.url ?? "/",
-      headers: selectRequestHeaders(
-        incoming.rawHeaders,
-        protocol.reservedHeaders,
-      ),
+      target: target.pathAndQuery,
+      headers: target.isAbsolute ? replaceHost(headers, target.host) : headers,
       body,
     };
   }
@@ -714,7 +715,12 @@
   }
 }
 
-/** Removes the query, which may contain data that must not be logged. */
-function withoutQuery(target: string): string {
-  return target.split("?", 1)[0]!;
+function parseTarget({ headers, url }: IncomingMessage): RequestTarget {
+  return RequestTarget.parse(headers.host ?? "", url ?? "/");
+}
+
+/** Log fields for the target of a request, without the query, which may contain data that must not be logged. */
+function describeTarget(incoming: IncomingMessage) {
+  const { host, pathAndQuery } = parseTarget(incoming);
+  return { host, path: pathAndQuery.split("?", 1)[0] };
 }
--- a/packages/traffic/src/mod.ts
+++ b/packages/traffic/src/mod.ts
@@ -11,6 +11,7 @@
 } from "./configuration_evidence.ts";
 export { PipelineTracker } from "./pipeline_tracker.ts";
 export { PrefixRouter } from "./prefix_router.ts";
+export { RequestTarget } from "./request_target.ts";
 export { TrafficSplit } from "./traffic_split.ts";
 export {
   type EvacuationChange,
