--- a/packages/router/src/configuration_checker_test.ts
+++ b/packages/router/src/configuration_checker_test.ts
@@ -58,7 +58,13 @@
     const logger = Logger.createRateLimited("test", { level: "error" });
     const document = {
       decode: (text: string) =>
-        ok({ version: Number(text), routes: [], services: [] }),
+        ok({
+          version: Number(text),
+          routes: [],
+          services: [],
+          unreadableRoutes: [],
+          unreadableServices: [],
+        }),
     } as unknown as ConfigurationDocument;
     const configuration = ConfigurationManager.create({
       document,
