Find the route of equivalent spellings of a host and a path

What callers saw: 404 for Host: shop.example. (an absolute domain name), and for /%70lain/x, /./plain/x or /a/../plain/x, which RFC 3986 (section 6.2.2) makes equivalent to a path that has a route.

Cause: PrefixRouter compared texts.

Change: the dot that ends a host is ignored. The path is compared as it was sent first; only where no prefix matches, it is normalized: unreserved characters are decoded and dot segments removed. Encoded slashes and empty segments stay, since they name different resources. The path is forwarded as it was sent.

Why in this order: operators route by "the longest prefix that begins the path", so no request that has a route by its own spelling gets another one, another service or another kind. A path that only matches when normalized gets the kind of the route that it names, so a request for orders is never taken for one that may be repeated.

--- a/packages/traffic/src/prefix_router.ts
+++ b/packages/traffic/src/prefix_router.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { TrafficRoute } from "@bamboolink/types";
+import { normalizePath } from "./normalize_path.ts";
 
 /** Index of the routes of one configuration version. */
 export class PrefixRouter {
@@ -18,7 +19,7 @@
   static create(routes: readonly TrafficRoute[]): PrefixRouter {
     const hosts = new Map<string, Map<string, TrafficRoute>>();
     routes.forEach((route) => {
-      const host = route.host.toLowerCase();
+      const host = normalizeHost(route.host);
       const prefixes = hosts.get(host) ?? new Map<string, TrafficRoute>();
       hosts.set(host, prefixes);
       prefixes.set(route.prefix, route);
@@ -32,27 +33,45 @@
    * Prefixes end with a slash, so only the parts of the path up to each of its slashes can match. The cost grows with
    * the depth of the path, not with the number of routes.
    *
-   * @param host the `Host` header, with or without a port.
+   * The path is compared as it was sent. Only where no prefix matches, it is normalized first, so no request that has a
+   * route by its own spelling gets another one.
+   *
+   * @param host the `Host` header, with or without a port; a trailing dot is ignored.
    * @param target the request target; its query is ignored.
    * @returns `undefined` where no route matches.
    */
   find(host: string, target: string): TrafficRoute | undefined {
-    const prefixes = this.hosts.get(stripPort(host).toLowerCase());
+    const prefixes = this.hosts.get(normalizeHost(host));
     if (prefixes === undefined) {
       return undefined;
     }
     const query = target.indexOf("?");
     const path = query < 0 ? target : target.slice(0, query);
-    let slash = path.lastIndexOf("/");
-    while (slash >= 0) {
-      const route = prefixes.get(path.slice(0, slash + 1));
-      if (route !== undefined) {
-        return route;
-      }
-      slash = slash === 0 ? -1 : path.lastIndexOf("/", slash - 1);
+    const route = findLongestPrefix(prefixes, path);
+    return route === undefined && path.startsWith("/")
+      ? findLongestPrefix(prefixes, normalizePath(path))
+      : route;
+  }
+}
+
+function findLongestPrefix(
+  prefixes: ReadonlyMap<string, TrafficRoute>,
+  path: string,
+): TrafficRoute | undefined {
+  let slash = path.lastIndexOf("/");
+  while (slash >= 0) {
+    const route = prefixes.get(path.slice(0, slash + 1));
+    if (route !== undefined) {
+      return route;
     }
-    return undefined;
+    slash = slash === 0 ? -1 : path.lastIndexOf("/", slash - 1);
   }
+  return undefined;
+}
+
+/** The host name in lower case, without a port and without the dot that ends an absolute domain name. */
+function normalizeHost(host: string): string {
+  return stripPort(host).replace(/\.$/, "").toLowerCase();
 }
 
 function stripPort(host: string): string {
--- a/packages/traffic/src/traffic_test.ts
+++ b/packages/traffic/src/traffic_test.ts
@@ -49,6 +49,52 @@
     });
   });
 
+  describe("for another spelling of a host", () => {
+    // Guards against 404 for a proper request because of how its host is written.
+    ["shop.example", "SHOP.Example", "shop.example.", "shop.example.:80"]
+      .forEach((host) => {
+        it(`finds the route of ${host}`, () => {
+          const router = PrefixRouter.create([route({})]);
+          expect(router.find(host, "/")?.name).to.equal("route");
+        });
+      });
+  });
+
+  describe("for another spelling of a path", () => {
+    const router = PrefixRouter.create([
+      route({ name: "plain", prefix: "/plain/" }),
+      route({ name: "orders", prefix: "/orders/" }),
+    ]);
+
+    // Guards against 404 for a path that RFC 3986, section 6.2.2, makes equivalent to one that has a route.
+    [
+      "/%70lain/x",
+      "/pl%61in/x?q=/../",
+      "/./plain/x",
+      "/a/../plain/x",
+      "/../plain/x",
+      "/a/%2e%2E/plain/x",
+      "/plain/a/../../plain/.",
+    ].forEach((path) => {
+      it(`finds the route of ${path}`, () => {
+        expect(router.find("shop.example", path)?.name).to.equal("plain");
+      });
+    });
+
+    // Guards against sending a request to a service that its path does not name.
+    ["/plain%2Fx", "/plain", "//plain/x", "/plain%252f/x", "/a/plain/x", "*"]
+      .forEach((path) => {
+        it(`finds none for ${path}`, () => {
+          expect(router.find("shop.example", path)).to.equal(undefined);
+        });
+      });
+
+    it("keeps the route that the path has as it was sent", () => {
+      expect(router.find("shop.example", "/plain/../orders/x")?.name).to
+        .equal("plain");
+    });
+  });
+
   describe("for a host without routes", () => {
     it("finds nothing", () => {
       expect(PrefixRouter.create([route({})]).find("other.example", "/")).to
