Reject requests without a valid Host header in the open

What callers saw: 400 without a log line for an HTTP/1.1 request without a Host header, since Node.js answers it before any code of ours runs; 503 and Retry-After for one with two Host headers, which the HTTP client towards backend servers can't send, so callers came back in vain.

Cause: requireHostHeader of the HTTP server, and no check of our own.

Change: the ingress itself checks what RFC 9112 (section 3.2) demands, answers 400 and logs it (BL1849). HTTP/1.0 without a Host header is routed if its target names the host.

--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -147,6 +147,7 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs,
       requestTimeout: 0,
+      requireHostHeader: false,
     }, (incoming, response) => void this.serve(incoming, response));
     this.connections = CallerConnections.create(this.server, {
       onMalformedInput: (input) => this.logMalformedInput(input),
@@ -230,9 +231,12 @@
       return undefined;
     }
     const request = protocol.read(incoming.headers);
-    if (request === undefined) {
-      const reason = "the request's own headers are malformed";
-      this.reject(response, { kind: "malformed", reason });
+    const reason = findMalformedHost(incoming) ??
+      (request === undefined
+        ? "the request's own headers are malformed"
+        : undefined);
+    if (request === undefined || reason !== undefined) {
+      this.reject(response, { kind: "malformed", reason: reason ?? "" });
       return undefined;
     }
     if (configuration.inForce === undefined) {
@@ -715,6 +719,21 @@
   }
 }
 
+/** Why the `Host` header makes a request invalid (RFC 9112, section 3.2); `undefined` if it is valid. */
+function findMalformedHost(incoming: IncomingMessage): string | undefined {
+  const { rawHeaders, httpVersion } = incoming;
+  const hostCount =
+    rawHeaders.filter((text, index) =>
+      index % 2 === 0 && text.toLowerCase() === "host"
+    ).length;
+  if (hostCount > 1) {
+    return "several Host headers";
+  }
+  return hostCount === 0 && httpVersion === "1.1"
+    ? "no Host header"
+    : undefined;
+}
+
 function parseTarget({ headers, url }: IncomingMessage): RequestTarget {
   return RequestTarget.parse(headers.host ?? "", url ?? "/");
 }
--- /dev/null
+++ b/packages/router/src/ingress_test.ts
@@ -0,0 +1,190 @@
+/**
+ * Tests of requests that the ingress must decide about by their headers.
+ *
+ * @module
+ */
+import { type AddressInfo, connect } from "node:net";
+import { expect } from "chai";
+import type { EventName, Logger } from "@bamboolink/logger";
+import { Metrics } from "@bamboolink/metrics";
+import { PrefixRouter } from "@bamboolink/traffic";
+import type { CallerLimits, TrafficRoute } from "@bamboolink/types";
+import type { ConfigurationChecker } from "./configuration_checker.ts";
+import type { ConfigurationManager } from "./configuration_manager.ts";
+import { Ingress } from "./ingress.ts";
+import type { LoopLag } from "./loop_lag.ts";
+import type { CallerProtocol } from "./ports/caller_protocol.ts";
+import type { RequestRunner } from "./request_runner.ts";
+import type { RoutedRequest } from "./routed_request.ts";
+
+const STATUSES: Readonly<Record<string, number>> = {
+  no_route: 404,
+  too_large: 413,
+  headers_too_large: 431,
+  malformed: 400,
+  not_run: 503,
+};
+const LIMITS: CallerLimits = {
+  headerBytes: 1_000,
+  bodyBytes: 1_000,
+  headerTimeoutMs: 10_000,
+  idleTimeoutMs: 10_000,
+};
+const ROUTE: TrafficRoute = {
+  name: "route",
+  host: "shop.example",
+  prefix: "/known/",
+  idempotent: true,
+  timeoutMs: 2_000,
+  objectiveMs: 500,
+  maximumAttempts: 1,
+  rank: 1,
+  targets: [{ service: "one", weight: 1 }],
+};
+
+/** An ingress with an echo in place of backend servers; it is the ingress' configuration and its checker, too. */
+class Fixture {
+  readonly version = 1;
+  readonly evidenceAgeMs = 0;
+  limits = LIMITS;
+  /** The limits of a newer configuration, which a check finds. */
+  newerLimits: CallerLimits | undefined;
+  isConfirmed = true;
+  /** Names of the events that were logged. */
+  readonly logged: EventName[] = [];
+  readonly ran: RoutedRequest[] = [];
+  readonly ingress = this.createIngress();
+  private readonly router = PrefixRouter.create([ROUTE]);
+
+  /** The configuration in force. */
+  get inForce(): unknown {
+    const { router, limits } = this;
+    return { router, services: new Map(), configuration: { limits } };
+  }
+
+  /** How long it is in force, in milliseconds. */
+  ageMs(): number {
+    return 0;
+  }
+
+  /** Checks whether the configuration is current. */
+  confirm(): Promise<boolean> {
+    this.limits = this.newerLimits ?? this.limits;
+    return Promise.resolve(this.isConfirmed);
+  }
+
+  async listen(): Promise<void> {
+    const { server } = this.ingress;
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+  }
+
+  close(): void {
+    this.ingress.server.closeAllConnections();
+    this.ingress.server.close();
+  }
+
+  /** Sends parts of a request, each after the bytes received so far satisfy its condition; returns all bytes received. */
+  async exchange(
+    parts: readonly { text: string; after?: RegExp }[],
+    end: RegExp,
+  ): Promise<string> {
+    const { port } = this.ingress.server.address() as AddressInfo;
+    const socket = connect(port, "127.0.0.1");
+    const pending = [...parts];
+    let received = "";
+    const sendNext = () => {
+      while (pending.length > 0 && (pending[0]!.after ?? / */).test(received)) {
+        socket.write(pending.shift()!.text);
+      }
+    };
+    await new Promise<void>((resolve) => {
+      socket.on("close", () => resolve());
+      socket.on("error", () => undefined);
+      socket.on("data", (chunk) => {
+        received += String(chunk);
+        sendNext();
+        if (pending.length === 0 && end.test(received)) {
+          socket.destroy();
+        }
+      });
+      sendNext();
+    });
+    return received;
+  }
+
+  private createIngress(): Ingress {
+    return Ingress.create({
+      protocol: {
+        reservedHeaders: new Set<string>(),
+        read: () => ({ id: "one", deadlineMs: 1_000, key: undefined }),
+        write: ({ kind }) => ({
+          status: STATUSES[kind] ?? 502,
+          headers: {},
+          body: kind,
+        }),
+      } as Partial<CallerProtocol> as CallerProtocol,
+      logger: {
+        log: (event: EventName) => void this.logged.push(event),
+      } as Partial<Logger> as Logger,
+      metrics: Metrics.create(),
+      configuration: this as unknown as ConfigurationManager,
+      configurationChecker: this as unknown as ConfigurationChecker,
+      runner: {
+        run: (request: RoutedRequest) => {
+          this.ran.push(request);
+          return Promise.resolve({
+            outcome: {
+              kind: "answer",
+              status: 200,
+              headers: {},
+              body: request.body ?? Buffer.from("none"),
+              isFramed: true,
+            },
+            peer: undefined,
+            attempts: 1,
+          });
+        },
+      } as unknown as RequestRunner,
+      lag: {
+        currentMs: 0,
+        awaitPendingReads: () => Promise.resolve(),
+        isOverloaded: () => false,
+      } as Partial<LoopLag> as LoopLag,
+      random: () => 0.5,
+      callerService: () => "caller",
+    });
+  }
+}
+
+function createHead(target: string, headers: string): string {
+  return `POST ${target} HTTP/1.1\r\nHost: shop.example\r\n${headers}\r\n`;
+}
+
+describe("Ingress", () => {
+  let fixture: Fixture;
+
+  beforeEach(async () => {
+    fixture = new Fixture();
+    await fixture.listen();
+  });
+
+  afterEach(() => fixture.close());
+
+  describe("with a request whose Host header is missing or repeated", () => {
+    // Guards against a rejection by Node.js itself, without a log line, and against forwarding two headers.
+    [
+      "POST /known/x HTTP/1.1\r\n\r\n",
+      "POST http://shop.example/known/x HTTP/1.1\r\n\r\n",
+      createHead("/known/x", "Host: shop.example\r\n"),
+    ].forEach((text) => {
+      it(`answers 400 to ${JSON.stringify(text)}, and logs it`, async () => {
+        const received = await fixture.exchange([{ text }], /malformed$/);
+        expect(received).to.match(/^HTTP\/1\.1 400 /);
+        expect(fixture.logged).to.deep.equal(["request_rejected"]);
+        expect(fixture.ran).to.deep.equal([]);
+      });
+    });
+  });
+});
