Decide about a request before its body is asked for

What callers saw: 417 without a log line for a proper request with an expectation that Node.js does not know; RFC 9110 (section 10.1.1) allows to ignore it. With Expect: 100-continue, a 100 and then 404, 413 or 503: the caller sent all of its body in vain.

Cause: without listeners for these events, Node.js answers 417 by itself and writes the 100 before the request is handled.

Change: both are handled like all requests. The 100 is written just before the body is read, when the route is known and the declared length is within the limit. A final status before it closes the connection (Node.js does so by itself): the caller may or may not send the body, and it must not be read as the next request. Expect is not forwarded, as before.

packages/router/src/ingress_test.ts: 3 of 4 fail on the code before (417, and 100 before 404 and 413), 4 pass with the change.

--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -71,6 +71,8 @@
 const FIRST_UNUSUAL_STATUS = 300;
 /** Lowest HTTP status by which a backend server reports that it failed a request. */
 const FIRST_FAILURE_STATUS = 500;
+/** An `Expect` header that asks for an interim response before the body. */
+const CONTINUE_EXPECTATION = /(?:^|\W)100-continue(?:$|\W)/i;
 /** Retry delay for callers of a daemon that has no configuration yet, in milliseconds. */
 const NO_CONFIGURATION_RETRY_MS = 200;
 /** Retry delay for callers of a daemon that can't confirm its configuration, in milliseconds. */
@@ -149,6 +151,14 @@
       requestTimeout: 0,
       requireHostHeader: false,
     }, (incoming, response) => void this.serve(incoming, response));
+    // Without these listeners Node.js accepts a body before anything is known of its request, and rejects expectations
+    // that it does not know.
+    ["checkContinue", "checkExpectation"].forEach((event) =>
+      this.server.on(
+        event,
+        (incoming, response) => this.server.emit("request", incoming, response),
+      )
+    );
     this.connections = CallerConnections.create(this.server, {
       onMalformedInput: (input) => this.logMalformedInput(input),
     });
@@ -434,6 +444,9 @@
     const { incoming, response, request, arrivedAtMs } = arrival;
     const { inForce } = match;
     const bytes = await this.findBodyLimit(incoming, { request, inForce });
+    if (awaitsContinue(incoming) && declaredLength(incoming) <= bytes) {
+      response.writeContinue();
+    }
     const read = await readBody(incoming, { bytes });
     if (read.kind === "cut") {
       return "cut";
@@ -734,6 +747,12 @@
     : undefined;
 }
 
+/** Whether the caller sends the body of a request only after an interim response (RFC 9110, section 10.1.1). */
+function awaitsContinue({ headers, httpVersion }: IncomingMessage): boolean {
+  return httpVersion === "1.1" &&
+    CONTINUE_EXPECTATION.test(headers.expect ?? "");
+}
+
 function parseTarget({ headers, url }: IncomingMessage): RequestTarget {
   return RequestTarget.parse(headers.host ?? "", url ?? "/");
 }
--- a/packages/router/src/ingress_test.ts
+++ b/packages/router/src/ingress_test.ts
@@ -187,4 +187,51 @@
       });
     });
   });
+
+  describe("with a request that expects 100-continue", () => {
+    const expectation = "Expect: 100-continue\r\nContent-Length: 4\r\n";
+
+    it("accepts the body once it is known that the request is served", async () => {
+      const received = await fixture.exchange([
+        { text: createHead("/known/x", expectation) },
+        { text: "body", after: /^HTTP\/1\.1 100 Continue\r\n\r\n/ },
+      ], /body$/);
+      expect(received).to.match(/\r\n\r\nHTTP\/1\.1 200 OK\r\n[^]*body$/);
+    });
+
+    // Guards against accepting a body only to reject its request: its caller has sent all of it in vain, and bytes that
+    // it does not send after the rejection would be read from its next request.
+    [
+      { target: "/unknown/x", headers: expectation, status: 404 },
+      {
+        target: "/known/x",
+        headers: "Expect: 100-continue\r\nContent-Length: 5000\r\n",
+        status: 413,
+      },
+    ].forEach(({ target, headers, status }) => {
+      it(`answers ${status} at once, and closes the connection`, async () => {
+        const received = await fixture.exchange(
+          [{ text: createHead(target, headers) }],
+          /never/,
+        );
+        expect(received).to.match(new RegExp(`^HTTP/1\\.1 ${status} `));
+        expect(received).to.match(/\r\nconnection: close\r\n/i);
+      });
+    });
+  });
+
+  describe("with a request that expects something unknown", () => {
+    // Guards against 417 for a proper request: expectations that are not known may be ignored.
+    it("serves it", async () => {
+      const received = await fixture.exchange([
+        {
+          text: createHead(
+            "/known/x",
+            "Expect: later\r\nContent-Length: 4\r\n",
+          ) + "body",
+        },
+      ], /body$/);
+      expect(received).to.match(/^HTTP\/1\.1 200 OK\r\n/);
+    });
+  });
 });
