Apply the configured limit on headers to each request

What callers saw: 431 for a request of more than 65,536 bytes of headers though the configuration allows more, and no 431 where it allows less. Of more than 2,000 header lines the rest was dropped silently, the request's id among them.

Cause: max_header_bytes was decoded and never used; the parser's limit was a constant, and so is Node.js' limit on the number of lines.

Change: the parser takes up to 1 MiB and any number of lines. The ingress measures each request and compares it with the limit in force, which holds for open connections at once. Beyond it the limit is confirmed to be current first, as for 404 and 413; without evidence the request is refused as not run (503). What is measured is the shortest encoding of the header lines, so that no way of counting puts a request within the limit above it; a target may be as long as the limit by itself.

Ruled out: setting the limit of the parser when the configuration changes: a parser that exists keeps its limit, so open connections would keep the old one.

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -354,7 +354,7 @@
     number: 1849,
     severity: "info",
     meaning:
-      "A request was rejected because it can't be served as it was sent: `reason` is `no_route`, `too_large` or `malformed`. `version` is the configuration that was used, in force on this daemon for `version_age_ms`; `evidence_age_ms` is how long ago it was certainly the newest one.",
+      "A request was rejected because it can't be served as it was sent: `reason` is `no_route`, `too_large`, `headers_too_large` or `malformed`. `version` is the configuration that was used, in force on this daemon for `version_age_ms`; `evidence_age_ms` is how long ago it was certainly the newest one.",
     action:
       "With `no_route`: compare `host` and `path` with the routes of that version.",
   },
--- a/packages/router/src/http_headers.ts
+++ b/packages/router/src/http_headers.ts
@@ -20,6 +20,15 @@
   "upgrade",
 ]);
 
+/** Bytes of the shortest encoding of a header line beside its name and value: a colon and a line break. */
+const LINE_OVERHEAD_BYTES = 3;
+
+/** The smallest size in bytes at which a request's headers can have been sent; the request line does not count. */
+export function measureHeaderBytes(raw: readonly string[]): number {
+  const textBytes = raw.reduce((sum, text) => sum + text.length, 0);
+  return textBytes + raw.length / 2 * LINE_OVERHEAD_BYTES;
+}
+
 /**
  * Selects the headers of a request that are forwarded, as alternating names and values.
  *
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -39,7 +39,11 @@
   ConfigurationManager,
 } from "./configuration_manager.ts";
 import { declaredLength, hasDisconnected, readBody } from "./http_body.ts";
-import { replaceHost, selectRequestHeaders } from "./http_headers.ts";
+import {
+  measureHeaderBytes,
+  replaceHost,
+  selectRequestHeaders,
+} from "./http_headers.ts";
 import type {
   CallerProtocol,
   CallerRequest,
@@ -58,11 +62,14 @@
 const RESPONSE_DELIVERY_MS = 8;
 /** Typical service time as a share of the objective: operators set objectives at about three times the service time. */
 const TYPICAL_SERVICE_SHARE = 0.35;
-/** Header size limit of the HTTP server, in bytes, and the default until a configuration is in force. */
-const MAX_HEADER_BYTES = 65_536;
+/**
+ * Header size limit of the HTTP server, in bytes: above all that operators configure, and a bound on the memory that a
+ * connection takes. The configured limit is applied to each request.
+ */
+const MAX_HEADER_BYTES = 1_048_576;
 /** Limits until a configuration is in force. */
 const INITIAL_LIMITS: CallerLimits = {
-  headerBytes: MAX_HEADER_BYTES,
+  headerBytes: 65_536,
   bodyBytes: 1_048_576,
   headerTimeoutMs: 10_000,
   idleTimeoutMs: 15_000,
@@ -151,6 +158,8 @@
       requestTimeout: 0,
       requireHostHeader: false,
     }, (incoming, response) => void this.serve(incoming, response));
+    // Node.js drops the headers beyond a number of lines.
+    this.server.maxHeadersCount = 0;
     // Without these listeners Node.js accepts a body before anything is known of its request, and rejects expectations
     // that it does not know.
     ["checkContinue", "checkExpectation"].forEach((event) =>
@@ -262,6 +271,9 @@
       }, request);
       return undefined;
     }
+    if (await this.rejectsHeaders(incoming, { response, request })) {
+      return undefined;
+    }
     const match = await this.matchRoute(incoming, request);
     if (match.kind === "absent") {
       this.reject(response, { kind: "no_route" }, request);
@@ -289,6 +301,38 @@
     return route.name;
   }
 
+  /** Rejects a request whose headers exceed the limit, confirmed to be current; returns whether it was answered. */
+  private async rejectsHeaders(
+    incoming: IncomingMessage,
+    { response, request }: {
+      response: ServerResponse;
+      request: CallerRequest;
+    },
+  ): Promise<boolean> {
+    const { configuration, configurationChecker } = this.context;
+    const bytes = Math.max(
+      measureHeaderBytes(incoming.rawHeaders),
+      incoming.url?.length ?? 0,
+    );
+    const isTooLarge = () =>
+      bytes > (configuration.inForce?.configuration.limits.headerBytes ?? 0);
+    if (!isTooLarge()) {
+      return false;
+    }
+    const isConfirmed = await configurationChecker.confirm(
+      request.deadlineMs ?? Infinity,
+    );
+    if (!isTooLarge()) {
+      return false;
+    }
+    if (isConfirmed) {
+      this.reject(response, { kind: "headers_too_large" }, request);
+    } else {
+      this.refuseUnconfirmed(response, request);
+    }
+    return true;
+  }
+
   /** Finds a request's route; concludes that there is none only from a configuration that is known to be current. */
   private async matchRoute(
     incoming: IncomingMessage,
--- a/packages/router/src/ingress_test.ts
+++ b/packages/router/src/ingress_test.ts
@@ -234,4 +234,59 @@
       expect(received).to.match(/^HTTP\/1\.1 200 OK\r\n/);
     });
   });
+
+  describe("with headers of a size", () => {
+    const createText = (bytes: number) =>
+      createHead("/known/x", `X-Long: ${"x".repeat(bytes)}\r\n`);
+    const raisedLimits = { ...LIMITS, headerBytes: 200_000 };
+
+    it("beyond the limit, answers 431, and logs it", async () => {
+      const received = await fixture.exchange(
+        [{ text: createText(2_000) }],
+        /headers_too_large$/,
+      );
+      expect(received).to.match(/^HTTP\/1\.1 431 /);
+      expect(fixture.logged).to.deep.equal(["request_rejected"]);
+      expect(fixture.ran).to.deep.equal([]);
+    });
+
+    // Guards against 431 for a proper request: a fixed limit lies below the one that operators have set.
+    it("within a limit that is high, serves it", async () => {
+      fixture.limits = raisedLimits;
+      const received = await fixture.exchange(
+        [{ text: createText(190_000) }],
+        /none$/,
+      );
+      expect(received).to.match(/^HTTP\/1\.1 200 /);
+    });
+
+    // Guards against 431 from a limit that operators have raised meanwhile.
+    it("within a limit that was raised and is not known yet, serves it", async () => {
+      fixture.newerLimits = raisedLimits;
+      const received = await fixture.exchange(
+        [{ text: createText(2_000) }],
+        /none$/,
+      );
+      expect(received).to.match(/^HTTP\/1\.1 200 /);
+    });
+
+    it("beyond a limit that can't be confirmed, refuses it as not run", async () => {
+      fixture.isConfirmed = false;
+      const received = await fixture.exchange(
+        [{ text: createText(2_000) }],
+        /not_run$/,
+      );
+      expect(received).to.match(/^HTTP\/1\.1 503 /);
+      expect(fixture.ran).to.deep.equal([]);
+    });
+
+    // Guards against headers that Node.js drops silently, the request's id among them.
+    it("of a few bytes but in many lines, forwards all of them", async () => {
+      fixture.limits = raisedLimits;
+      const lines = Array.from({ length: 3_000 }, (_, index) => `A${index}:`);
+      const text = createHead("/known/x", `${lines.join("\r\n")}\r\n`);
+      await fixture.exchange([{ text }], /none$/);
+      expect(fixture.ran[0]?.headers).to.include("A2999");
+    });
+  });
 });
--- a/packages/router/src/ports/caller_protocol.ts
+++ b/packages/router/src/ports/caller_protocol.ts
@@ -44,6 +44,8 @@
   | { readonly kind: "no_route" }
   /** Its body exceeds the limit. */
   | { readonly kind: "too_large" }
+  /** Its headers, or its target, exceed the limit on headers. */
+  | { readonly kind: "headers_too_large" }
   /** Its headers can't be parsed. */
   | { readonly kind: "malformed"; readonly reason: string };
 
