Let a raised idle timeout hold for idle connections

What callers saw: a connection that was idle when operators raised the idle timeout was closed by the old one; a caller that reused it by the timeout in force lost its request to a closed connection.

Cause: Node.js sets the timer of an idle connection when its last response is sent, and never again.

Change: CallerConnections extends the timers of idle connections. It never shortens one: the old timeout was announced in the Keep-Alive header.

--- a/packages/connections/src/caller_connection.ts
+++ b/packages/connections/src/caller_connection.ts
@@ -64,6 +64,14 @@
     this.hasLastResponse = true;
   }
 
+  /** Lets the connection stay idle for longer if it is idle now; it never shortens the timeout that was announced. */
+  extendIdleTimeout(idleTimeoutMs: number): void {
+    const { timeout = 0 } = this.socket;
+    if (timeout > 0 && timeout < idleTimeoutMs) {
+      this.socket.setTimeout(idleTimeoutMs);
+    }
+  }
+
   /** Tracks a request that was received and is going to be answered. */
   trackRequest(incoming: IncomingMessage, response: ServerResponse): void {
     const updateHandledBytes = () => {
--- a/packages/connections/src/caller_connections.ts
+++ b/packages/connections/src/caller_connections.ts
@@ -85,6 +85,14 @@
     return isEnding;
   }
 
+  /** Sets how long connections may stay idle, in milliseconds; a longer time holds for idle connections at once. */
+  setIdleTimeout(idleTimeoutMs: number): void {
+    this.server.keepAliveTimeout = idleTimeoutMs;
+    this.all.forEach((connection) =>
+      connection.extendIdleTimeout(idleTimeoutMs)
+    );
+  }
+
   /** Makes the response that is written next on a connection its last one. */
   closeAfterNextResponse(socket: Socket): void {
     this.connections.get(socket)?.closeAfterNextResponse();
--- a/packages/connections/src/caller_connections_test.ts
+++ b/packages/connections/src/caller_connections_test.ts
@@ -24,6 +24,11 @@
 /** More than Node.js reads of a body that has no reader, in bytes. */
 const BODY_BYTES = 300_000;
 
+const SHORT_IDLE_TIMEOUT_MS = 100;
+const LONG_IDLE_TIMEOUT_MS = 60_000;
+/** How much longer than its timeout Node.js keeps an idle connection, in milliseconds. */
+const NODE_IDLE_MARGIN_MS = 1_000;
+
 /** How much of the received text a caller keeps, in characters. */
 const TEXT_LENGTH = 500;
 const MALFORMED_BYTES = "\u0001 no request\r\n\r\n";
@@ -202,6 +207,20 @@
     });
   });
 
+  describe("with an idle connection when the idle timeout is raised", () => {
+    // Guards against closing a connection that its caller may reuse by the limit in force.
+    it("keeps it open", async () => {
+      handle = (_incoming, response) => response.end("done");
+      connections.setIdleTimeout(SHORT_IDLE_TIMEOUT_MS);
+      await caller.send(createHeaders("GET", "/first", 0));
+      await caller.read(1);
+      await until(() => connections.busyCount === 0);
+      connections.setIdleTimeout(LONG_IDLE_TIMEOUT_MS);
+      await sleep(SHORT_IDLE_TIMEOUT_MS + NODE_IDLE_MARGIN_MS * 2);
+      expect(caller.isEnded).to.equal(false);
+    });
+  });
+
   describe("with a request after one that ends the connection", () => {
     // Guards against running a request that its caller must assume unread: a stopping daemon marks the response of each
     // request as the last one of its connection, and still runs requests that arrive before that response is sent.
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -195,7 +195,7 @@
 
   /** Applies the timeouts for callers' connections. */
   setLimits(limits: CallerLimits): void {
-    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.connections.setIdleTimeout(limits.idleTimeoutMs);
     this.server.headersTimeout = limits.headerTimeoutMs;
   }
 
