Answer callers that close only their sending side

What callers saw: a connection that ended without a response after a proper request, if the caller had announced by closing its side that it sends no more (RFC 9112, section 9.6).

Cause: the end of a connection was taken for its caller's leaving, since the first packet is the same. Work for callers that have left must stop, so simply answering is no way out.

Change: a caller whose end arrives while it waits for a response is probed by interim responses (100, which RFC 9110, section 15.2, makes every HTTP/1.1 client accept and ignore), at most four, at 0, 30, 120 and 400 ms. The host of one that has left resets the connection upon the first, and the next write finds it; its request is cancelled as before. A request that is read together with the end of its connection waits 60 ms, two probes, before it runs. HTTP/1.0 knows no interim responses; there the end counts as leaving, as before.

Ruled out: reading on to see the reset (libuv stops polling after the end of a stream); answering without probes (work goes on for callers that have left).

--- a/packages/connections/src/caller_connection.ts
+++ b/packages/connections/src/caller_connection.ts
@@ -22,6 +22,15 @@
 /** How long the rest of a partial request is waited for, in milliseconds: a lost packet is retransmitted by then. */
 const STALL_TIMEOUT_MS = 1_000;
 
+/**
+ * When a caller that has closed its sending side is probed, in milliseconds after that. The first probe makes the host
+ * of a caller that is gone reset the connection, and a later one finds that out. HTTP clients accept a few interim
+ * responses at most.
+ */
+const PROBE_DELAYS_MS = [0, 30, 120, 400];
+/** How long after its end of the connection a caller is taken for gone at the latest if it is near, in milliseconds. */
+const PROBE_RESULT_MS = 60;
+
 /** Tracks the requests and responses of one connection, and closes it without truncating a response. */
 export class CallerConnection {
   /** Responses not yet handed completely to the operating system, in the order of their requests. */
@@ -35,6 +44,7 @@
 
   private constructor(private readonly socket: Socket, nowMs: number) {
     this.lastCheck = { bytes: 0, changedAtMs: nowMs };
+    socket.once("end", () => this.probeCaller());
     // The HTTP server calls this after the last response of a connection.
     socket.destroySoon = () => this.end();
   }
@@ -59,6 +69,18 @@
     return this.openResponses.size;
   }
 
+  /**
+   * Whether the caller can still receive responses. Of one that has closed its sending side it is known only after
+   * probes.
+   */
+  async isCallerPresent(): Promise<boolean> {
+    const { socket } = this;
+    if (socket.readableEnded && !socket.destroyed) {
+      await new Promise((resolve) => setTimeout(resolve, PROBE_RESULT_MS));
+    }
+    return !socket.destroyed && !socket.writableEnded;
+  }
+
   /** Makes the response that is written next the last one of the connection. */
   closeAfterNextResponse(): void {
     this.hasLastResponse = true;
@@ -138,6 +160,33 @@
     return isFirst;
   }
 
+  /**
+   * Finds out whether a caller that has closed its sending side has left or waits for responses (RFC 9112, section 9.6):
+   * interim responses to one that has left fail, which closes the connection.
+   */
+  private probeCaller(): void {
+    const [first] = this.openResponses;
+    if (first === undefined || this.socket.destroyed) {
+      return;
+    }
+    if (first.req.httpVersion !== "1.1") {
+      // Interim responses must not be sent to it.
+      this.socket.destroy();
+      return;
+    }
+    const timers = PROBE_DELAYS_MS.map((delayMs) =>
+      setTimeout(() => this.sendProbe(), delayMs)
+    );
+    this.socket.once("close", () => timers.forEach(clearTimeout));
+  }
+
+  private sendProbe(): void {
+    const [first] = this.openResponses;
+    if (first?.headersSent === false) {
+      first.writeContinue();
+    }
+  }
+
   private endAfterMalformedInput(status: string): void {
     const { socket } = this;
     const last = [...this.openResponses].at(-1);
--- a/packages/connections/src/caller_connections.ts
+++ b/packages/connections/src/caller_connections.ts
@@ -42,6 +42,8 @@
     private readonly server: Server,
     private readonly listeners: ConnectionListeners,
   ) {
+    // Read by Node.js: whether requests of callers that have closed their sending side are still answered.
+    Object.assign(server, { httpAllowHalfOpen: true });
     server.on("connection", (socket: Socket) => this.accept(socket));
     server.on(
       "request",
@@ -85,6 +87,12 @@
     return isEnding;
   }
 
+  /** Whether the caller of a request can still receive its response. */
+  async isCallerPresent(incoming: IncomingMessage): Promise<boolean> {
+    const connection = this.connections.get(incoming.socket);
+    return connection !== undefined && await connection.isCallerPresent();
+  }
+
   /** Sets how long connections may stay idle, in milliseconds; a longer time holds for idle connections at once. */
   setIdleTimeout(idleTimeoutMs: number): void {
     this.server.keepAliveTimeout = idleTimeoutMs;
--- a/packages/connections/src/caller_connections_test.ts
+++ b/packages/connections/src/caller_connections_test.ts
@@ -29,6 +29,11 @@
 /** How much longer than its timeout Node.js keeps an idle connection, in milliseconds. */
 const NODE_IDLE_MARGIN_MS = 1_000;
 
+/** Duration of a request, in milliseconds: longer than callers are probed. */
+const RUN_MS = 600;
+/** Within this time work for callers that have left must stop, in milliseconds. */
+const CANCELLATION_BOUND_MS = 500;
+
 /** How much of the received text a caller keeps, in characters. */
 const TEXT_LENGTH = 500;
 const MALFORMED_BYTES = "\u0001 no request\r\n\r\n";
@@ -332,6 +337,53 @@
     });
   });
 
+  describe("with a caller that closes its sending side after its request", () => {
+    // Guards against a proper request that gets no response: a caller may announce so that it sends no more.
+    it("delivers the response", async () => {
+      handle = (_incoming, response) =>
+        void setTimeout(() => response.end("done"), RUN_MS);
+      await caller.send(createHeaders("GET", "/half", 0));
+      caller.end();
+      await caller.readToEnd();
+      expect(caller.text).to.match(/\r\n\r\nHTTP\/1\.1 200 OK\r\n[^]*done$/);
+    });
+
+    it("sends few interim responses, and none in HTTP/1.0", async () => {
+      handle = () => undefined;
+      await caller.send(createHeaders("GET", "/half", 0));
+      caller.end();
+      setTimeout(() => server.closeAllConnections(), RUN_MS * 2);
+      await caller.readToEnd();
+      expect(caller.text.match(/100 Continue/g)).to.have.length.within(1, 5);
+      const oldCaller = await Caller.create(server);
+      await oldCaller.send("GET /half HTTP/1.0\r\n\r\n");
+      oldCaller.end();
+      await oldCaller.readToEnd();
+      expect(oldCaller.text).to.equal("");
+    });
+  });
+
+  describe("with a caller that leaves after its request", () => {
+    // Guards against work for a caller that has left: at first, its leaving looks like a closed sending side.
+    it("cancels the response", async () => {
+      let closedAtMs = Infinity;
+      let response: ServerResponse | undefined;
+      handle = (_incoming, received) => {
+        response = received;
+        received.once("close", () => {
+          closedAtMs = performance.now();
+        });
+      };
+      await caller.send(createHeaders("GET", "/left", 0));
+      await until(() => response !== undefined);
+      const leftAtMs = performance.now();
+      caller.close();
+      await until(() => closedAtMs < Infinity);
+      expect(response?.writableFinished).to.equal(false);
+      expect(closedAtMs - leftAtMs).to.be.below(CANCELLATION_BOUND_MS);
+    });
+  });
+
   describe("with malformed bytes and no request before them", () => {
     it("answers 400 and closes", async () => {
       await caller.send(MALFORMED_BYTES);
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -245,7 +245,10 @@
     const arrivedAtMs = monotonicMs() - lag.currentMs;
     response.sendDate = false;
     await lag.awaitPendingReads({ isFirst: this.isFirst(incoming.socket) });
-    if (hasDisconnected(incoming)) {
+    if (
+      hasDisconnected(incoming) &&
+      !await this.connections.isCallerPresent(incoming)
+    ) {
       response.destroy();
       return undefined;
     }
--- a/packages/router/src/ingress_test.ts
+++ b/packages/router/src/ingress_test.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
-import { type AddressInfo, connect } from "node:net";
+import { spawnSync } from "node:child_process";
+import { once } from "node:events";
+import { type AddressInfo, connect, type Socket } from "node:net";
 import { expect } from "chai";
 import type { EventName, Logger } from "@bamboolink/logger";
 import { Metrics } from "@bamboolink/metrics";
@@ -12,11 +14,18 @@
 import type { ConfigurationChecker } from "./configuration_checker.ts";
 import type { ConfigurationManager } from "./configuration_manager.ts";
 import { Ingress } from "./ingress.ts";
-import type { LoopLag } from "./loop_lag.ts";
+import { LoopLag } from "./loop_lag.ts";
 import type { CallerProtocol } from "./ports/caller_protocol.ts";
 import type { RequestRunner } from "./request_runner.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
+/** A program that sends a request and leaves. */
+const LEAVING_CALLER = `
+  const { PORT, REQUEST_TEXT } = process.env;
+  const socket = require("node:net").connect(Number(PORT), "127.0.0.1");
+  socket.end(REQUEST_TEXT, () => socket.destroy());
+`;
+
 const STATUSES: Readonly<Record<string, number>> = {
   no_route: 404,
   too_large: 413,
@@ -24,6 +33,7 @@
   malformed: 400,
   not_run: 503,
 };
+const TICK_MS = 50;
 const LIMITS: CallerLimits = {
   headerBytes: 1_000,
   bodyBytes: 1_000,
@@ -85,13 +95,22 @@
     this.ingress.server.close();
   }
 
+  get port(): number {
+    return (this.ingress.server.address() as AddressInfo).port;
+  }
+
+  /** Opens a connection on which the caller may close its sending side only. */
+  connect(): Socket {
+    const { port } = this;
+    return connect({ port, host: "127.0.0.1", allowHalfOpen: true });
+  }
+
   /** Sends parts of a request, each after the bytes received so far satisfy its condition; returns all bytes received. */
   async exchange(
     parts: readonly { text: string; after?: RegExp }[],
     end: RegExp,
   ): Promise<string> {
-    const { port } = this.ingress.server.address() as AddressInfo;
-    const socket = connect(port, "127.0.0.1");
+    const socket = this.connect();
     const pending = [...parts];
     let received = "";
     const sendNext = () => {
@@ -102,6 +121,7 @@
     await new Promise<void>((resolve) => {
       socket.on("close", () => resolve());
       socket.on("error", () => undefined);
+      socket.on("end", () => socket.end());
       socket.on("data", (chunk) => {
         received += String(chunk);
         sendNext();
@@ -147,11 +167,7 @@
           });
         },
       } as unknown as RequestRunner,
-      lag: {
-        currentMs: 0,
-        awaitPendingReads: () => Promise.resolve(),
-        isOverloaded: () => false,
-      } as Partial<LoopLag> as LoopLag,
+      lag: LoopLag.create(TICK_MS, () => 0),
       random: () => 0.5,
       callerService: () => "caller",
     });
@@ -289,4 +305,40 @@
       expect(fixture.ran[0]?.headers).to.include("A2999");
     });
   });
+
+  describe("with a request and the end of its connection in one read", () => {
+    const text = createHead("/known/x", "Content-Length: 4\r\n") + "body";
+
+    // Guards against a proper request that gets no response because its caller sends no more.
+    it("serves it if its caller waits for the response", async () => {
+      const socket = fixture.connect();
+      let received = "";
+      socket.on("data", (chunk) => {
+        received += String(chunk);
+      });
+      socket.end(text);
+      await once(socket, "close");
+      expect(received).to.match(/HTTP\/1\.1 200 OK\r\n[^]*body$/);
+    });
+
+    // Guards against running requests of callers that left while they were not read.
+    it("does not run it if its caller has left", async () => {
+      const closed = new Promise((resolve) =>
+        fixture.ingress.server.once(
+          "connection",
+          (accepted) => accepted.once("close", resolve),
+        )
+      );
+      // Nothing is read here before the other process has ended.
+      spawnSync(process.execPath, ["-e", LEAVING_CALLER], {
+        env: {
+          ...process.env,
+          PORT: String(fixture.port),
+          REQUEST_TEXT: text,
+        },
+      });
+      await closed;
+      expect(fixture.ran).to.deep.equal([]);
+    });
+  });
 });
