Test that 408 is given only to a request that never runs

408 promises that a request has not run and never will. Node.js' timeout for headers is the only source of it. Two cases were open: the rest of the request arrives after the 408, and an earlier request on the connection is in flight, so that its caller would take the 408 for the response to that one.

Both hold already: CallerConnections discards what arrives after its last response, and it answers the earlier request alone.

--- a/packages/connections/src/caller_connections_test.ts
+++ b/packages/connections/src/caller_connections_test.ts
@@ -34,6 +34,9 @@
 /** Within this time work for callers that have left must stop, in milliseconds. */
 const CANCELLATION_BOUND_MS = 500;
 
+/** Time for the headers of a request, in milliseconds: shorter than a request runs. */
+const HEADERS_TIMEOUT_MS = 200;
+
 /** How much of the received text a caller keeps, in characters. */
 const TEXT_LENGTH = 500;
 const MALFORMED_BYTES = "\u0001 no request\r\n\r\n";
@@ -459,4 +462,60 @@
       expect(caller.bytes).to.equal(0);
     });
   });
+
+  describe("with a request whose headers take too long", () => {
+    const part = "POST /late HTTP/1.1\r\nhost: shop.example\r\n";
+    let timedServer: Server;
+    let timedCaller: Caller;
+    let handledTargets: (string | undefined)[];
+
+    beforeEach(async () => {
+      handledTargets = [];
+      timedServer = createServer({
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: 0,
+        connectionsCheckingInterval: HEADERS_TIMEOUT_MS / 4,
+      }, (incoming, response) => {
+        if (timedConnections.discardAfterLastResponse(incoming)) {
+          return;
+        }
+        handledTargets.push(incoming.url);
+        setTimeout(() => response.end("done"), RUN_MS);
+      });
+      const timedConnections = CallerConnections.create(timedServer, {
+        onMalformedInput: (input) => malformedInputs.push(input),
+      });
+      await new Promise<void>((resolve) =>
+        timedServer.listen(0, "127.0.0.1", resolve)
+      );
+      timedCaller = await Caller.create(timedServer);
+    });
+
+    afterEach(() => {
+      timedCaller.close();
+      timedServer.closeAllConnections();
+      timedServer.close();
+    });
+
+    // Guards against 408, which promises that the request never runs, for one that runs after all.
+    it("answers 408, logs it, and does not run it when the rest arrives", async () => {
+      await timedCaller.send(part);
+      await timedCaller.read(1);
+      await timedCaller.send("content-length: 0\r\n\r\n");
+      await timedCaller.readToEnd();
+      expect(timedCaller.text).to.match(/^HTTP\/1\.1 408 /);
+      expect(malformedInputs.map(({ code }) => code)).to.deep.equal([
+        "ERR_HTTP_REQUEST_TIMEOUT",
+      ]);
+      expect(handledTargets).to.deep.equal([]);
+    });
+
+    // Guards against a 408 that a caller takes for the response to an earlier request, which runs.
+    it("answers only the request before it", async () => {
+      await timedCaller.send(createHeaders("GET", "/proper", 0) + part);
+      await timedCaller.readToEnd();
+      expect(timedCaller.text).to.match(/^HTTP\/1\.1 200 OK\r\n[^]*done$/);
+      expect(handledTargets).to.deep.equal(["/proper"]);
+    });
+  });
 });
