--- a/packages/connections/src/caller_connections_test.ts
+++ b/packages/connections/src/caller_connections_test.ts
@@ -24,6 +24,19 @@
 /** More than Node.js reads of a body that has no reader, in bytes. */
 const BODY_BYTES = 300_000;
 
+const SHORT_IDLE_TIMEOUT_MS = 100;
+const LONG_IDLE_TIMEOUT_MS = 60_000;
+/** How much longer than its timeout Node.js keeps an idle connection, in milliseconds. */
+const NODE_IDLE_MARGIN_MS = 1_000;
+
+/** Duration of a request, in milliseconds: longer than callers are probed. */
+const RUN_MS = 600;
+/** Within this time work for callers that have left must stop, in milliseconds. */
+const CANCELLATION_BOUND_MS = 500;
+
+/** Time for the headers of a request, in milliseconds: shorter than a request runs. */
+const HEADERS_TIMEOUT_MS = 200;
+
 /** How much of the received text a caller keeps, in characters. */
 const TEXT_LENGTH = 500;
 const MALFORMED_BYTES = "\u0001 no request\r\n\r\n";
@@ -202,6 +215,20 @@
     });
   });
 
+  describe("with an idle connection when the idle timeout is raised", () => {
+    // Guards against closing a connection that its caller may reuse by the limit in force.
+    it("keeps it open", async () => {
+      handle = (_incoming, response) => response.end("done");
+      connections.setIdleTimeout(SHORT_IDLE_TIMEOUT_MS);
+      await caller.send(createHeaders("GET", "/first", 0));
+      await caller.read(1);
+      await until(() => connections.busyCount === 0);
+      connections.setIdleTimeout(LONG_IDLE_TIMEOUT_MS);
+      await sleep(SHORT_IDLE_TIMEOUT_MS + NODE_IDLE_MARGIN_MS * 2);
+      expect(caller.isEnded).to.equal(false);
+    });
+  });
+
   describe("with a request after one that ends the connection", () => {
     // Guards against running a request that its caller must assume unread: a stopping daemon marks the response of each
     // request as the last one of its connection, and still runs requests that arrive before that response is sent.
@@ -313,6 +340,53 @@
     });
   });
 
+  describe("with a caller that closes its sending side after its request", () => {
+    // Guards against a proper request that gets no response: a caller may announce so that it sends no more.
+    it("delivers the response", async () => {
+      handle = (_incoming, response) =>
+        void setTimeout(() => response.end("done"), RUN_MS);
+      await caller.send(createHeaders("GET", "/half", 0));
+      caller.end();
+      await caller.readToEnd();
+      expect(caller.text).to.match(/\r\n\r\nHTTP\/1\.1 200 OK\r\n[^]*done$/);
+    });
+
+    it("sends few interim responses, and none in HTTP/1.0", async () => {
+      handle = () => undefined;
+      await caller.send(createHeaders("GET", "/half", 0));
+      caller.end();
+      setTimeout(() => server.closeAllConnections(), RUN_MS * 2);
+      await caller.readToEnd();
+      expect(caller.text.match(/100 Continue/g)).to.have.length.within(1, 5);
+      const oldCaller = await Caller.create(server);
+      await oldCaller.send("GET /half HTTP/1.0\r\n\r\n");
+      oldCaller.end();
+      await oldCaller.readToEnd();
+      expect(oldCaller.text).to.equal("");
+    });
+  });
+
+  describe("with a caller that leaves after its request", () => {
+    // Guards against work for a caller that has left: at first, its leaving looks like a closed sending side.
+    it("cancels the response", async () => {
+      let closedAtMs = Infinity;
+      let response: ServerResponse | undefined;
+      handle = (_incoming, received) => {
+        response = received;
+        received.once("close", () => {
+          closedAtMs = performance.now();
+        });
+      };
+      await caller.send(createHeaders("GET", "/left", 0));
+      await until(() => response !== undefined);
+      const leftAtMs = performance.now();
+      caller.close();
+      await until(() => closedAtMs < Infinity);
+      expect(response?.writableFinished).to.equal(false);
+      expect(closedAtMs - leftAtMs).to.be.below(CANCELLATION_BOUND_MS);
+    });
+  });
+
   describe("with malformed bytes and no request before them", () => {
     it("answers 400 and closes", async () => {
       await caller.send(MALFORMED_BYTES);
@@ -388,4 +462,60 @@
       expect(caller.bytes).to.equal(0);
     });
   });
+
+  describe("with a request whose headers take too long", () => {
+    const part = "POST /late HTTP/1.1\r\nhost: shop.example\r\n";
+    let timedServer: Server;
+    let timedCaller: Caller;
+    let handledTargets: (string | undefined)[];
+
+    beforeEach(async () => {
+      handledTargets = [];
+      timedServer = createServer({
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: 0,
+        connectionsCheckingInterval: HEADERS_TIMEOUT_MS / 4,
+      }, (incoming, response) => {
+        if (timedConnections.discardAfterLastResponse(incoming)) {
+          return;
+        }
+        handledTargets.push(incoming.url);
+        setTimeout(() => response.end("done"), RUN_MS);
+      });
+      const timedConnections = CallerConnections.create(timedServer, {
+        onMalformedInput: (input) => malformedInputs.push(input),
+      });
+      await new Promise<void>((resolve) =>
+        timedServer.listen(0, "127.0.0.1", resolve)
+      );
+      timedCaller = await Caller.create(timedServer);
+    });
+
+    afterEach(() => {
+      timedCaller.close();
+      timedServer.closeAllConnections();
+      timedServer.close();
+    });
+
+    // Guards against 408, which promises that the request never runs, for one that runs after all.
+    it("answers 408, logs it, and does not run it when the rest arrives", async () => {
+      await timedCaller.send(part);
+      await timedCaller.read(1);
+      await timedCaller.send("content-length: 0\r\n\r\n");
+      await timedCaller.readToEnd();
+      expect(timedCaller.text).to.match(/^HTTP\/1\.1 408 /);
+      expect(malformedInputs.map(({ code }) => code)).to.deep.equal([
+        "ERR_HTTP_REQUEST_TIMEOUT",
+      ]);
+      expect(handledTargets).to.deep.equal([]);
+    });
+
+    // Guards against a 408 that a caller takes for the response to an earlier request, which runs.
+    it("answers only the request before it", async () => {
+      await timedCaller.send(createHeaders("GET", "/proper", 0) + part);
+      await timedCaller.readToEnd();
+      expect(timedCaller.text).to.match(/^HTTP\/1\.1 200 OK\r\n[^]*done$/);
+      expect(handledTargets).to.deep.equal(["/proper"]);
+    });
+  });
 });
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -39,7 +39,11 @@
   ConfigurationManager,
 } from "./configuration_manager.ts";
 import { declaredLength, hasDisconnected, readBody } from "./http_body.ts";
-import { replaceHost, selectRequestHeaders } from "./http_headers.ts";
+import {
+  measureHeaderBytes,
+  replaceHost,
+  selectRequestHeaders,
+} from "./http_headers.ts";
 import type {
   CallerProtocol,
   CallerRequest,
@@ -59,11 +63,14 @@
 const RESPONSE_DELIVERY_MS = 8;
 /** Typical service time as a share of the objective: operators set objectives at about three times the service time. */
 const TYPICAL_SERVICE_SHARE = 0.35;
-/** Header size limit of the HTTP server, in bytes, and the default until a configuration is in force. */
-const MAX_HEADER_BYTES = 65_536;
+/**
+ * Header size limit of the HTTP server, in bytes: above all that operators configure, and a bound on the memory that a
+ * connection takes. The configured limit is applied to each request.
+ */
+const MAX_HEADER_BYTES = 1_048_576;
 /** Limits until a configuration is in force. */
 const INITIAL_LIMITS: CallerLimits = {
-  headerBytes: MAX_HEADER_BYTES,
+  headerBytes: 65_536,
   bodyBytes: 1_048_576,
   headerTimeoutMs: 10_000,
   idleTimeoutMs: 15_000,
@@ -72,6 +79,8 @@
 const FIRST_UNUSUAL_STATUS = 300;
 /** Lowest HTTP status by which a backend server reports that it failed a request. */
 const FIRST_FAILURE_STATUS = 500;
+/** An `Expect` header that asks for an interim response before the body. */
+const CONTINUE_EXPECTATION = /(?:^|\W)100-continue(?:$|\W)/i;
 /** Retry delay for callers of a daemon that has no configuration yet, in milliseconds. */
 const NO_CONFIGURATION_RETRY_MS = 200;
 /** Retry delays for callers whose requests the configuration in force can neither serve nor reject, in milliseconds. */
@@ -158,7 +167,18 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs,
       requestTimeout: 0,
+      requireHostHeader: false,
     }, (incoming, response) => void this.serve(incoming, response));
+    // Node.js drops the headers beyond a number of lines.
+    this.server.maxHeadersCount = 0;
+    // Without these listeners Node.js accepts a body before anything is known of its request, and rejects expectations
+    // that it does not know.
+    ["checkContinue", "checkExpectation"].forEach((event) =>
+      this.server.on(
+        event,
+        (incoming, response) => this.server.emit("request", incoming, response),
+      )
+    );
     this.connections = CallerConnections.create(this.server, {
       onMalformedInput: (input) => this.logMalformedInput(input),
     });
@@ -186,7 +206,7 @@
 
   /** Applies the timeouts for callers' connections. */
   setLimits(limits: CallerLimits): void {
-    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.connections.setIdleTimeout(limits.idleTimeoutMs);
     this.server.headersTimeout = limits.headerTimeoutMs;
   }
 
@@ -236,14 +256,20 @@
     const arrivedAtMs = monotonicMs() - lag.currentMs;
     response.sendDate = false;
     await lag.awaitPendingReads({ isFirst: this.isFirst(incoming.socket) });
-    if (hasDisconnected(incoming)) {
+    if (
+      hasDisconnected(incoming) &&
+      !await this.connections.isCallerPresent(incoming)
+    ) {
       response.destroy();
       return undefined;
     }
     const request = protocol.read(incoming.headers);
-    if (request === undefined) {
-      const reason = "the request's own headers are malformed";
-      this.reject(response, { kind: "malformed", reason });
+    const reason = findMalformedHost(incoming) ??
+      (request === undefined
+        ? "the request's own headers are malformed"
+        : undefined);
+    if (request === undefined || reason !== undefined) {
+      this.reject(response, { kind: "malformed", reason: reason ?? "" });
       return undefined;
     }
     if (configuration.inForce === undefined) {
@@ -259,6 +285,9 @@
       }, request);
       return undefined;
     }
+    if (await this.rejectsHeaders(incoming, { response, request })) {
+      return undefined;
+    }
     const match = await this.matchRoute(incoming, request);
     if (match.kind === "absent") {
       this.reject(response, { kind: "no_route" }, request);
@@ -289,6 +318,39 @@
     return route.name;
   }
 
+  /** Rejects a request whose headers exceed the limit, confirmed to be current; returns whether it was answered. */
+  private async rejectsHeaders(
+    incoming: IncomingMessage,
+    { response, request }: {
+      response: ServerResponse;
+      request: CallerRequest;
+    },
+  ): Promise<boolean> {
+    const { configuration, configurationChecker } = this.context;
+    const bytes = Math.max(
+      measureHeaderBytes(incoming.rawHeaders),
+      incoming.url?.length ?? 0,
+    );
+    const isTooLarge = () =>
+      bytes > (configuration.inForce?.configuration.limits.headerBytes ?? 0);
+    if (!isTooLarge()) {
+      return false;
+    }
+    const isConfirmed = await configurationChecker.confirm(
+      request.deadlineMs ?? Infinity,
+    );
+    if (!isTooLarge()) {
+      return false;
+    }
+    if (isConfirmed) {
+      this.reject(response, { kind: "headers_too_large" }, request);
+    } else {
+      const reason = "unconfirmed_configuration";
+      this.refuseUncertain(response, { request, reason });
+    }
+    return true;
+  }
+
   /** Finds a request's route; concludes that there is none only from a configuration that is known to be current. */
   private async matchRoute(
     incoming: IncomingMessage,
@@ -461,6 +523,9 @@
     const { incoming, response, request, arrivedAtMs } = arrival;
     const { inForce } = match;
     const limitBytes = await this.findBodyLimit(incoming, { request, inForce });
+    if (awaitsContinue(incoming) && declaredLength(incoming) <= limitBytes) {
+      response.writeContinue();
+    }
     const read = await readBody(incoming, { bytes: limitBytes });
     if (read.kind === "cut") {
       return "cut";
@@ -758,6 +823,27 @@
   };
 }
 
+/** Why the `Host` header makes a request invalid (RFC 9112, section 3.2); `undefined` if it is valid. */
+function findMalformedHost(incoming: IncomingMessage): string | undefined {
+  const { rawHeaders, httpVersion } = incoming;
+  const hostCount =
+    rawHeaders.filter((text, index) =>
+      index % 2 === 0 && text.toLowerCase() === "host"
+    ).length;
+  if (hostCount > 1) {
+    return "several Host headers";
+  }
+  return hostCount === 0 && httpVersion === "1.1"
+    ? "no Host header"
+    : undefined;
+}
+
+/** Whether the caller sends the body of a request only after an interim response (RFC 9110, section 10.1.1). */
+function awaitsContinue({ headers, httpVersion }: IncomingMessage): boolean {
+  return httpVersion === "1.1" &&
+    CONTINUE_EXPECTATION.test(headers.expect ?? "");
+}
+
 function parseTarget({ headers, url }: IncomingMessage): RequestTarget {
   return RequestTarget.parse(headers.host ?? "", url ?? "/");
 }
--- /dev/null
+++ b/packages/router/src/ingress_test.ts
@@ -0,0 +1,344 @@
+/**
+ * Tests of requests that the ingress must decide about by their headers.
+ *
+ * @module
+ */
+import { spawnSync } from "node:child_process";
+import { once } from "node:events";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { expect } from "chai";
+import type { EventName, Logger } from "@bamboolink/logger";
+import { Metrics } from "@bamboolink/metrics";
+import { PrefixRouter } from "@bamboolink/traffic";
+import type { CallerLimits, TrafficRoute } from "@bamboolink/types";
+import type { ConfigurationChecker } from "./configuration_checker.ts";
+import type { ConfigurationManager } from "./configuration_manager.ts";
+import { Ingress } from "./ingress.ts";
+import { LoopLag } from "./loop_lag.ts";
+import type { CallerProtocol } from "./ports/caller_protocol.ts";
+import type { RequestRunner } from "./request_runner.ts";
+import type { RoutedRequest } from "./routed_request.ts";
+
+/** A program that sends a request and leaves. */
+const LEAVING_CALLER = `
+  const { PORT, REQUEST_TEXT } = process.env;
+  const socket = require("node:net").connect(Number(PORT), "127.0.0.1");
+  socket.end(REQUEST_TEXT, () => socket.destroy());
+`;
+
+const STATUSES: Readonly<Record<string, number>> = {
+  no_route: 404,
+  too_large: 413,
+  headers_too_large: 431,
+  malformed: 400,
+  not_run: 503,
+};
+const TICK_MS = 50;
+const LIMITS: CallerLimits = {
+  headerBytes: 1_000,
+  bodyBytes: 1_000,
+  headerTimeoutMs: 10_000,
+  idleTimeoutMs: 10_000,
+};
+const ROUTE: TrafficRoute = {
+  name: "route",
+  host: "shop.example",
+  prefix: "/known/",
+  idempotent: true,
+  timeoutMs: 2_000,
+  objectiveMs: 500,
+  maximumAttempts: 1,
+  rank: 1,
+  targets: [{ service: "one", weight: 1 }],
+};
+
+/** An ingress with an echo in place of backend servers; it is the ingress' configuration and its checker, too. */
+class Fixture {
+  readonly version = 1;
+  readonly evidenceAgeMs = 0;
+  limits = LIMITS;
+  /** The limits of a newer configuration, which a check finds. */
+  newerLimits: CallerLimits | undefined;
+  isConfirmed = true;
+  /** Names of the events that were logged. */
+  readonly logged: EventName[] = [];
+  readonly ran: RoutedRequest[] = [];
+  readonly ingress = this.createIngress();
+  private readonly router = PrefixRouter.create([ROUTE]);
+
+  /** The configuration in force. */
+  get inForce(): unknown {
+    const { router, limits } = this;
+    return { router, services: new Map(), configuration: { limits } };
+  }
+
+  /** How long it is in force, in milliseconds. */
+  ageMs(): number {
+    return 0;
+  }
+
+  /** Checks whether the configuration is current. */
+  confirm(): Promise<boolean> {
+    this.limits = this.newerLimits ?? this.limits;
+    return Promise.resolve(this.isConfirmed);
+  }
+
+  async listen(): Promise<void> {
+    const { server } = this.ingress;
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+  }
+
+  close(): void {
+    this.ingress.server.closeAllConnections();
+    this.ingress.server.close();
+  }
+
+  get port(): number {
+    return (this.ingress.server.address() as AddressInfo).port;
+  }
+
+  /** Opens a connection on which the caller may close its sending side only. */
+  connect(): Socket {
+    const { port } = this;
+    return connect({ port, host: "127.0.0.1", allowHalfOpen: true });
+  }
+
+  /** Sends parts of a request, each after the bytes received so far satisfy its condition; returns all bytes received. */
+  async exchange(
+    parts: readonly { text: string; after?: RegExp }[],
+    end: RegExp,
+  ): Promise<string> {
+    const socket = this.connect();
+    const pending = [...parts];
+    let received = "";
+    const sendNext = () => {
+      while (pending.length > 0 && (pending[0]!.after ?? / */).test(received)) {
+        socket.write(pending.shift()!.text);
+      }
+    };
+    await new Promise<void>((resolve) => {
+      socket.on("close", () => resolve());
+      socket.on("error", () => undefined);
+      socket.on("end", () => socket.end());
+      socket.on("data", (chunk) => {
+        received += String(chunk);
+        sendNext();
+        if (pending.length === 0 && end.test(received)) {
+          socket.destroy();
+        }
+      });
+      sendNext();
+    });
+    return received;
+  }
+
+  private createIngress(): Ingress {
+    return Ingress.create({
+      protocol: {
+        reservedHeaders: new Set<string>(),
+        read: () => ({ id: "one", deadlineMs: 1_000, key: undefined }),
+        write: ({ kind }) => ({
+          status: STATUSES[kind] ?? 502,
+          headers: {},
+          body: kind,
+        }),
+      } as Partial<CallerProtocol> as CallerProtocol,
+      logger: {
+        log: (event: EventName) => void this.logged.push(event),
+      } as Partial<Logger> as Logger,
+      metrics: Metrics.create(),
+      configuration: this as unknown as ConfigurationManager,
+      configurationChecker: this as unknown as ConfigurationChecker,
+      runner: {
+        run: (request: RoutedRequest) => {
+          this.ran.push(request);
+          return Promise.resolve({
+            outcome: {
+              kind: "answer",
+              status: 200,
+              headers: {},
+              body: request.body ?? Buffer.from("none"),
+              isFramed: true,
+            },
+            peer: undefined,
+            attempts: 1,
+          });
+        },
+      } as unknown as RequestRunner,
+      lag: LoopLag.create(TICK_MS, () => 0),
+      random: () => 0.5,
+      callerService: () => "caller",
+    });
+  }
+}
+
+function createHead(target: string, headers: string): string {
+  return `POST ${target} HTTP/1.1\r\nHost: shop.example\r\n${headers}\r\n`;
+}
+
+describe("Ingress", () => {
+  let fixture: Fixture;
+
+  beforeEach(async () => {
+    fixture = new Fixture();
+    await fixture.listen();
+  });
+
+  afterEach(() => fixture.close());
+
+  describe("with a request whose Host header is missing or repeated", () => {
+    // Guards against a rejection by Node.js itself, without a log line, and against forwarding two headers.
+    [
+      "POST /known/x HTTP/1.1\r\n\r\n",
+      "POST http://shop.example/known/x HTTP/1.1\r\n\r\n",
+      createHead("/known/x", "Host: shop.example\r\n"),
+    ].forEach((text) => {
+      it(`answers 400 to ${JSON.stringify(text)}, and logs it`, async () => {
+        const received = await fixture.exchange([{ text }], /malformed$/);
+        expect(received).to.match(/^HTTP\/1\.1 400 /);
+        expect(fixture.logged).to.deep.equal(["request_rejected"]);
+        expect(fixture.ran).to.deep.equal([]);
+      });
+    });
+  });
+
+  describe("with a request that expects 100-continue", () => {
+    const expectation = "Expect: 100-continue\r\nContent-Length: 4\r\n";
+
+    it("accepts the body once it is known that the request is served", async () => {
+      const received = await fixture.exchange([
+        { text: createHead("/known/x", expectation) },
+        { text: "body", after: /^HTTP\/1\.1 100 Continue\r\n\r\n/ },
+      ], /body$/);
+      expect(received).to.match(/\r\n\r\nHTTP\/1\.1 200 OK\r\n[^]*body$/);
+    });
+
+    // Guards against accepting a body only to reject its request: its caller has sent all of it in vain, and bytes that
+    // it does not send after the rejection would be read from its next request.
+    [
+      { target: "/unknown/x", headers: expectation, status: 404 },
+      {
+        target: "/known/x",
+        headers: "Expect: 100-continue\r\nContent-Length: 5000\r\n",
+        status: 413,
+      },
+    ].forEach(({ target, headers, status }) => {
+      it(`answers ${status} at once, and closes the connection`, async () => {
+        const received = await fixture.exchange(
+          [{ text: createHead(target, headers) }],
+          /never/,
+        );
+        expect(received).to.match(new RegExp(`^HTTP/1\\.1 ${status} `));
+        expect(received).to.match(/\r\nconnection: close\r\n/i);
+      });
+    });
+  });
+
+  describe("with a request that expects something unknown", () => {
+    // Guards against 417 for a proper request: expectations that are not known may be ignored.
+    it("serves it", async () => {
+      const received = await fixture.exchange([
+        {
+          text: createHead(
+            "/known/x",
+            "Expect: later\r\nContent-Length: 4\r\n",
+          ) + "body",
+        },
+      ], /body$/);
+      expect(received).to.match(/^HTTP\/1\.1 200 OK\r\n/);
+    });
+  });
+
+  describe("with headers of a size", () => {
+    const createText = (bytes: number) =>
+      createHead("/known/x", `X-Long: ${"x".repeat(bytes)}\r\n`);
+    const raisedLimits = { ...LIMITS, headerBytes: 200_000 };
+
+    it("beyond the limit, answers 431, and logs it", async () => {
+      const received = await fixture.exchange(
+        [{ text: createText(2_000) }],
+        /headers_too_large$/,
+      );
+      expect(received).to.match(/^HTTP\/1\.1 431 /);
+      expect(fixture.logged).to.deep.equal(["request_rejected"]);
+      expect(fixture.ran).to.deep.equal([]);
+    });
+
+    // Guards against 431 for a proper request: a fixed limit lies below the one that operators have set.
+    it("within a limit that is high, serves it", async () => {
+      fixture.limits = raisedLimits;
+      const received = await fixture.exchange(
+        [{ text: createText(190_000) }],
+        /none$/,
+      );
+      expect(received).to.match(/^HTTP\/1\.1 200 /);
+    });
+
+    // Guards against 431 from a limit that operators have raised meanwhile.
+    it("within a limit that was raised and is not known yet, serves it", async () => {
+      fixture.newerLimits = raisedLimits;
+      const received = await fixture.exchange(
+        [{ text: createText(2_000) }],
+        /none$/,
+      );
+      expect(received).to.match(/^HTTP\/1\.1 200 /);
+    });
+
+    it("beyond a limit that can't be confirmed, refuses it as not run", async () => {
+      fixture.isConfirmed = false;
+      const received = await fixture.exchange(
+        [{ text: createText(2_000) }],
+        /not_run$/,
+      );
+      expect(received).to.match(/^HTTP\/1\.1 503 /);
+      expect(fixture.ran).to.deep.equal([]);
+    });
+
+    // Guards against headers that Node.js drops silently, the request's id among them.
+    it("of a few bytes but in many lines, forwards all of them", async () => {
+      fixture.limits = raisedLimits;
+      const lines = Array.from({ length: 3_000 }, (_, index) => `A${index}:`);
+      const text = createHead("/known/x", `${lines.join("\r\n")}\r\n`);
+      await fixture.exchange([{ text }], /none$/);
+      expect(fixture.ran[0]?.headers).to.include("A2999");
+    });
+  });
+
+  describe("with a request and the end of its connection in one read", () => {
+    const text = createHead("/known/x", "Content-Length: 4\r\n") + "body";
+
+    // Guards against a proper request that gets no response because its caller sends no more.
+    it("serves it if its caller waits for the response", async () => {
+      const socket = fixture.connect();
+      let received = "";
+      socket.on("data", (chunk) => {
+        received += String(chunk);
+      });
+      socket.end(text);
+      await once(socket, "close");
+      expect(received).to.match(/HTTP\/1\.1 200 OK\r\n[^]*body$/);
+    });
+
+    // Guards against running requests of callers that left while they were not read.
+    it("does not run it if its caller has left", async () => {
+      const closed = new Promise((resolve) =>
+        fixture.ingress.server.once(
+          "connection",
+          (accepted) => accepted.once("close", resolve),
+        )
+      );
+      // Nothing is read here before the other process has ended.
+      spawnSync(process.execPath, ["-e", LEAVING_CALLER], {
+        env: {
+          ...process.env,
+          PORT: String(fixture.port),
+          REQUEST_TEXT: text,
+        },
+      });
+      await closed;
+      expect(fixture.ran).to.deep.equal([]);
+    });
+  });
+});
