Return what a backend server has stated to a daemon that restarts beside it

Callers' requests reached a backend server after its drain time: it states in its responses that it is leaving while its heartbeats report it ready, and the daemon beside it restarts. Only that daemon receives these responses, so the new process knew the heartbeats alone and sent up to one request for each slot until a response stated the leaving again. The same holds for an advertised limit.

Daemons now report what their server has stated, with its incarnation, as the last field of the gossip report. Others keep the last report of each address anyway. A daemon that starts asks up to three of them for the report of an earlier process at its address, with the request for missing reports that exists already, and acknowledges no heartbeat until they have answered or 0.8 s have passed; a heartbeat's sender waits for 1 s. What they return counts for the same incarnation only: leaving for good, without drain time, and a limit until the first response. Servers that don't report their start are left out, since a restart under the same id could not be told apart. A process that has not had a heartbeat yet repeats what it has learned, so a second restart is covered.

Ruled out: a datagram and memory of its own, which would need repeats and would be lost with the daemons that restart, as in a rolling upgrade; gossip has both. Reports of an earlier process are taken as long as they arrive, not only the first one, which may be older than the leaving.

A row without the field is read as before; a report takes one byte more, 57 while something is stated. The test of report lengths rejects the same lengths as before (0 to 14) and accepts one more.

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -395,6 +395,13 @@
       "A backend server stated in the response to `request_id` that it is about to shut down.",
     action: NOTHING,
   },
+  backend_status_restored: {
+    number: 1855,
+    severity: "info",
+    meaning:
+      "Another daemon returned what the backend server had stated in responses before this process started: that it is leaving (`leaving`), or a request rate limit (`limit`, per second).",
+    action: NOTHING,
+  },
   peer_question_failed: {
     number: 1810,
     severity: "warn",
--- a/packages/membership/src/member.ts
+++ b/packages/membership/src/member.ts
@@ -24,6 +24,19 @@
 /** State of the backend server on a daemon's host. */
 export type MemberPhase = z.infer<typeof MemberPhase>;
 
+/** What a backend server has stated about itself in its responses. */
+export const StatedStatus = z.object({
+  instance: z.string(),
+  /** When its process started, in Unix milliseconds by the clock of its host. */
+  born: z.int(),
+  /** Whether it is about to shut down. */
+  isLeaving: z.boolean(),
+  /** Requests per second that it takes from all hosts together; `null` without a limit. */
+  limitPerSecond: z.number().min(0).nullable(),
+});
+/** What a backend server has stated about itself in its responses. */
+export type StatedStatus = z.infer<typeof StatedStatus>;
+
 /** Status report of one daemon, which other daemons forward. */
 export const MemberReport = z.object({
   /** Address on which the daemon receives gossip; identifies the daemon. */
@@ -56,6 +69,11 @@
   reachesStore: z.boolean(),
   /** Slots that requests can keep busy: fewer than `slots` if the backend server limits the rate of requests. */
   capacity: z.number().min(0),
+  /**
+   * What the backend server has stated in its responses; `null` if that is nothing. Only this daemon receives them, so
+   * its next process learns of it from the others.
+   */
+  statedStatus: StatedStatus.nullable(),
 });
 /** Status report of one daemon, which other daemons forward. */
 export type MemberReport = z.infer<typeof MemberReport>;
--- a/packages/membership/src/member_view.ts
+++ b/packages/membership/src/member_view.ts
@@ -60,7 +60,8 @@
   private readonly unreportedAddresses = new Set<string>();
   private readonly readyCache = new Map<string, CachedReadyReports>();
 
-  private readonly ownAddressHash: number;
+  /** Hash of this daemon's address. */
+  readonly ownAddressHash: number;
 
   private constructor(private own: MemberReport) {
     this.ownAddressHash = hashAddress(own.address);
@@ -148,11 +149,13 @@
       .slice(0, MAX_REPORTS_PER_RESPONSE);
   }
 
-  /** Whether a report is newer than the known one. */
+  /** Whether a report is newer than the known one, or of an earlier process at this daemon's address. */
   isUpdate(version: ReportVersion): boolean {
-    const known = version.address === this.own.address
-      ? this.own
-      : this.entries.get(version.address)?.report;
+    if (version.address === this.own.address) {
+      return isNewer(version, this.own) ||
+        version.incarnation < this.own.incarnation;
+    }
+    const known = this.entries.get(version.address)?.report;
     return known === undefined || isNewer(version, known);
   }
 
--- a/packages/membership/src/membership_test.ts
+++ b/packages/membership/src/membership_test.ts
@@ -28,6 +28,7 @@
     ownershipRevision: 8,
     reachesStore: true,
     capacity: 6,
+    statedStatus: null,
     ...changes,
   };
 }
@@ -116,6 +117,19 @@
         "own",
       ]);
     });
+
+    // Guards against a restarted daemon that learns only the first, perhaps outdated, of its earlier reports.
+    it("still takes the other reports of that process for updates", () => {
+      const restarted = MemberView.create(
+        report({ address: "own", sequence: 0 }),
+      );
+      restarted.merge([report({ address: "own", sequence: 400 })], 0);
+      const isUpdate = (sequence: number, incarnation: number) =>
+        restarted.isUpdate({ address: "own", incarnation, sequence });
+      const { incarnation, sequence } = restarted.ownReport;
+      expect([isUpdate(400, 1), isUpdate(401, 1)]).to.deep.equal([true, true]);
+      expect(isUpdate(sequence, incarnation)).to.equal(false);
+    });
   });
 
   /** Simulates gossip rounds in which 10 % of the datagrams are lost; returns the views of all daemons. */
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-export { MemberPhase, MemberReport } from "./member.ts";
+export { MemberPhase, MemberReport, StatedStatus } from "./member.ts";
 export {
   decodeGossip,
   encodeGossip,
--- a/packages/membership/src/report_row.ts
+++ b/packages/membership/src/report_row.ts
@@ -3,9 +3,11 @@
  *
  * @module
  */
-import { MemberPhase, MemberReport } from "./member.ts";
+import { MemberPhase, MemberReport, StatedStatus } from "./member.ts";
 
-const REPORT_LENGTH = Object.keys(MemberReport.shape).length;
+const REPORT_FIELDS = Object.keys(MemberReport.shape);
+const CAPACITY_INDEX = REPORT_FIELDS.indexOf("capacity");
+const STATED_STATUS_INDEX = REPORT_FIELDS.indexOf("statedStatus");
 const MEMBER_PHASES: ReadonlySet<unknown> = new Set(MemberPhase.options);
 
 /**
@@ -35,8 +37,11 @@
     ownershipRevision,
     reachesStore,
   ] = row;
-  // Earlier versions report no capacity.
-  const capacity = row.length < REPORT_LENGTH ? slots : row[REPORT_LENGTH - 1];
+  // Earlier versions report no capacity or no stated status.
+  const capacity = row.length > CAPACITY_INDEX ? row[CAPACITY_INDEX] : slots;
+  const statedStatus = decodeStatedStatus(
+    row.length > STATED_STATUS_INDEX ? row[STATED_STATUS_INDEX] : null,
+  );
   const isValid = isString(address) && address !== "" &&
     isNonNegativeInteger(incarnation) && isNonNegativeInteger(sequence) &&
     isString(availabilityZone) && isString(peerAddress) &&
@@ -48,7 +53,7 @@
     isNonNegativeNumber(configurationVersion) &&
     isNonNegativeInteger(ownershipRevision) &&
     typeof reachesStore === "boolean" &&
-    isNonNegativeNumber(capacity);
+    isNonNegativeNumber(capacity) && statedStatus !== undefined;
   return isValid
     ? {
       address,
@@ -67,10 +72,16 @@
       ownershipRevision,
       reachesStore,
       capacity,
+      statedStatus,
     }
     : undefined;
 }
 
+/** Returns `undefined` if the value is invalid. Few reports contain a status, so validating it takes little time. */
+function decodeStatedStatus(value: unknown): StatedStatus | null | undefined {
+  return value === null ? null : StatedStatus.safeParse(value).data;
+}
+
 function isString(value: unknown): value is string {
   return typeof value === "string";
 }
--- a/packages/membership/src/report_row_test.ts
+++ b/packages/membership/src/report_row_test.ts
@@ -27,6 +27,12 @@
   ownershipRevision: 8,
   reachesStore: true,
   capacity: 1.5,
+  statedStatus: {
+    instance: "i-1",
+    born: 1_000,
+    isLeaving: true,
+    limitPerSecond: 2.5,
+  },
 };
 const ROW: readonly unknown[] = REPORT_FIELDS.map((field) => REPORT[field]);
 
@@ -69,6 +75,21 @@
   // Anybody can send a datagram. What the schema rejects must not enter the view: a negative sequence number or an
   // infinite queueing time would be compared, forwarded and used.
   describe("with one or a few values changed", () => {
+    it("is decoded without a stated status, and rejected with an invalid one", () => {
+      const decodeWith = (statedStatus: unknown) =>
+        decodeReportRow([...ROW.slice(0, -1), statedStatus]);
+      const status = REPORT.statedStatus!;
+      expect(decodeWith(null)).to.deep.equal({ ...REPORT, statedStatus: null });
+      [
+        { ...status, instance: 1 },
+        { ...status, born: 0.5 },
+        { ...status, isLeaving: null },
+        { ...status, limitPerSecond: -1 },
+        { ...status, limitPerSecond: Infinity },
+        undefined,
+      ].forEach((invalid) => expect(decodeWith(invalid)).to.equal(undefined));
+    });
+
     it("is decoded or rejected exactly as by the schema", () => {
       const change = fc.tuple(
         fc.nat({ max: REPORT_FIELDS.length - 1 }),
@@ -94,15 +115,17 @@
     it("is rejected if required values are missing, and decoded if there are more", () => {
       const isDecoded = (length: number) =>
         decodeReportRow([...ROW, 1, 2].slice(0, length)) !== undefined;
-      const lengths = ROW.slice(1).map((_, index) => index);
+      const lengths = ROW.slice(2).map((_, index) => index);
       expect(lengths.filter(isDecoded)).to.deep.equal([]);
       expect([ROW.length, ROW.length + 1].every(isDecoded)).to.equal(true);
     });
 
     // Guards against daemons that take each other for absent while a fleet is upgraded.
-    it("is decoded without the capacity, which earlier versions don't report", () => {
-      expect(decodeReportRow(ROW.slice(0, -1)))
-        .to.deep.equal({ ...REPORT, capacity: REPORT.slots });
+    it("is decoded without the stated status and the capacity, which earlier versions don't report", () => {
+      const withoutStatus = { ...REPORT, statedStatus: null };
+      expect(decodeReportRow(ROW.slice(0, -1))).to.deep.equal(withoutStatus);
+      expect(decodeReportRow(ROW.slice(0, -2)))
+        .to.deep.equal({ ...withoutStatus, capacity: REPORT.slots });
     });
   });
 });
--- a/packages/router/src/backend_manager.ts
+++ b/packages/router/src/backend_manager.ts
@@ -15,7 +15,7 @@
   type Succession,
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
-import type { MemberPhase } from "@bamboolink/membership";
+import type { MemberPhase, StatedStatus } from "@bamboolink/membership";
 import { bootMs, monotonicMs } from "./clock.ts";
 import type { BackendSuspicion, LocalBackend } from "./local_backend.ts";
 import type {
@@ -57,6 +57,8 @@
   readonly grants: GrantTracker;
   readonly lease: OwnershipLease;
   readonly evacuation: LocalEvacuation;
+  /** Waits, for a bounded time, for what an earlier process of this daemon has reported to others. */
+  readonly awaitEarlierReport: () => Promise<void>;
   /** Time from the start of a drain until the backend server may get no more requests, in milliseconds. */
   readonly drainMs: () => number;
   /** Probes which incarnation responds at the address of the backend server of a service. */
@@ -175,6 +177,7 @@
       // A daemon that has just started must not accept requests for an evacuated backend server.
       return { kind: "unacknowledged" };
     }
+    await this.context.awaitEarlierReport();
     if (this.context.isConfigured(service) === false) {
       this.context.logger.log("heartbeat_of_unknown_service", {
         instance,
@@ -269,6 +272,20 @@
     });
   }
 
+  /** Applies what the backend server had stated in responses to an earlier process of this daemon. */
+  restoreStatus(status: StatedStatus): void {
+    this.context.backend.restoreStatus(status);
+    const { current } = this.incarnations;
+    if (current !== undefined && this.mustRestoreLeaving(current)) {
+      this.handleStatedLeaving(current, { isRecent: false });
+    }
+  }
+
+  private mustRestoreLeaving(incarnation: Incarnation): boolean {
+    return this.context.backend.hasStatedLeaving(incarnation) &&
+      !this.isLeaving(incarnation);
+  }
+
   /** Drains an incarnation: neither a delayed heartbeat nor one that reports it ready makes it ready again. */
   private beginLeaving(
     sender: Incarnation,
@@ -376,6 +393,13 @@
       // Its drain began before this process knew it, and may be over.
       this.drain.beginUnknown();
     }
+    if (this.mustRestoreLeaving(heartbeat)) {
+      this.drain.recordDeparture(heartbeat, {
+        nowMs: monotonicMs(),
+        isProven: true,
+        isRecent: false,
+      });
+    }
     const isDraining = heartbeat.isDraining || this.isLeaving(heartbeat);
     const phase = isDraining ? "draining" : this.undrainedPhase;
     this.setPhase(phase, "heartbeat");
--- a/packages/router/src/backend_manager_test.ts
+++ b/packages/router/src/backend_manager_test.ts
@@ -45,6 +45,7 @@
     probe?: () => Promise<ProbeResult>;
     heartbeatMs?: number;
     evacuation?: LocalEvacuation;
+    awaitEarlierReport?: () => Promise<void>;
   } = {},
 ): BackendManager {
   const releaseAll = () => {
@@ -74,6 +75,8 @@
     grants,
     lease,
     evacuation: options.evacuation ?? createEvacuation(),
+    awaitEarlierReport: options.awaitEarlierReport ??
+      (() => Promise.resolve()),
     drainMs: () => 2_000,
     isKeyed: () => true,
     isConfigured: (service) => service === "rooms",
@@ -218,6 +221,35 @@
       expect(restarted.forwardUntilMs).to.equal(-Infinity);
     });
 
+    // Guards against requests to a leaving server whose heartbeats report it ready, after a restart of its daemon.
+    ["before", "after"].forEach((order) =>
+      it(`drains if that was stated to an earlier process, known ${order} the first heartbeat`, async () => {
+        const { grants, lease } = createOwner();
+        const manager = createManager(grants, lease);
+        const status = {
+          instance: "i-1",
+          born: 1_000,
+          isLeaving: true,
+          limitPerSecond: null,
+        };
+        const first = { ...heartbeat, born: 1_000 };
+        if (order === "before") {
+          manager.restoreStatus(status);
+          await manager.handleHeartbeat(first);
+        } else {
+          await manager.handleHeartbeat(first);
+          manager.restoreStatus(status);
+        }
+        expect(manager.phase).to.equal("draining");
+        expect(manager.forwardUntilMs).to.equal(-Infinity);
+        const response = await manager.handleHeartbeat({
+          ...first,
+          sequence: 2,
+        });
+        expect(rangesIn(response)).to.deep.equal([]);
+      })
+    );
+
     it("is ready once another incarnation has replaced it", async () => {
       const { grants, lease } = createOwner();
       const manager = createManager(grants, lease, {
@@ -237,6 +269,26 @@
     });
   });
 
+  describe("when the daemon has just started", () => {
+    // Guards against requests to a server before it is known what it had stated to an earlier process.
+    it("sends the server no requests until the query for an earlier report has ended", async () => {
+      const { grants, lease } = createOwner();
+      let endQuery = () => {};
+      const query = new Promise<void>((resolve) => {
+        endQuery = resolve;
+      });
+      const manager = createManager(grants, lease, {
+        awaitEarlierReport: () => query,
+      });
+      const response = manager.handleHeartbeat(heartbeat);
+      await new Promise((resolve) => setTimeout(resolve, 2));
+      expect(manager.phase).to.equal("absent");
+      endQuery();
+      await response;
+      expect(manager.phase).to.equal("ready");
+    });
+  });
+
   describe("when operators evacuate the availability zone", () => {
     it("releases the keys with the next response, and is ready again once the evacuation ends", async () => {
       const { grants, lease } = createOwner();
--- a/packages/router/src/backend_status_monitor.ts
+++ b/packages/router/src/backend_status_monitor.ts
@@ -6,6 +6,7 @@
 import { AdvertisedLimitTracker } from "@bamboolink/admission";
 import { type Incarnation, isSameIncarnation } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
+import type { StatedStatus } from "@bamboolink/membership";
 import type { BackendStatus } from "./ports/backend_protocol.ts";
 
 /** The request whose response states a status. */
@@ -41,6 +42,8 @@
   private isLeaving = false;
   private hasResponded = false;
   private current: Incarnation | undefined;
+  /** What was stated to an earlier process of this daemon. */
+  private restored: StatedStatus | undefined;
 
   private constructor(
     private readonly context: BackendStatusMonitorContext,
@@ -56,6 +59,40 @@
     return this.limit.perSecond;
   }
 
+  /** What is reported to other daemons; `null` if nothing is stated, or if restarts of the server can't be detected. */
+  get statedStatus(): StatedStatus | null {
+    const { current, isLeaving, limitPerSecond } = this;
+    if (current === undefined) {
+      return this.restored ?? null;
+    }
+    const { instance, born } = current;
+    return born === undefined || !isLeaving && limitPerSecond === undefined
+      ? null
+      : { instance, born, isLeaving, limitPerSecond: limitPerSecond ?? null };
+  }
+
+  /** Whether an incarnation has stated that it is leaving, to this process or to an earlier one. */
+  hasStatedLeaving(incarnation: Incarnation): boolean {
+    const { current, restored } = this;
+    return this.isLeaving && current !== undefined &&
+        isSameIncarnation(incarnation, current) ||
+      restored !== undefined && restored.isLeaving &&
+        isSameIncarnation(incarnation, restored);
+  }
+
+  /**
+   * Applies what was stated to an earlier process of this daemon. A limit counts until the first response to this
+   * process.
+   */
+  restore(status: StatedStatus): void {
+    const { restored } = this;
+    this.restored =
+      restored !== undefined && isSameIncarnation(status, restored)
+        ? mergeStatus(restored, status)
+        : status;
+    this.applyRestored();
+  }
+
   /** Sets the incarnation that runs now. What an earlier one stated no longer counts. */
   setIncarnation(incarnation: Incarnation): void {
     const { current } = this;
@@ -65,6 +102,36 @@
       this.hasResponded = false;
     }
     this.current = incarnation;
+    this.applyRestored();
+  }
+
+  private applyRestored(): void {
+    const { current, restored } = this;
+    if (
+      current === undefined || restored === undefined ||
+      !isSameIncarnation(restored, current)
+    ) {
+      return;
+    }
+    const perSecond = restored.limitPerSecond ?? Infinity;
+    const tightens = !this.hasResponded &&
+      perSecond < (this.limitPerSecond ?? Infinity);
+    if (tightens) {
+      this.limit.record({
+        perSecond,
+        sentAtMs: -Infinity,
+        receivedAtMs: -Infinity,
+      });
+    }
+    const beginsLeaving = restored.isLeaving && !this.isLeaving;
+    this.isLeaving ||= restored.isLeaving;
+    if (tightens || beginsLeaving) {
+      this.context.logger.log("backend_status_restored", {
+        instance: current.instance,
+        leaving: this.isLeaving,
+        limit: this.limitPerSecond,
+      });
+    }
   }
 
   /** Records the status in a response; ignores responses of earlier incarnations. */
@@ -114,3 +181,16 @@
     }
   }
 }
+
+/** Reports of one process arrive in any order: leaving can't be taken back, and the strictest limit counts. */
+function mergeStatus(left: StatedStatus, right: StatedStatus): StatedStatus {
+  const limit = Math.min(
+    left.limitPerSecond ?? Infinity,
+    right.limitPerSecond ?? Infinity,
+  );
+  return {
+    ...right,
+    isLeaving: left.isLeaving || right.isLeaving,
+    limitPerSecond: Number.isFinite(limit) ? limit : null,
+  };
+}
--- a/packages/router/src/backend_status_monitor_test.ts
+++ b/packages/router/src/backend_status_monitor_test.ts
@@ -101,6 +101,90 @@
     });
   });
 
+  describe("when other daemons return what was stated to an earlier process", () => {
+    const status = {
+      ...FIRST,
+      isLeaving: true,
+      limitPerSecond: 10,
+    };
+
+    // Guards against a restarted daemon that fills all slots of a limited or leaving server until it responds.
+    ["before", "after"].forEach((order) =>
+      it(`applies it to the same incarnation, ${order} its first heartbeat`, () => {
+        const { monitor, entries } = createMonitor();
+        if (order === "before") {
+          monitor.setIncarnation(RESTARTED);
+          monitor.restore(status);
+          expect(monitor.limitPerSecond).to.equal(undefined);
+          monitor.setIncarnation(FIRST);
+        } else {
+          monitor.restore(status);
+        }
+        expect(monitor.limitPerSecond).to.equal(10);
+        expect(monitor.hasStatedLeaving(FIRST)).to.equal(true);
+        expect(monitor.statedStatus).to.deep.equal(status);
+        expect(entries.map(({ event }) => event))
+          .to.deep.equal(["backend_status_restored"]);
+      })
+    );
+
+    it("ignores what another incarnation stated", () => {
+      const { monitor } = createMonitor();
+      monitor.restore({ ...status, ...RESTARTED });
+      expect(monitor.limitPerSecond).to.equal(undefined);
+      expect(monitor.hasStatedLeaving(FIRST)).to.equal(false);
+      expect(monitor.statedStatus).to.equal(null);
+    });
+
+    it("keeps the leaving and the strictest limit of several reports, in any order", () => {
+      const reports = [status, {
+        ...FIRST,
+        isLeaving: false,
+        limitPerSecond: 5,
+      }, { ...FIRST, isLeaving: false, limitPerSecond: null }];
+      [reports, reports.toReversed()].forEach((ordered) => {
+        const { monitor } = createMonitor();
+        ordered.forEach((report) => monitor.restore(report));
+        expect(monitor.statedStatus)
+          .to.deep.equal({ ...status, limitPerSecond: 5 });
+      });
+    });
+
+    // Guards against a limit that has ended and stays in force because of an old report.
+    it("follows the limit of the first response instead", () => {
+      const { monitor, record } = createMonitor();
+      monitor.restore(status);
+      record({});
+      expect(monitor.limitPerSecond).to.equal(undefined);
+      monitor.restore(status);
+      expect(monitor.limitPerSecond).to.equal(undefined);
+    });
+  });
+
+  describe("what it reports to other daemons", () => {
+    it("is the status of the current incarnation, and null without one", () => {
+      const { monitor, record } = createMonitor();
+      expect(monitor.statedStatus).to.equal(null);
+      record({ rateLimit: stated(10) });
+      expect(monitor.statedStatus).to.deep.equal({
+        ...FIRST,
+        isLeaving: false,
+        limitPerSecond: 10,
+      });
+      monitor.setIncarnation(RESTARTED);
+      expect(monitor.statedStatus).to.equal(null);
+    });
+
+    // Guards against a server that is drained because an earlier process with the same id was leaving.
+    it("is null if the server does not report its start", () => {
+      const { monitor, record } = createMonitor();
+      const incarnation = { instance: "i-1", born: undefined };
+      monitor.setIncarnation(incarnation);
+      record({ isLeaving: true }, { incarnation });
+      expect(monitor.statedStatus).to.equal(null);
+    });
+  });
+
   describe("when the server is leaving", () => {
     it("reports it once for each process", () => {
       const { monitor, record, leaving } = createMonitor();
--- a/packages/router/src/decoders_test.ts
+++ b/packages/router/src/decoders_test.ts
@@ -74,6 +74,7 @@
       ownershipRevision: 9,
       reachesStore: true,
       capacity: 6,
+      statedStatus: null,
     };
 
     it("reject them or return reports of the right types", () => {
--- a/packages/router/src/gossip_node.ts
+++ b/packages/router/src/gossip_node.ts
@@ -44,6 +44,10 @@
   readonly describeSelf: () => Partial<MemberReport>;
   /** Called with reports that are newer than the known ones. */
   readonly onReports: (reports: readonly MemberReport[]) => void;
+  /** Called with each report of an earlier process at this daemon's address. */
+  readonly onEarlierReport: (report: MemberReport) => void;
+  /** Called when a daemon has responded to a request for reports, with or without reports. */
+  readonly onReportsAnswered: (peer: string) => void;
   /** Called with each datagram that is not gossip. */
   readonly onDatagram: (datagram: Datagram) => void;
 }
@@ -112,6 +116,16 @@
       .forEach(({ address }) => this.sendDatagram(datagram, address));
   }
 
+  /** Requests from a daemon the report of an earlier process at this daemon's address. */
+  requestEarlierReport(peer: string): void {
+    const { ownAddressHash, ownReport } = this.context.view;
+    this.sendDatagram({
+      kind: "ask_reports",
+      sender: ownReport.address,
+      names: [ownAddressHash],
+    }, peer);
+  }
+
   close(): void {
     this.socket.close();
   }
@@ -165,11 +179,21 @@
         if (newReports.length > 0) {
           onReports(newReports);
         }
+        this.handleEarlierReports(reports);
+        if (digests.length === 0) {
+          // Only responses to a request for reports contain no digests.
+          this.context.onReportsAnswered(sender);
+        }
       },
       (cause) => logger.log("gossip_malformed", { cause }),
     );
   }
 
+  private handleEarlierReports(reports: readonly MemberReport[]): void {
+    reports.filter(({ address }) => address === this.context.address)
+      .forEach((report) => this.context.onEarlierReport(report));
+  }
+
   /**
    * Requests missing reports. Without such requests, a daemon that starts in a fleet of 195 still lacks reports of some
    * daemons after 10 s.
--- a/packages/router/src/gossip_node_test.ts
+++ b/packages/router/src/gossip_node_test.ts
@@ -1,5 +1,5 @@
 /**
- * Tests of how a node handles invalid gossip that it receives.
+ * Tests of how a node handles invalid gossip, and reports of an earlier process, that it receives.
  *
  * @module
  */
@@ -36,11 +36,17 @@
   ownershipRevision: 9,
   reachesStore: true,
   capacity: 6,
+  statedStatus: null,
 };
 
-/** Starts a node; `events` collects the names of the events that it logs. */
+/**
+ * Starts a node; `events` collects the names of the events that it logs, `earlierReports` and `answers` what it passes
+ * on.
+ */
 async function startNode() {
   const events: EventName[] = [];
+  const earlierReports: MemberReport[] = [];
+  const answers: string[] = [];
   const logger = Logger.createRateLimited("test", { level: "error" });
   logger.log = (event: EventName) => void events.push(event);
   const view = MemberView.create(REPORT);
@@ -51,10 +57,12 @@
     random: () => 0,
     describeSelf: () => ({}),
     onReports: () => undefined,
+    onEarlierReport: (report) => earlierReports.push(report),
+    onReportsAnswered: (peer) => answers.push(peer),
     onDatagram: () => undefined,
   });
   await node.start();
-  return { node, view, events };
+  return { node, view, events, earlierReports, answers };
 }
 
 async function sendBytes(bytes: Uint8Array): Promise<void> {
@@ -101,6 +109,39 @@
       expect(events).to.deep.equal(["gossip_malformed"]);
     });
   });
+
+  describe("when it requests the report of an earlier process at its address", () => {
+    it("receives it from a daemon that has it, and an answer without it from another one", async () => {
+      const { node, view, earlierReports, answers } = await startNode();
+      const earlier = { ...REPORT, sequence: 400 };
+      const createPeer = async (address: string) => {
+        const peerView = MemberView.create({ ...REPORT, address });
+        const peer = GossipNode.create({
+          address,
+          view: peerView,
+          logger: Logger.createRateLimited("test", { level: "error" }),
+          random: () => 0,
+          describeSelf: () => ({}),
+          onReports: () => undefined,
+          onEarlierReport: () => undefined,
+          onReportsAnswered: () => undefined,
+          onDatagram: () => undefined,
+        });
+        await peer.start();
+        return { peer, peerView };
+      };
+      const informed = await createPeer("127.0.0.1:21779");
+      const uninformed = await createPeer("127.0.0.1:21780");
+      informed.peerView.merge([earlier], 0);
+      node.requestEarlierReport("127.0.0.1:21779");
+      node.requestEarlierReport("127.0.0.1:21780");
+      await sleep(ARRIVAL_MS);
+      [node, informed.peer, uninformed.peer].forEach((each) => each.close());
+      expect(earlierReports).to.deep.equal([earlier]);
+      expect(answers).to.have.members(["127.0.0.1:21779", "127.0.0.1:21780"]);
+      expect(view.ownReport.incarnation).to.equal(REPORT.incarnation + 1);
+    });
+  });
 });
 
 describe("isAddress", () => {
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -12,7 +12,7 @@
   LoadProfile,
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
-import type { MemberPhase } from "@bamboolink/membership";
+import type { MemberPhase, StatedStatus } from "@bamboolink/membership";
 import {
   BackendStatusMonitor,
   type StatedLeavingListener,
@@ -129,6 +129,22 @@
     this.admission.setServerLimits(identity);
   }
 
+  /** Applies what the backend server had stated in responses to an earlier process of this daemon. */
+  restoreStatus(status: StatedStatus): void {
+    this.statusMonitor.restore(status);
+    this.admission.setAdvertisedLimit(this.statusMonitor.limitPerSecond);
+  }
+
+  /** What the backend server has stated in responses; `null` if that is nothing. */
+  get statedStatus(): StatedStatus | null {
+    return this.statusMonitor.statedStatus;
+  }
+
+  /** Whether an incarnation has stated in a response that it is leaving. */
+  hasStatedLeaving(incarnation: Incarnation): boolean {
+    return this.statusMonitor.hasStatedLeaving(incarnation);
+  }
+
   /** Returns the backend server's load, and the average time of a route's requests there. */
   loadReportFor(route: string): LoadReport {
     return {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -29,6 +29,7 @@
 import { bootMs, monotonicMs } from "./clock.ts";
 import { ConfigurationManager } from "./configuration_manager.ts";
 import type { Datagram } from "./datagram_codec.ts";
+import { EarlierReportQuery } from "./earlier_report_query.ts";
 import { EvacuationManager } from "./evacuation_manager.ts";
 import { Forwarder } from "./forwarder.ts";
 import { GOSSIP_INTERVAL_MS, GossipNode, splitAddress } from "./gossip_node.ts";
@@ -119,6 +120,7 @@
   private readonly configuration: ConfigurationManager;
   private readonly members: MemberDirectory;
   private readonly gossip: GossipNode;
+  private readonly earlierReportQuery: EarlierReportQuery;
   private readonly forwarder: Forwarder;
   private readonly retryBudget: FleetRetryBudget;
   private readonly ingress: Ingress;
@@ -200,6 +202,7 @@
       grants: this.grants,
       lease: this.lease,
       evacuation: this.evacuation,
+      awaitEarlierReport: () => this.earlierReportQuery.awaitEnd(),
       drainMs: () => this.settings.bounds.drainMs,
       probe: (service) =>
         probeBackend(settings.backendAddress, {
@@ -267,8 +270,20 @@
       random,
       describeSelf: () => this.describeSelf(),
       onReports: (reports) => this.handleReports(reports),
+      onEarlierReport: ({ statedStatus }) => {
+        if (statedStatus !== null) {
+          this.backendManager.restoreStatus(statedStatus);
+        }
+      },
+      onReportsAnswered: (peer) => this.earlierReportQuery.recordAnswer(peer),
       onDatagram: (datagram) => this.handleDatagram(datagram),
     });
+    this.earlierReportQuery = EarlierReportQuery.create({
+      random,
+      nowMs: monotonicMs,
+      knownAddresses: () => this.view.knownAddresses,
+      request: (peer) => this.gossip.requestEarlierReport(peer),
+    });
     this.forwarder = Forwarder.create({
       logger,
       onLoad: (daemon, route, load) =>
@@ -465,6 +480,7 @@
     this.forwarder.tick();
     this.quarantine.tick();
     this.evacuation.tick();
+    this.earlierReportQuery.tick();
   }
 
   private describeSelf(): Partial<MemberReport> {
@@ -473,6 +489,7 @@
       phase: this.isStopping ? "stopping" : this.backendManager.phase,
       slots: this.backendManager.slots,
       capacity: Math.round(this.backend.capacity * 100) / 100,
+      statedStatus: this.backend.statedStatus,
       waitMs: Math.round(this.backend.waitMs),
       serviceMs: Math.round(this.backend.serviceMs),
       utilization: this.ownership.utilization,
@@ -799,6 +816,7 @@
     ownershipRevision: 0,
     reachesStore: false,
     capacity: 0,
+    statedStatus: null,
   };
 }
 
