--- a/soak/src/regression_seeds.ts
+++ b/soak/src/regression_seeds.ts
@@ -34,6 +34,6 @@
     hasStatedStatus: true,
     durationMs: 10_000,
     cause:
-      "open: a daemon that restarts beside a server that is leaving by its responses only sends it requests again",
+      "a daemon that restarts beside a server that is leaving by its responses only sends it requests again",
   },
 ];
