--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -31,6 +31,7 @@
 import { ConfigurationChecker } from "./configuration_checker.ts";
 import { ConfigurationManager } from "./configuration_manager.ts";
 import type { Datagram } from "./datagram_codec.ts";
+import { EarlierReportQuery } from "./earlier_report_query.ts";
 import { EvacuationManager } from "./evacuation_manager.ts";
 import { Forwarder } from "./forwarder.ts";
 import { GOSSIP_INTERVAL_MS, GossipNode, splitAddress } from "./gossip_node.ts";
@@ -122,6 +123,7 @@
   private readonly configurationChecker: ConfigurationChecker;
   private readonly members: MemberDirectory;
   private readonly gossip: GossipNode;
+  private readonly earlierReportQuery: EarlierReportQuery;
   private readonly forwarder: Forwarder;
   private readonly retryBudget: FleetRetryBudget;
   private readonly ingress: Ingress;
@@ -204,6 +206,7 @@
       grants: this.grants,
       lease: this.lease,
       evacuation: this.evacuation,
+      awaitEarlierReport: () => this.earlierReportQuery.awaitEnd(),
       drainMs: () => this.settings.bounds.drainMs,
       probe: (service) =>
         probeBackend(settings.backendAddress, {
@@ -284,8 +287,20 @@
       linkBytesPerSecond: settings.linkBytesPerSecond ?? Infinity,
       describeSelf: () => this.describeSelf(),
       onReports: (reports) => this.handleReports(reports),
+      onEarlierReport: ({ statedStatus }) => {
+        if (statedStatus !== null) {
+          this.backendManager.restoreStatus(statedStatus);
+        }
+      },
+      onReportsAnswered: (peer) => this.earlierReportQuery.recordAnswer(peer),
       onDatagram: (datagram) => this.handleDatagram(datagram),
     });
+    this.earlierReportQuery = EarlierReportQuery.create({
+      random,
+      nowMs: monotonicMs,
+      knownAddresses: () => this.view.knownAddresses,
+      request: (peer) => this.gossip.requestEarlierReport(peer),
+    });
     this.forwarder = Forwarder.create({
       logger,
       onLoad: (daemon, route, load) =>
@@ -484,6 +499,7 @@
     this.forwarder.tick();
     this.quarantine.tick();
     this.evacuation.tick();
+    this.earlierReportQuery.tick();
   }
 
   private describeSelf(): Partial<MemberReport> {
@@ -492,6 +508,7 @@
       phase: this.isStopping ? "stopping" : this.backendManager.phase,
       slots: this.backendManager.slots,
       capacity: Math.round(this.backend.capacity * 100) / 100,
+      statedStatus: this.backend.statedStatus,
       waitMs: Math.round(this.backend.waitMs),
       serviceMs: Math.round(this.backend.serviceMs),
       utilization: this.ownership.utilization,
@@ -824,6 +841,7 @@
     ownershipRevision: 0,
     reachesStore: false,
     capacity: 0,
+    statedStatus: null,
   };
 }
 
