--- a/packages/router/src/ingress_test.ts
+++ b/packages/router/src/ingress_test.ts
@@ -69,7 +69,16 @@
   /** The configuration in force. */
   get inForce(): unknown {
     const { router, limits } = this;
-    return { router, services: new Map(), configuration: { limits } };
+    const unreadable = {
+      coversRequest: () => false,
+      hidesService: () => false,
+    };
+    return {
+      router,
+      services: new Map(),
+      unreadable,
+      configuration: { limits },
+    };
   }
 
   /** How long it is in force, in milliseconds. */
