Let the fallback clock go on after the time of day stepped back

What callers would see: keys served by an owner whose lease has long expired, and now 404 by evidence that doesn't age. Only where the boot-time clock can't be read (no koffi).

Cause: the clock was the larger total advance of two clocks since the start.

--- a/packages/router/src/clock.ts
+++ b/packages/router/src/clock.ts
@@ -17,7 +17,8 @@
  * The monotonic clock stops during a suspension: after the resume, a daemon would consider its long-expired ownership
  * lease valid and renew grants of keys that a successor already holds.
  */
-export const bootMs: ReadClock = openBootClock() ?? createFallbackClock();
+export const bootMs: ReadClock = openBootClock() ??
+  createFallbackClock({ monotonicMs, wallMs: Date.now });
 
 /** The monotonic clock in milliseconds, for durations that need not include suspensions of the machine. */
 export function monotonicMs(): number {
@@ -44,15 +45,19 @@
 }
 
 /**
- * Creates a clock by the larger advance of the monotonic clock and the time of day, so that no suspension is missed.
+ * Creates a clock that advances between two readings by the larger advance of the monotonic clock and the time of day,
+ * so that no suspension is missed, and a step of the time of day never stops it.
  */
-function createFallbackClock(): ReadClock {
-  const start = { monotonic: performance.now(), wall: Date.now() };
-  let maxElapsedMs = 0;
+export function createFallbackClock(
+  clocks: { monotonicMs: ReadClock; wallMs: ReadClock },
+): ReadClock {
+  let monotonic = clocks.monotonicMs();
+  let wall = clocks.wallMs();
+  let elapsedMs = 0;
   return () => {
-    const monotonicElapsedMs = performance.now() - start.monotonic;
-    const wallElapsedMs = Date.now() - start.wall;
-    maxElapsedMs = Math.max(maxElapsedMs, monotonicElapsedMs, wallElapsedMs);
-    return maxElapsedMs;
+    const [nextMonotonic, nextWall] = [clocks.monotonicMs(), clocks.wallMs()];
+    elapsedMs += Math.max(0, nextMonotonic - monotonic, nextWall - wall);
+    [monotonic, wall] = [nextMonotonic, nextWall];
+    return elapsedMs;
   };
 }
