Drop datagrams after the gossip socket is closed

A component that sends after the stop (a check of the configuration that ends late) made the socket throw ERR_SOCKET_DGRAM_NOT_RUNNING, in a promise that nobody awaits: the process would end with an error while it stops.

--- a/packages/router/src/gossip_node.ts
+++ b/packages/router/src/gossip_node.ts
@@ -63,6 +63,7 @@
   private readonly pacer: DatagramPacer;
   private pacingTimer: NodeJS.Timeout | undefined;
   private requestedAtMs = -Infinity;
+  private isClosed = false;
 
   private constructor(private readonly context: GossipNodeContext) {
     this.pacer = DatagramPacer.create(context.linkBytesPerSecond);
@@ -140,7 +141,9 @@
     }, peer);
   }
 
+  /** Closes the socket; datagrams that other components still send are dropped. */
   close(): void {
+    this.isClosed = true;
     clearTimeout(this.pacingTimer);
     this.socket.close();
   }
@@ -171,6 +174,9 @@
 
   /** Addresses come from the store and from datagrams, so they may be invalid. */
   private send(bytes: Uint8Array, address: string): void {
+    if (this.isClosed) {
+      return;
+    }
     const { host, port } = splitAddress(address);
     if (!isAddress(address)) {
       this.context.logger.log("gossip_failed", { peer: address });
