Don't run a request whose caller left while its configuration was checked

A partial body whose caller left in that time never settled: the request stayed in the counts until the process ended.

Cause: the check made the first wait before the listeners for the caller's disconnect are added, and a connection that has closed emits no further event.

Change: a request whose response is destroyed is not run, and a body that is destroyed counts as cut.

--- a/packages/router/src/http_body.ts
+++ b/packages/router/src/http_body.ts
@@ -29,6 +29,9 @@
   if (declaredLength(message) > limit.bytes) {
     return Promise.resolve({ kind: "too_large" });
   }
+  if (message.destroyed) {
+    return Promise.resolve({ kind: "cut" });
+  }
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let size = 0;
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -454,9 +454,10 @@
     { request, limitBytes }: { request: CallerRequest; limitBytes: number },
   ): Promise<void> {
     const { configuration, configurationChecker } = this.context;
-    const isConfirmed = await configurationChecker.confirm(
-      request.deadlineMs ?? Infinity,
-    );
+    const isChecked = declaredLength(response.req) > limitBytes;
+    const isConfirmed = isChecked
+      ? configurationChecker.isConfirmed
+      : await configurationChecker.confirm(request.deadlineMs ?? Infinity);
     const newestLimitBytes =
       configuration.inForce?.configuration.limits.bodyBytes ?? limitBytes;
     if (isConfirmed && newestLimitBytes <= limitBytes) {
@@ -534,6 +535,10 @@
       await this.rejectTooLarge(response, { request, limitBytes });
       return "too_large";
     }
+    if (response.destroyed) {
+      // Its close event was emitted while the request waited, before anything listened for it.
+      return "caller_left";
+    }
     if (this.isBehindLastResponse(response)) {
       return "unread";
     }
