Accept evidence only for the question asked and the document in force

- A response to a question that this process had not asked counted, and one with a time in the future stayed valid: 404 in 4 ms while the store was silent.
Responses must repeat the time of the last question.
Evidence now needs the document in force, and supports that version only.
- With a store that takes 240 ms, the reader's response came after the 200 ms that a daemon waits for it, and each daemon read for itself (4.5 reads a second with 8 daemons, 1.0 in calm).
It waits 350 ms.
- After a failed check another one was started for each request if its reader answered; the pause now covers the whole check.
- An exception would have kept a place among the waiting requests.

--- a/packages/router/src/configuration_checker.ts
+++ b/packages/router/src/configuration_checker.ts
@@ -23,10 +23,10 @@
 /** Upper bound on requests that wait for a check. */
 const MAX_WAITING_REQUESTS = 1_000;
 /** How long the response of the reading daemon is awaited before the store is read directly, in milliseconds. */
-const READER_TIMEOUT_MS = 200;
+const READER_TIMEOUT_MS = 350;
 /** The reading daemon repeats evidence of up to this age, in milliseconds, instead of reading the store again. */
 const MAX_REPEATED_AGE_MS = MAX_EVIDENCE_AGE_MS / 2;
-/** Pause after a failed read of the store, in milliseconds. */
+/** Pause after a failed check, in milliseconds. */
 const FAILURE_PAUSE_MS = 500;
 
 /** Asks the receiver for the newest version of the configuration. */
@@ -66,6 +66,8 @@
   private pausedUntilMs = -Infinity;
   private waitingCount = 0;
   private onResponse: () => void = () => undefined;
+  /** When the reading daemon was last asked; responses to other questions are ignored. */
+  private askedAtMs: number | undefined;
 
   private constructor(private readonly context: ConfigurationCheckerContext) {}
 
@@ -101,11 +103,14 @@
       return false;
     }
     this.waitingCount += 1;
-    await settleWithin(
-      this.startCheck(),
-      Math.min(MAX_WAIT_MS, remainingMs * MAX_WAIT_SHARE),
-    );
-    this.waitingCount -= 1;
+    try {
+      await settleWithin(
+        this.startCheck(),
+        Math.min(MAX_WAIT_MS, remainingMs * MAX_WAIT_SHARE),
+      );
+    } finally {
+      this.waitingCount -= 1;
+    }
     return this.isConfirmed;
   }
 
@@ -131,10 +136,13 @@
     }
   }
 
-  /** Applies the response of the reading daemon. */
+  /** Applies the response of the reading daemon to the last question. */
   async handleResponse(response: ConfigurationCheckResponse): Promise<void> {
     const { evidence, configuration, findPeerAddress } = this.context;
     const { sender, askedAtMs, version, ageMs } = response;
+    if (askedAtMs !== this.askedAtMs) {
+      return;
+    }
     evidence.record({ version, observedAtMs: askedAtMs - ageMs });
     const peer = findPeerAddress(sender);
     if (version > configuration.version && peer !== undefined) {
@@ -151,7 +159,10 @@
   }
 
   private async check(): Promise<void> {
-    const { address, findReader } = this.context;
+    const { address, findReader, nowMs } = this.context;
+    if (nowMs() < this.pausedUntilMs) {
+      return;
+    }
     const reader = findReader();
     if (reader !== undefined && reader !== address) {
       await this.askReader(reader);
@@ -166,11 +177,9 @@
     const responded = new Promise<void>((resolve) => {
       this.onResponse = resolve;
     });
-    send({
-      kind: "ask_configuration",
-      sender: address,
-      askedAtMs: nowMs(),
-    }, reader);
+    const askedAtMs = nowMs();
+    this.askedAtMs = askedAtMs;
+    send({ kind: "ask_configuration", sender: address, askedAtMs }, reader);
     await settleWithin(responded, READER_TIMEOUT_MS);
   }
 
@@ -190,11 +199,12 @@
     const observedAtMs = nowMs();
     const found = await store.get(documentKey);
     const text = found.unwrapOr(undefined)?.value;
-    const version = text === undefined
-      ? undefined
-      : configuration.applyDocument(text, "store");
-    if (version !== undefined) {
-      evidence.record({ version, observedAtMs });
+    if (text !== undefined) {
+      configuration.applyDocument(text, "store");
+    }
+    // A store that was restored from an older snapshot may hold another document than the one in force.
+    if (text !== undefined && text === configuration.inForce?.text) {
+      evidence.record({ version: configuration.version, observedAtMs });
       return;
     }
     this.pausedUntilMs = nowMs() + FAILURE_PAUSE_MS;
--- a/packages/router/src/configuration_checker_test.ts
+++ b/packages/router/src/configuration_checker_test.ts
@@ -18,6 +18,13 @@
 
 const READER = "reader";
 const CALLER_WAIT_MS = 60_000;
+/** A response of the reading daemon, without the time of the question. */
+const RESPONSE = {
+  kind: "configuration",
+  sender: READER,
+  version: 1,
+  ageMs: 0,
+} as const;
 /** Requests at one moment, more than may wait. */
 const FLOOD_REQUEST_COUNT = 10_000;
 /** Upper bound on requests that wait. */
@@ -173,17 +180,34 @@
     });
 
     // Guards against a response that a suspended process reads late and takes for recent evidence.
-    it("does not count a response that arrives late", () => {
+    it("does not count a response that arrives late", async () => {
+      fleet.refusedStoreDaemons.add("daemon");
+      const { checker } = fleet.add("daemon");
+      await checker.confirm(CALLER_WAIT_MS);
+      fleet.nowMs += 5_000;
+      await checker.handleResponse({ ...RESPONSE, askedAtMs: 0 });
+      expect(checker.isConfirmed).to.equal(false);
+    });
+
+    // Guards against evidence from the future: a response to an earlier process at the address, or a forged one.
+    it("does not count a response to a question that it did not ask", async () => {
+      fleet.refusedStoreDaemons.add("daemon");
       const { checker } = fleet.add("daemon");
-      fleet.nowMs = 5_000;
-      void checker.handleResponse({
-        kind: "configuration",
-        sender: READER,
-        askedAtMs: 0,
-        version: 1,
-        ageMs: 0,
-      });
+      await checker.confirm(CALLER_WAIT_MS);
+      await checker.handleResponse({ ...RESPONSE, askedAtMs: 1e15 });
       expect(checker.isConfirmed).to.equal(false);
+      await checker.handleResponse({ ...RESPONSE, askedAtMs: 0 });
+      expect(checker.isConfirmed).to.equal(true);
+    });
+  });
+
+  describe("while the store holds another configuration than the one in force", () => {
+    // Guards against 404 for a route that the store's configuration contains, after it was restored from a snapshot.
+    it("does not confirm", async () => {
+      const { checker, configuration } = fleet.add(READER);
+      configuration.applyDocument("5", "store");
+      expect(await checker.confirm(CALLER_WAIT_MS)).to.equal(false);
+      expect(configuration.version).to.equal(5);
     });
   });
 
--- a/packages/router/src/configuration_manager.ts
+++ b/packages/router/src/configuration_manager.ts
@@ -68,22 +68,15 @@
    * decoded are logged and completed from the version before, where that is safe.
    *
    * @param source where the document came from, for the log: `store` or a peer's address.
-   * @returns the document's version; `undefined` if it can't be decoded.
    */
-  applyDocument(text: string, source: string): number | undefined {
+  applyDocument(text: string, source: string): void {
     const { document, logger } = this.context;
     if (text === this.current?.text) {
-      return this.version;
+      return;
     }
-    return document.decode(text).match(
-      (configuration) => {
-        this.apply(configuration, { text, source });
-        return configuration.version;
-      },
-      (cause) => {
-        logger.log("configuration_unreadable", { source, cause });
-        return undefined;
-      },
+    document.decode(text).match(
+      (configuration) => this.apply(configuration, { text, source }),
+      (cause) => logger.log("configuration_unreadable", { source, cause }),
     );
   }
 
@@ -106,7 +99,7 @@
     const { peerClient, logger } = this.context;
     const fetched = await peerClient.fetchConfiguration(peer);
     fetched.match(
-      (text) => void this.applyDocument(text, peer),
+      (text) => this.applyDocument(text, peer),
       (cause) => logger.log("peer_question_failed", { peer, cause }),
     );
   }
--- a/packages/router/src/gossip_node_test.ts
+++ b/packages/router/src/gossip_node_test.ts
@@ -182,7 +182,7 @@
           view: peerView,
           logger: Logger.createRateLimited("test", { level: "error" }),
           linkBytesPerSecond: Infinity,
-      random: () => 0,
+          random: () => 0,
           describeSelf: () => ({}),
           onReports: () => undefined,
           onEarlierReport: () => undefined,
--- a/packages/traffic/src/configuration_evidence.ts
+++ b/packages/traffic/src/configuration_evidence.ts
@@ -46,11 +46,11 @@
     }
   }
 
-  /** Age of the evidence that no version newer than `version` exists, in milliseconds; infinite if there is none. */
+  /** Age of the evidence that `version` is the newest one, in milliseconds; infinite if there is none. */
   ageMs(version: number, nowMs: number): number {
-    return version < this.latest.version
-      ? Infinity
-      : Math.max(0, nowMs - this.latest.observedAtMs);
+    return version === this.latest.version
+      ? Math.max(0, nowMs - this.latest.observedAtMs)
+      : Infinity;
   }
 
   /** Whether a record's absence from `version` justifies a final response. */
--- a/packages/traffic/src/configuration_evidence_test.ts
+++ b/packages/traffic/src/configuration_evidence_test.ts
@@ -24,12 +24,13 @@
     expect(evidence.isRecent(3, 501 + MAX_EVIDENCE_AGE_MS)).to.equal(false);
   });
 
-  // Guards against a daemon that knows of a newer configuration and denies requests by the older one.
-  it("does not support a version that is older than the observed one", () => {
+  // Guards against a daemon that knows of another configuration in the store and denies requests by its own.
+  it("supports the observed version only", () => {
     const evidence = ConfigurationEvidence.create();
     evidence.record({ version: 4, observedAtMs: 500 });
     expect(evidence.isRecent(3, 500)).to.equal(false);
-    expect(evidence.isRecent(5, 500)).to.equal(true);
+    expect(evidence.isRecent(4, 500)).to.equal(true);
+    expect(evidence.isRecent(5, 500)).to.equal(false);
   });
 
   // Guards against a late response of an earlier check that hides a newer version.
