Use a server again that was slow for a moment

Cause, as far as it was reproduced: the first requests at a daemon that starts are slow if its process lacks processor time, and the first of them sets the average service time of the route. Placement then avoids the server, and since it gets no requests, nothing shows that it no longer is slow.

Ruled out: reports of the new process that others ignore because of their lower sequence (the daemon learns of its earlier process by the first digest and raises its incarnation), and the limit itself: the same happens without one.

A test said that an outdated time approaches the average of all servers, its own time included: 600 to 650 for 900 beside 300. That average is the fault, so the test now asks for the average of the others, 300 to 350, a range as narrow, and a new one for the same after any time.

--- a/packages/placement/src/route_service_times.ts
+++ b/packages/placement/src/route_service_times.ts
@@ -13,12 +13,15 @@
  * and while something else uses their host.
  */
 const REPORT_FRESH_MS = 2_000;
-/** Half-life, in milliseconds, of the excess of an outdated time over the average of all servers. */
+/** Half-life, in milliseconds, of the excess of an outdated time over the average of the other servers. */
 const EXCESS_HALF_LIFE_MS = 2_000;
+/** Upper bound of an outdated excess, relative to the average of the others, so that it decays in a bounded time. */
+const MAX_OUTDATED_EXCESS = 2;
 
 interface ReportedTime {
   readonly serviceMs: number;
-  readonly reportedAtMs: number;
+  /** When a request last contributed to it, in milliseconds. */
+  readonly measuredAtMs: number;
 }
 
 /** The reported times of one route. The sum avoids iterating over all servers for each request. */
@@ -59,15 +62,15 @@
    * only other routes, it is derived from its speed on these.
    */
   estimateMs(backend: string, route: string, nowMs: number): number {
-    const typicalMs = this.typicalMs(route);
-    const report = this.routes.get(route)?.reports.get(backend);
-    if (report === undefined) {
-      return typicalMs * this.relativeServiceTimeOf(backend);
+    const entry = this.routes.get(route);
+    const report = entry?.reports.get(backend);
+    if (entry === undefined || report === undefined) {
+      return this.typicalMs(route) * this.relativeServiceTimeOf(backend);
     }
-    const staleMs = Math.max(0, nowMs - report.reportedAtMs - REPORT_FRESH_MS);
-    const excessMs = Math.max(0, report.serviceMs - typicalMs);
-    const decayedShare = 1 - 0.5 ** (staleMs / EXCESS_HALF_LIFE_MS);
-    return report.serviceMs - excessMs * decayedShare;
+    const othersMs = entry.reports.size === 1
+      ? report.serviceMs
+      : (entry.sumMs - report.serviceMs) / (entry.reports.size - 1);
+    return decayExcess(report, { othersMs, nowMs });
   }
 
   /** Mean ratio of a backend server's service times to the averages of their routes; 0 without reports. */
@@ -82,3 +85,16 @@
     return ratios.length === 0 ? 0 : sum / ratios.length;
   }
 }
+
+/** Returns a reported time, reduced towards the average of the other servers once it is outdated. */
+function decayExcess(
+  { serviceMs, measuredAtMs }: ReportedTime,
+  { othersMs, nowMs }: { othersMs: number; nowMs: number },
+): number {
+  const staleMs = nowMs - measuredAtMs - REPORT_FRESH_MS;
+  const excessMs = serviceMs - othersMs;
+  return staleMs <= 0 || excessMs <= 0
+    ? serviceMs
+    : othersMs + Math.min(excessMs, othersMs * MAX_OUTDATED_EXCESS) *
+        0.5 ** (staleMs / EXCESS_HALF_LIFE_MS);
+}
--- a/packages/placement/src/route_service_times_test.ts
+++ b/packages/placement/src/route_service_times_test.ts
@@ -20,25 +20,33 @@
   describe("for a backend server that has run the route", () => {
     it("returns the time that its daemon reported", () => {
       const times = RouteServiceTimes.create();
-      times.record("one", "upload", { serviceMs: 300, reportedAtMs: 0 });
+      times.record("one", "upload", { serviceMs: 300, measuredAtMs: 0 });
       expect(times.estimateMs("one", "upload", 100)).to.equal(300);
     });
 
-    it("approaches the average if no report is received for long", () => {
+    it("approaches the average of the others if no report is received for long", () => {
       const times = RouteServiceTimes.create();
-      times.record("one", "upload", { serviceMs: 900, reportedAtMs: 0 });
-      times.record("two", "upload", { serviceMs: 300, reportedAtMs: 0 });
+      times.record("one", "upload", { serviceMs: 900, measuredAtMs: 0 });
+      times.record("two", "upload", { serviceMs: 300, measuredAtMs: 0 });
       const laterMs = times.estimateMs("one", "upload", 12_000);
-      expect(laterMs).to.be.within(600, 650);
+      expect(laterMs).to.be.within(300, 350);
+    });
+
+    it("approaches it within the same time however slow the server was", () => {
+      const times = RouteServiceTimes.create();
+      times.record("one", "upload", { serviceMs: 90_000, measuredAtMs: 0 });
+      times.record("two", "upload", { serviceMs: 300, measuredAtMs: 0 });
+      expect(times.estimateMs("one", "upload", 2_000)).to.equal(90_000);
+      expect(times.estimateMs("one", "upload", 12_000)).to.be.within(300, 350);
     });
   });
 
   describe("for a backend server that has run only other routes", () => {
     it("derives the time from its speed on these", () => {
       const times = RouteServiceTimes.create();
-      times.record("one", "call", { serviceMs: 100, reportedAtMs: 0 });
-      times.record("two", "call", { serviceMs: 50, reportedAtMs: 0 });
-      times.record("two", "upload", { serviceMs: 300, reportedAtMs: 0 });
+      times.record("one", "call", { serviceMs: 100, measuredAtMs: 0 });
+      times.record("two", "call", { serviceMs: 50, measuredAtMs: 0 });
+      times.record("two", "upload", { serviceMs: 300, measuredAtMs: 0 });
       expect(times.estimateMs("one", "upload", 0)).to.be.closeTo(400, 1);
     });
 
@@ -55,7 +63,7 @@
       const times = RouteServiceTimes.create();
       Object.entries(SERVICE_MS).forEach(([backend, routes]) =>
         Object.entries(routes).forEach(([route, serviceMs]) =>
-          times.record(backend, route, { serviceMs, reportedAtMs: 0 })
+          times.record(backend, route, { serviceMs, measuredAtMs: 0 })
         )
       );
       const runningEndsMs = new Map(
--- a/packages/router/src/backend_load_tracker.ts
+++ b/packages/router/src/backend_load_tracker.ts
@@ -47,18 +47,25 @@
     entry.sentSinceReport = 0;
   }
 
-  /** Records the load that a daemon reports for its backend server and for one route there. */
+  /**
+   * Records the load that a daemon reports for its backend server and for one route there.
+   *
+   * @param update `measuredAtMs`: when the server last completed a request of the route, as far as that is known.
+   */
   recordRouteLoad(
     daemon: string,
-    update: { route: string; load: LoadReport; nowMs: number },
+    update: {
+      route: string;
+      load: LoadReport;
+      nowMs: number;
+      measuredAtMs: number | undefined;
+    },
   ): void {
-    const { route, load, nowMs } = update;
+    const { route, load, nowMs, measuredAtMs } = update;
+    const { serviceMs } = load;
     this.recordLoad(daemon, load, nowMs);
-    if (load.serviceMs > 0) {
-      this.times.record(daemon, route, {
-        serviceMs: load.serviceMs,
-        reportedAtMs: nowMs,
-      });
+    if (serviceMs > 0 && measuredAtMs !== undefined) {
+      this.times.record(daemon, route, { serviceMs, measuredAtMs });
     }
   }
 
--- a/packages/router/src/forwarder.ts
+++ b/packages/router/src/forwarder.ts
@@ -25,8 +25,14 @@
 /** Dependencies of {@link Forwarder}. */
 export interface ForwarderContext {
   readonly logger: Logger;
-  /** Called with the load that another daemon reports for its backend server and a route there. */
-  readonly onLoad: (daemon: string, route: string, load: LoadReport) => void;
+  /**
+   * Called with the load that another daemon reports for its backend server and a route there. `isCompleted`: whether
+   * the server has just completed a request of the route.
+   */
+  readonly onLoad: (
+    daemon: string,
+    report: { route: string; load: LoadReport; isCompleted: boolean },
+  ) => void;
   /** Called when a daemon is unreachable. */
   readonly onUnreachable: (daemon: string) => void;
 }
@@ -79,7 +85,11 @@
         onAcknowledged: () =>
           this.acknowledgements.record(monotonicMs() - sentAtMs),
         onOutcome: (outcome, load) => {
-          this.context.onLoad(daemon, request.route, load);
+          this.context.onLoad(daemon, {
+            route: request.route,
+            load,
+            isCompleted: outcome.kind === "answer",
+          });
           finish(outcome);
         },
         onUnresponsive: () => {
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -155,6 +155,11 @@
     };
   }
 
+  /** When the backend server last completed a request of a route, on the monotonic clock; `undefined` if never. */
+  lastCompletedAtMs(route: string): number | undefined {
+    return this.times.lastCompletedAtMs(route);
+  }
+
   /** Estimated wait of a request that arrives now, in milliseconds. */
   get waitMs(): number {
     return this.admission.waitMs;
@@ -558,7 +563,10 @@
   ): void {
     const { outcome, durationMs } = completed;
     if (outcome.kind === "answer" && outcome.status < 500) {
-      this.times.record(request.route, durationMs);
+      this.times.record(request.route, {
+        tookMs: durationMs,
+        endedAtMs: monotonicMs(),
+      });
     }
     const isFailure = outcome.kind === "unknown" ||
       outcome.kind === "answer" && outcome.status >= 500 ||
--- a/packages/router/src/request_runner.ts
+++ b/packages/router/src/request_runner.ts
@@ -329,7 +329,12 @@
   private recordLocalLoad(route: string, nowMs: number): void {
     const { view, loadTracker, backend } = this.context;
     const load = backend.loadReportFor(route);
-    loadTracker.recordRouteLoad(view.ownReport.address, { route, load, nowMs });
+    loadTracker.recordRouteLoad(view.ownReport.address, {
+      route,
+      load,
+      nowMs,
+      measuredAtMs: backend.lastCompletedAtMs(route),
+    });
   }
 
   /**
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -286,12 +286,16 @@
     });
     this.forwarder = Forwarder.create({
       logger,
-      onLoad: (daemon, route, load) =>
+      onLoad: (daemon, { route, load, isCompleted }) => {
+        const nowMs = monotonicMs();
+        const measuredAtMs = isCompleted ? nowMs : undefined;
         this.loadTracker.recordRouteLoad(daemon, {
           route,
           load,
-          nowMs: monotonicMs(),
-        }),
+          nowMs,
+          measuredAtMs,
+        });
+      },
       onUnreachable: (daemon) =>
         this.loadTracker.markUnreachable(daemon, monotonicMs()),
     });
