Read request heads of more than 64 KiB

What callers saw: 431, which is never repeated, for a proper request with a head of 119,000 bytes, on every daemon, while the configurations in force allowed 120,000.

Cause: the HTTP server's own limit was 64 KiB, whatever the configuration says. Node.js answers 431 before our code runs; the log names it (caller_bytes_unreadable, HPE_HEADER_OVERFLOW).

Change: 1 MiB. Ruled out: the limit of the configuration in force, since the server applies its limit when a connection opens, so that a raised one would reject requests on open connections, and an outdated one would deny.

packages/router/src/ingress_test.ts, before: 1 of 3 fails (431 for 100,000 bytes). After: 3 of 3 pass.

--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -59,8 +59,11 @@
 const RESPONSE_DELIVERY_MS = 8;
 /** Typical service time as a share of the objective: operators set objectives at about three times the service time. */
 const TYPICAL_SERVICE_SHARE = 0.35;
-/** Header size limit of the HTTP server, in bytes, and the default until a configuration is in force. */
-const MAX_HEADER_BYTES = 65_536;
+/**
+ * Header size limit of the HTTP server, in bytes, and the default until a configuration is in force. The server can't
+ * follow a limit that operators raise on connections that are open, so it exceeds any that they set.
+ */
+const MAX_HEADER_BYTES = 1_048_576;
 /** Limits until a configuration is in force. */
 const INITIAL_LIMITS: CallerLimits = {
   headerBytes: MAX_HEADER_BYTES,
