--- a/soak/src/regression_seeds.ts
+++ b/soak/src/regression_seeds.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { FaultSelection } from "./fault_schedule.ts";
+import { type FaultSelection, NO_FAULTS } from "./fault_schedule.ts";
 
 /** A seed that violated a guarantee, why, and the faults of its run. */
 export interface RegressionSeed extends FaultSelection {
@@ -36,4 +36,12 @@
     cause:
       "open: a daemon that restarts beside a server that is leaving by its responses only sends it requests again",
   },
+  {
+    ...NO_FAULTS,
+    seed: 2_007,
+    hasSeries: true,
+    durationMs: 10_000,
+    cause:
+      "heads of more than 64 KiB got 431 although the configurations allowed them",
+  },
 ];
