Space the renewals of watches by announcements instead of at random

What callers saw: nothing wrong. Since watches are renewed every 0.35 s on average, silent connections are found in time, at 1.5 to 1.9 times as many calls to the store.

Change: a daemon announces in one datagram when it will renew next (`watch_plan`), and plans each renewal in a gap of the others' plans, or 0.65 s behind them (WatchPollCoordinator, no I/O). The interval follows from the 2 s of a change: two renewals in a row may be missing, or one if the next waits 600 ms for a response. A poll that a change ends is repeated until its planned time, so that a change, which wakes all daemons at once, doesn't synchronize them. A lost announcement leads to additional renewals, not to missing ones; without any, and in fleets of more than 43 daemons, WatchPollSchedule decides as before.

Checks: watch_poll_schedule_test.ts is unchanged and passes; it covers the schedule without announcements. Its mean interval of at most 525 ms does not hold with them (0.65 s). For those the new test checks what callers depend on, more strictly: no gap above 2 s at all, from 1.5 s after the start, with a change, a daemon that stops, and 0 or 10 % of the announcements lost (before: 2 % of the time may lie in larger ones); and at most 500 ms on average from any moment to the next renewal.

A slower random schedule, of 450 ms: 2 of 12 checks of watch_poll_schedule_test.ts fail (gaps above 2 s take 3.4 % of the time at 12 daemons and 5.6 % at 59; 2 % are allowed).

--- a/packages/router/src/datagram_codec.ts
+++ b/packages/router/src/datagram_codec.ts
@@ -102,6 +102,14 @@
   ageMs: z.number().min(0),
 });
 
+/** Announces when the sender will renew its watch of the store. */
+const WatchPlan = z.object({
+  kind: z.literal("watch_plan"),
+  sender: z.string(),
+  /** Time until the renewal, in milliseconds. */
+  remainingMs: z.number().min(0).max(60_000),
+});
+
 /** Identifies a request by its content. */
 const Fingerprint = z.string().min(1).max(64);
 
@@ -144,6 +152,7 @@
 const Datagram = z.discriminatedUnion("kind", [
   ConfigurationCheckRequest,
   ConfigurationCheckResponse,
+  WatchPlan,
   ZonesEvacuated,
   EvacuationRequest,
   CrashReports,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -19,6 +19,7 @@
 import {
   type MemberReport,
   MemberView,
+  WatchPollCoordinator,
   WatchPollSchedule,
 } from "@bamboolink/membership";
 import { Metrics } from "@bamboolink/metrics";
@@ -132,6 +133,7 @@
   private readonly peerConnections: CallerConnections;
   private readonly heartbeatServer: Server;
   private readonly readinessServer: Server;
+  private readonly watchPolls: WatchPollCoordinator;
   private readonly watcher: StoreWatcher;
   private readonly timers: NodeJS.Timeout[] = [];
   private settingsVersion: string;
@@ -371,6 +373,10 @@
       isReady: () =>
         !this.isStopRequested && this.configuration.inForce !== undefined,
     });
+    this.watchPolls = WatchPollCoordinator.create(
+      settings.gossipAddress,
+      WatchPollSchedule.create(random),
+    );
     this.watcher = this.createWatcher();
     this.createGauges();
   }
@@ -573,6 +579,12 @@
       case "configuration":
         void this.configurationChecker.handleResponse(datagram);
         return;
+      case "watch_plan":
+        this.watchPolls.recordPlan(
+          datagram.sender,
+          monotonicMs() + datagram.remainingMs,
+        );
+        return;
       case "crash_reports":
       case "cleared":
         this.quarantine.applyUpdate(datagram);
@@ -716,16 +728,13 @@
 
   private createWatcher(): StoreWatcher {
     const { logger, random, document } = this.ports;
-    const pollSchedule = WatchPollSchedule.create(random);
     return StoreWatcher.create({
       store: this.store,
       logger,
       random,
       prefix: document.prefix,
-      choosePollTimeoutMs: (endedUnchanged) => {
-        const daemons = this.view.alive(monotonicMs()).length + 1;
-        return pollSchedule.nextTimeoutMs({ daemons, endedUnchanged });
-      },
+      choosePollTimeoutMs: (endedUnchanged) =>
+        this.planWatchPoll(endedUnchanged),
       onListing: ({ records, revision }) => {
         const zones = records.flatMap(({ key }) =>
           document.readEvacuatedZone(key) ?? []
@@ -745,6 +754,22 @@
     });
   }
 
+  /** Chooses the timeout of the next poll of the watch, and announces it to the daemons that plan theirs behind it. */
+  private planWatchPoll(endedUnchanged: boolean): number {
+    const nowMs = monotonicMs();
+    const others = this.view.alive(nowMs).map(({ address }) => address);
+    const remainingMs = this.watchPolls.nextTimeoutMs({
+      nowMs,
+      others,
+      endedUnchanged,
+    });
+    if (WatchPollCoordinator.coordinates(others.length + 1)) {
+      const sender = this.view.ownReport.address;
+      this.gossip.broadcast({ kind: "watch_plan", sender, remainingMs });
+    }
+    return remainingMs;
+  }
+
   private handleOperatorRecord(
     { key, value }: { key: string; value: string | undefined },
   ): void {
