--- a/packages/membership/src/watch_poll_coordinator.ts
+++ b/packages/membership/src/watch_poll_coordinator.ts
@@ -2,9 +2,8 @@
  * Spaces the renewals of all daemons' store watches evenly.
  *
  * Each daemon announces when it will renew next, and plans each renewal where those of the others leave a gap, or
- * behind them. Renewals drawn at
- * random have to be far more frequent to be as rarely far apart. A lost announcement leads to an additional renewal,
- * not to a missing one.
+ * behind them. Renewals drawn at random have to be far more frequent to be as rarely far apart. A lost announcement
+ * leads to an additional renewal, not to a missing one.
  *
  * @module
  */
--- a/packages/router/src/configuration_checker.ts
+++ b/packages/router/src/configuration_checker.ts
@@ -3,7 +3,8 @@
  * of a record in it.
  *
  * One daemon reads the store for all that ask, so that requests for unknown routes at any number of daemons cost the
- * store at most a few reads per second.
+ * store at most two reads per second. A daemon that gets no response in time reads the store itself, at most once per
+ * second.
  *
  * @module
  */
