Wait for connections that are neither busy nor closed when a process stops

Stopping processes: none seen.

Cause: `closeIdle` and `busyCount` each read the clock. A connection whose wait for bytes expires between the two is still busy for the first, so it is not ended, and idle for the second, so nobody calls the first again. The test then waited for a connection that nobody closes; a stopping router or daemon, which asks in the same order, would exit without ending that connection, and a request that its caller sends at that moment meets a reset.

Change: a stopping process waits for `openCount`, the connections that are not closed. `closeIdle` ends all that are not busy, so each is closed in the end. The clock is an argument, and a test moves it between the two calls: one connection is open and none is busy, which is where the former loop ended. The two tests that had the race now wait for no open connection instead of no busy one, which is stricter.

Ruled out: a lost end of stream (both sides' states were plain), a stray caller on a reused port (one connection, its own), the probes of half-closed callers.

--- a/packages/connections/src/caller_connections.ts
+++ b/packages/connections/src/caller_connections.ts
@@ -41,6 +41,7 @@
   private constructor(
     private readonly server: Server,
     private readonly listeners: ConnectionListeners,
+    private readonly nowMs: () => number,
   ) {
     // Read by Node.js: whether requests of callers that have closed their sending side are still answered.
     Object.assign(server, { httpAllowHalfOpen: true });
@@ -55,20 +56,33 @@
     );
   }
 
-  /** Starts to track the connections of a server. Must be called after the server's request listener was added. */
+  /**
+   * Starts to track the connections of a server. Must be called after the server's request listener was added.
+   *
+   * @param nowMs returns the current time in milliseconds on a monotonic clock.
+   */
   static create(
     server: Server,
     listeners: ConnectionListeners = {},
+    nowMs: () => number = () => performance.now(),
   ): CallerConnections {
-    return new CallerConnections(server, listeners);
+    return new CallerConnections(server, listeners, nowMs);
   }
 
   /** How many connections have a request, a response or bytes in flight. */
   get busyCount(): number {
-    const nowMs = performance.now();
+    const nowMs = this.nowMs();
     return this.all.filter((connection) => connection.isBusy(nowMs)).length;
   }
 
+  /**
+   * How many connections are not closed yet. A process that stops must wait for these: a connection may fall idle right
+   * after `closeIdle`, so that it is neither busy nor closed.
+   */
+  get openCount(): number {
+    return this.connections.size;
+  }
+
   /** Bytes of responses that are buffered in the process. */
   get unsentBytes(): number {
     return this.all.reduce((sum, { unsentBytes }) => sum + unsentBytes, 0);
@@ -119,7 +133,7 @@
    * bytes of a response, which a pipelined request to a closed connection would truncate.
    */
   closeIdle(): void {
-    const nowMs = performance.now();
+    const nowMs = this.nowMs();
     this.all
       .filter((connection) => !connection.isBusy(nowMs))
       .forEach((connection) => connection.endWithoutReading());
@@ -130,7 +144,7 @@
   }
 
   private accept(socket: Socket): void {
-    const connection = CallerConnection.create(socket, performance.now());
+    const connection = CallerConnection.create(socket, this.nowMs());
     this.connections.set(socket, connection);
     socket.once("close", () => this.connections.delete(socket));
   }
--- a/packages/connections/src/caller_connections_test.ts
+++ b/packages/connections/src/caller_connections_test.ts
@@ -34,6 +34,9 @@
 /** Within this time work for callers that have left must stop, in milliseconds. */
 const CANCELLATION_BOUND_MS = 500;
 
+/** Longer than the first bytes of a new connection are waited for, in milliseconds. */
+const IDLE_AFTER_MS = 1_000;
+
 /** Time for the headers of a request, in milliseconds: shorter than a request runs. */
 const HEADERS_TIMEOUT_MS = 200;
 
@@ -284,7 +287,7 @@
       const lateCaller = await Caller.create(server);
       await until(() => {
         connections.closeIdle();
-        return connections.busyCount === 0;
+        return connections.openCount === 0;
       });
       await lateCaller.readToEnd();
       expect(lateCaller.bytes).to.equal(0);
@@ -456,13 +459,39 @@
       await until(() => connections.busyCount === 1);
       await until(() => {
         connections.closeIdle();
-        return connections.busyCount === 0;
+        return connections.openCount === 0;
       });
       await caller.readToEnd();
       expect(caller.bytes).to.equal(0);
     });
   });
 
+  describe("with a connection that falls idle right after idle ones were closed", () => {
+    // Guards against a stopping process that exits although a connection is neither busy nor closed.
+    it("counts it as open until it is closed", async () => {
+      let nowMs = 0;
+      const timedServer = createServer();
+      const timedConnections = CallerConnections.create(
+        timedServer,
+        {},
+        () => nowMs,
+      );
+      await new Promise<void>((resolve) =>
+        timedServer.listen(0, "127.0.0.1", resolve)
+      );
+      const timedCaller = await Caller.create(timedServer);
+      await until(() => timedConnections.openCount === 1);
+      timedConnections.closeIdle();
+      nowMs = IDLE_AFTER_MS;
+      const counts = [timedConnections.busyCount, timedConnections.openCount];
+      expect(counts).to.deep.equal([0, 1]);
+      timedConnections.closeIdle();
+      await timedCaller.readToEnd();
+      await until(() => timedConnections.openCount === 0);
+      timedServer.close();
+    });
+  });
+
   describe("with a request whose headers take too long", () => {
     const part = "POST /late HTTP/1.1\r\nhost: shop.example\r\n";
     let timedServer: Server;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -253,7 +253,7 @@
     }
     this.connections.stopListening();
     this.connections.closeIdle();
-    while (monotonicMs() < deadlineMs && this.connections.busyCount > 0) {
+    while (monotonicMs() < deadlineMs && this.connections.openCount > 0) {
       await sleep(TICK_INTERVAL_MS);
       this.connections.closeIdle();
     }
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -194,9 +194,9 @@
     return this.active;
   }
 
-  /** Number of connections with a request or a response in flight. */
-  get busyCount(): number {
-    return this.connections.busyCount;
+  /** Number of connections that are not closed yet. */
+  get openCount(): number {
+    return this.connections.openCount;
   }
 
   /** Bytes of responses buffered in the process. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -473,7 +473,7 @@
    * reachable again before the process has to exit.
    */
   private hasPendingWork(): boolean {
-    const requests = this.ingress.busyCount + this.linkServer.activeCount +
+    const requests = this.ingress.openCount + this.linkServer.activeCount +
       this.peerConnections.busyCount;
     return requests > 0 || this.ownership.mustReleaseKeys ||
       this.gossip.isSending;
