Don't confirm a configuration that another daemon has superseded

It showed as long as the newer document could not be fetched from that peer, and such a daemon confirmed the older version to others.

Versions never decrease, so a version that any daemon has reported outdates all below it, whatever the store holds.

The checker's fake fleet lets time pass with each datagram; otherwise the store's later observation tied with the reader's.

--- a/packages/router/src/configuration_checker.ts
+++ b/packages/router/src/configuration_checker.ts
@@ -80,13 +80,16 @@
   /** Age of the evidence that the configuration in force is the newest one, in milliseconds. */
   get evidenceAgeMs(): number {
     const { evidence, configuration, nowMs } = this.context;
-    return evidence.ageMs(configuration.version, nowMs());
+    return configuration.isSuperseded
+      ? Infinity
+      : evidence.ageMs(configuration.version, nowMs());
   }
 
   /** Whether the configuration in force is known to be the newest one. */
   get isConfirmed(): boolean {
     const { evidence, configuration, nowMs } = this.context;
-    return evidence.isRecent(configuration.version, nowMs());
+    return !configuration.isSuperseded &&
+      evidence.isRecent(configuration.version, nowMs());
   }
 
   /**
@@ -119,14 +122,14 @@
   async handleRequest(
     { sender, askedAtMs }: ConfigurationCheckRequest,
   ): Promise<void> {
-    const { evidence, address, nowMs, send } = this.context;
+    const { evidence, configuration, address, nowMs, send } = this.context;
     const receivedAtMs = nowMs();
     if (this.evidenceAgeMs > MAX_REPEATED_AGE_MS) {
       await this.readStore();
     }
     const { version, observedAtMs } = evidence.observation;
     const ageMs = Math.max(0, receivedAtMs - observedAtMs);
-    if (ageMs <= MAX_EVIDENCE_AGE_MS) {
+    if (ageMs <= MAX_EVIDENCE_AGE_MS && !configuration.isSuperseded) {
       send({
         kind: "configuration",
         sender: address,
@@ -145,6 +148,7 @@
       return;
     }
     evidence.record({ version, observedAtMs: askedAtMs - ageMs });
+    configuration.recordReportedVersion(version);
     const peer = findPeerAddress(sender);
     if (version > configuration.version && peer !== undefined) {
       await configuration.fetch(peer);
--- a/packages/router/src/configuration_checker_test.ts
+++ b/packages/router/src/configuration_checker_test.ts
@@ -6,6 +6,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { BamboolinkError } from "@bamboolink/errors";
 import { Logger } from "@bamboolink/logger";
+import type { MemberReport } from "@bamboolink/membership";
 import type { Store } from "@bamboolink/store";
 import { ConfigurationEvidence } from "@bamboolink/traffic";
 import { expect } from "chai";
@@ -25,6 +26,8 @@
   version: 1,
   ageMs: 0,
 } as const;
+/** How long a datagram takes, in milliseconds. */
+const DELIVERY_MS = 1;
 /** Requests at one moment, more than may wait. */
 const FLOOD_REQUEST_COUNT = 10_000;
 /** Upper bound on requests that wait. */
@@ -56,6 +59,8 @@
   /** Daemons whose datagrams are lost. */
   readonly cutDaemons = new Set<string>();
   readonly refusedStoreDaemons = new Set<string>();
+  /** Daemons from which no configuration can be fetched. */
+  readonly cutPeers = new Set<string>();
   private readonly daemons = new Map<
     string,
     { checker: ConfigurationChecker; configuration: ConfigurationManager }
@@ -78,7 +83,11 @@
       logger,
       peerClient: {
         fetchConfiguration: (peer: string) =>
-          okAsync(String(this.daemons.get(peer)!.configuration.version)),
+          this.cutPeers.has(peer)
+            ? errAsync(
+              BamboolinkError.create("unreachable", "cut", { step: "fetch" }),
+            )
+            : okAsync(String(this.daemons.get(peer)!.configuration.version)),
       } as unknown as PeerClient,
       onChange: () => undefined,
     });
@@ -107,6 +116,7 @@
   }
 
   private deliver(datagram: Datagram, daemon: string): void {
+    this.nowMs += DELIVERY_MS;
     const receiver = this.daemons.get(daemon)?.checker;
     if (this.cutDaemons.has(daemon) || receiver === undefined) {
       return;
@@ -211,6 +221,48 @@
     });
   });
 
+  describe("while the store holds an older configuration than another daemon", () => {
+    const REPORT = {
+      peerAddress: READER,
+      configurationVersion: 5,
+    } as MemberReport;
+
+    beforeEach(() => {
+      fleet.cutPeers.add(READER);
+    });
+
+    // Guards against 404 for a route that the newest configuration has, from a store restored from an older snapshot.
+    it("does not confirm the older one if another daemon reports the newer one", async () => {
+      const { checker, configuration } = fleet.add("daemon");
+      configuration.handlePeerReport(REPORT);
+      expect(await checker.confirm(CALLER_WAIT_MS)).to.equal(false);
+      expect(checker.isConfirmed).to.equal(false);
+    });
+
+    // Guards against the same 404 if the reading daemon has told of the newer one.
+    it("does not confirm the older one after the reading daemon named the newer one", async () => {
+      const reader = fleet.add(READER);
+      const { checker } = fleet.add("daemon");
+      fleet.store.version = 5;
+      expect(await reader.checker.confirm(CALLER_WAIT_MS)).to.equal(true);
+      fleet.store.version = 1;
+      expect(await checker.confirm(CALLER_WAIT_MS)).to.equal(false);
+    });
+
+    // Guards against the same 404 at daemons that ask one that has started since.
+    it("does not confirm the older one to others", async () => {
+      const reader = fleet.add(READER);
+      const { checker } = fleet.add("daemon");
+      fleet.refusedStoreDaemons.add("daemon");
+      reader.configuration.handlePeerReport({
+        ...REPORT,
+        peerAddress: "daemon",
+      });
+      fleet.cutPeers.add("daemon");
+      expect(await checker.confirm(CALLER_WAIT_MS)).to.equal(false);
+    });
+  });
+
   describe("while the store is down", () => {
     it("does not confirm, and does not read again at once", async () => {
       fleet.store.isDown = true;
--- a/packages/router/src/configuration_manager.ts
+++ b/packages/router/src/configuration_manager.ts
@@ -40,6 +40,7 @@
   private current: ConfigurationInForce | undefined;
   private fetching: Promise<void> | undefined;
   private inForceSinceMs = monotonicMs();
+  private highestReportedVersion = -1;
 
   private constructor(private readonly context: ConfigurationManagerContext) {}
 
@@ -58,6 +59,14 @@
     return this.current?.configuration.version ?? -1;
   }
 
+  /**
+   * Whether another daemon is known to have a newer version. A store that was restored from an older snapshot may lack
+   * that version.
+   */
+  get isSuperseded(): boolean {
+    return this.highestReportedVersion > this.version;
+  }
+
   /** How long the version has been in force, or how long there has been none, in milliseconds. */
   ageMs(nowMs: number): number {
     return nowMs - this.inForceSinceMs;
@@ -82,11 +91,20 @@
 
   /** Fetches the document from a peer if its report shows a newer version. */
   handlePeerReport(report: MemberReport): void {
+    this.recordReportedVersion(report.configurationVersion);
     if (report.configurationVersion > this.version) {
       void this.fetch(report.peerAddress);
     }
   }
 
+  /** Records that another daemon has observed a version. */
+  recordReportedVersion(version: number): void {
+    this.highestReportedVersion = Math.max(
+      this.highestReportedVersion,
+      version,
+    );
+  }
+
   /** Fetches the document from a peer; resolves when it was applied or has failed. Only one fetch runs at a time. */
   fetch(peerAddress: string): Promise<void> {
     this.fetching ??= this.fetchAndApply(peerAddress).finally(() => {
