Test pipelined requests that arrive split at any byte

No test sent a request in parts. Each form of a body, before a pipelined request, is now split at each of its bytes, with and without the end of the caller's side right behind: served, refused (503) and rejected (404, 413) before or within the body, after a check that takes a tick. All get the expected two responses; no fault was found.

--- a/packages/router/src/ingress_test.ts
+++ b/packages/router/src/ingress_test.ts
@@ -6,6 +6,10 @@
 import { spawnSync } from "node:child_process";
 import { once } from "node:events";
 import { type AddressInfo, connect, type Socket } from "node:net";
+import {
+  setImmediate as nextTurn,
+  setTimeout as sleep,
+} from "node:timers/promises";
 import { expect } from "chai";
 import type { EventName, Logger } from "@bamboolink/logger";
 import { Metrics } from "@bamboolink/metrics";
@@ -60,6 +64,8 @@
   /** The limits of a newer configuration, which a check finds. */
   newerLimits: CallerLimits | undefined;
   isConfirmed = true;
+  /** How long a check takes, in milliseconds. */
+  checkMs = 0;
   /** Names of the events that were logged. */
   readonly logged: EventName[] = [];
   readonly ran: RoutedRequest[] = [];
@@ -87,9 +93,10 @@
   }
 
   /** Checks whether the configuration is current. */
-  confirm(): Promise<boolean> {
+  async confirm(): Promise<boolean> {
+    await sleep(this.checkMs);
     this.limits = this.newerLimits ?? this.limits;
-    return Promise.resolve(this.isConfirmed);
+    return this.isConfirmed;
   }
 
   async listen(): Promise<void> {
@@ -143,6 +150,40 @@
     return received;
   }
 
+  /**
+   * Sends bytes in two parts.
+   *
+   * @param sent.count how many final responses are awaited; without them the end of the connection.
+   * @returns the statuses of the final responses.
+   */
+  async sendInParts(
+    sent: { text: string; splitAt: number; isEnded: boolean; count: number },
+  ): Promise<number[]> {
+    const { text, splitAt, isEnded, count } = sent;
+    const socket = this.connect();
+    let received = "";
+    const completed = new Promise<void>((resolve) => {
+      socket.on("close", () => resolve());
+      socket.on("error", () => undefined);
+      socket.on("end", () => socket.end());
+      socket.on("data", (chunk) => {
+        received += String(chunk);
+        if (findStatuses(received).length >= count) {
+          socket.destroy();
+        }
+      });
+    });
+    await once(socket, "connect");
+    socket.write(text.slice(0, splitAt));
+    await awaitRead();
+    socket.write(text.slice(splitAt));
+    if (isEnded) {
+      socket.end();
+    }
+    await completed;
+    return findStatuses(received);
+  }
+
   private createIngress(): Ingress {
     return Ingress.create({
       protocol: {
@@ -183,6 +224,39 @@
   }
 }
 
+/** A request whose body, if it has one, is the word `body`. */
+interface SentForm {
+  readonly name: string;
+  readonly headers: string;
+  readonly body: string;
+}
+
+const SENT_FORMS: readonly SentForm[] = [
+  { name: "without a body", headers: "", body: "" },
+  {
+    name: "with a length",
+    headers: "Content-Length: 4\r\n",
+    body: "body",
+  },
+  {
+    name: "with chunks and trailers",
+    headers: "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n",
+    body: "1;a=b\r\nb\r\n003\r\nody\r\n0\r\nX-Sum: 1\r\n\r\n",
+  },
+];
+
+/** Lets the other end of a connection read what was sent. */
+async function awaitRead(): Promise<void> {
+  await nextTurn();
+  await nextTurn();
+}
+
+/** Final statuses among bytes received. */
+function findStatuses(received: string): number[] {
+  return [...received.matchAll(/HTTP\/1\.1 ([2-5]\d\d)/g)]
+    .map(([, status]) => Number(status));
+}
+
 function createHead(target: string, headers: string): string {
   return `POST ${target} HTTP/1.1\r\nHost: shop.example\r\n${headers}\r\n`;
 }
@@ -315,6 +389,66 @@
     });
   });
 
+  describe("with two pipelined requests that arrive split at any byte", function () {
+    this.timeout(30_000);
+    const SECOND = `${createHead("/known/2", "Content-Length: 4\r\n")}body`;
+
+    async function sendAtEachSplit(text: string): Promise<number[][]> {
+      const sent = Array.from({ length: text.length }, (_, splitAt) => splitAt)
+        .flatMap((splitAt) =>
+          [false, true].map((isEnded) => ({ text, splitAt, isEnded, count: 2 }))
+        );
+      return await Promise.all(sent.map((each) => fixture.sendInParts(each)));
+    }
+
+    SENT_FORMS.forEach(({ name, headers, body }) => {
+      // Guards against 400 for proper requests because of how their bytes, or the end of the connection, arrive.
+      it(`serves both if the first is ${name}`, async () => {
+        const text = `${createHead("/known/1", headers)}${body}${SECOND}`;
+        const statuses = await sendAtEachSplit(text);
+        statuses.forEach((each) => expect(each).to.deep.equal([200, 200]));
+        expect(fixture.ran).to.have.length(2 * statuses.length);
+        const bodies = fixture.ran.filter(({ target }) => target === "/known/1")
+          .map((request) => String(request.body ?? ""));
+        expect([...new Set(bodies)]).to.deep.equal([body && "body"]);
+      });
+
+      // Guards against a refused request whose body is read as the next request.
+      it(`refuses the first ${name}, and serves the second`, async () => {
+        fixture.isConfirmed = false;
+        fixture.checkMs = TICK_MS;
+        const text = `${createHead("/unknown/1", headers)}${body}${SECOND}`;
+        const statuses = await sendAtEachSplit(text);
+        statuses.forEach((each) => expect(each).to.deep.equal([503, 200]));
+        expect(fixture.ran).to.have.length(statuses.length);
+      });
+
+      // Guards against the same after a rejection.
+      it(`rejects the first ${name}, and serves the second`, async () => {
+        fixture.checkMs = TICK_MS;
+        const text = `${createHead("/unknown/1", headers)}${body}${SECOND}`;
+        const statuses = await sendAtEachSplit(text);
+        statuses.forEach((each) => expect(each).to.deep.equal([404, 200]));
+        expect(fixture.ran).to.have.length(statuses.length);
+      });
+    });
+
+    // Guards against the rest of a body that is too large, read as the next request.
+    SENT_FORMS.filter(({ body }) => body !== "").forEach((form) => {
+      const { name, headers, body } = form;
+      it(`rejects the first ${name} beyond the limit, and serves the second`, async () => {
+        fixture.limits = { ...LIMITS, bodyBytes: 3 };
+        fixture.checkMs = TICK_MS;
+        const text = `${createHead("/known/1", headers)}${body}`;
+        const statuses = await sendAtEachSplit(
+          `${text}${createHead("/known/2", "")}`,
+        );
+        statuses.forEach((each) => expect(each).to.deep.equal([413, 200]));
+        expect(fixture.ran).to.have.length(statuses.length);
+      });
+    });
+  });
+
   describe("with a request and the end of its connection in one read", () => {
     const text = createHead("/known/x", "Content-Length: 4\r\n") + "body";
 
