Clear no suspected request by an error of a server

Cause: any response cleared a suspect at all daemons and protected it from reports for a minute, also one of status 500. A server that fails most requests responds before it comes to what would crash it; after one such response the crashes of the next minute were not even reported. The process's own memory of what it had answered had the same fault: a request that it had answered with 500 was no suspect when the same process crashed under it.

Statuses of 500 and above now clear nothing and are not remembered as answered.

Price: a request that is answered with errors only stays a suspect for up to a minute: it runs at one daemon, one copy at a time (another daemon is tried if that server alone fails and the request may be repeated), and it is withheld if a second server ends while running it.

`recordResponse` takes the status now, so the calls in the existing tests pass 200; their checks are unchanged.

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -583,7 +583,7 @@
     number: 1839,
     severity: "info",
     meaning:
-      "A server crashed while it was running a request, possibly because of it: until a server has responded to the request, it does not run together with other suspects. `crashes` lists the reported crashes of servers. `peer` is the daemon that reported them; it is absent if this daemon detected the crash.",
+      "A server crashed while it was running a request, possibly because of it: until a server has responded to the request with a status below 500, it does not run together with other suspects. `crashes` lists the reported crashes of servers. `peer` is the daemon that reported them; it is absent if this daemon detected the crash.",
     action: NOTHING,
   },
   request_quarantined: {
@@ -598,7 +598,7 @@
     number: 1841,
     severity: "info",
     meaning:
-      "A server has responded to a request that was suspected or quarantined; the request runs without restrictions again.",
+      "A server has responded, with a status below 500, to a request that was suspected or quarantined; the request runs without restrictions again.",
     action: NOTHING,
   },
   store_era_changed: {
--- a/packages/quarantine/src/poison_request_tracker.ts
+++ b/packages/quarantine/src/poison_request_tracker.ts
@@ -6,7 +6,8 @@
  *
  * A request that was running when a server crashed is a suspect: until it is answered, it runs with no other suspect on
  * the same server. It is quarantined if another server crashes while it is the only suspect there, or if it was running
- * at several crashes and no other request was running at as many of them. A response clears it.
+ * at several crashes and no other request was running at as many of them. A response clears it, unless it is an error of
+ * the server.
  *
  * @module
  */
@@ -182,7 +183,7 @@
     };
   }
 
-  /** Records that a server has answered a request; returns whether the request was suspect or quarantined. */
+  /** Records that a server has answered a request without an error of its own; returns whether the request was suspect or quarantined. */
   recordResponse(fingerprint: string, nowMs: number): boolean {
     this.setBounded(this.answeredAtMs, fingerprint, nowMs);
     return this.entries.delete(fingerprint);
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/local_backend.ts
@@ -549,7 +549,7 @@
     const { outcome, isOnProbation } = completed;
     const { quarantine, onSuspicion } = this.context;
     if (outcome.kind === "answer") {
-      quarantine.recordResponse(request);
+      quarantine.recordResponse(request, outcome.status);
     }
     if (outcome.kind === "unknown" && outcome.reason === "backend_lost") {
       quarantine.recordBrokenConnection(request, isOnProbation);
--- a/packages/router/src/local_backend_test.ts
+++ b/packages/router/src/local_backend_test.ts
@@ -1,5 +1,5 @@
 /**
- * Tests of requests at a backend server that crashes while it runs them.
+ * Tests of requests at a backend server that crashes while it runs them, or responds with an error.
  *
  * @module
  */
@@ -23,6 +23,7 @@
 import type { RoutedRequest } from "./routed_request.ts";
 
 const SLOTS = 4;
+const INTERNAL_SERVER_ERROR = 500;
 
 const createRequest = (target: string): RoutedRequest => ({
   ...SAMPLE_REQUEST,
@@ -34,13 +35,18 @@
 /** Time between the breaks of a crashing server's connections, in milliseconds. */
 const CONNECTION_BREAK_DELAY_MS = 10;
 
-/** Starts a backend server that crashes at once when it receives a request for `/lethal`. */
+/** Starts a backend server that fails requests for `/failing`, and crashes at once when it receives one for `/lethal`. */
 function startServer(): Promise<Server> {
   let hasCrashed = false;
   const serve = (incoming: IncomingMessage, response: ServerResponse) => {
     if (hasCrashed) {
       return;
     }
+    if (incoming.url === "/failing") {
+      response.statusCode = INTERNAL_SERVER_ERROR;
+      response.end();
+      return;
+    }
     if (incoming.url !== "/lethal") {
       response.end("done");
       return;
@@ -97,6 +103,20 @@
   return { backend, quarantine };
 }
 
+/** Reports that a server has crashed while it was running the requests. */
+function suspect(
+  quarantine: RequestQuarantine,
+  requests: readonly RoutedRequest[],
+): void {
+  quarantine.applyUpdate({
+    kind: "crash_reports",
+    sender: "other",
+    suspected: requests.map((
+      request,
+    ) => [fingerprintRequest(request), [7], 0, 0]),
+  });
+}
+
 describe("LocalBackend", () => {
   let server: Server;
 
@@ -109,6 +129,23 @@
     server.closeAllConnections();
   });
 
+  describe("when a server responds to suspects", () => {
+    // Guards against clearing a request because a failing server has responded to it.
+    it("clears only what it has not responded to with an error", async () => {
+      const { backend, quarantine } = createBackend(server);
+      const suspects = ["/failing", "/beside"].map(createRequest);
+      suspect(quarantine, suspects);
+      await Promise.all(
+        suspects.map((request) =>
+          backend.attempt(request, Cancellation.create())
+        ),
+      );
+      expect(suspects.map((request) => quarantine.classify(request).kind))
+        .to.deep.equal(["suspect", "clear"]);
+      await backend.close();
+    });
+  });
+
   describe("when a server crashes while running a suspect and another suspect is queued", () => {
     // Guards against quarantining the queued request: it is sent next, on a connection to the crashed server whose
     // break has not been detected yet.
@@ -120,13 +157,7 @@
         ["/a", "/b"].map((target) => attempt(createRequest(target))),
       );
       const suspects = ["/lethal", "/popular"].map(createRequest);
-      quarantine.applyUpdate({
-        kind: "crash_reports",
-        sender: "other",
-        suspected: suspects.map((
-          request,
-        ) => [fingerprintRequest(request), [7], 0, 0]),
-      });
+      suspect(quarantine, suspects);
       const outcomes = await Promise.all(suspects.map(attempt));
       expect(outcomes.map(({ kind }) => kind))
         .to.deep.equal(["unknown", "unknown"]);
--- a/packages/router/src/request_quarantine.ts
+++ b/packages/router/src/request_quarantine.ts
@@ -32,6 +32,8 @@
 const MAX_REPEATS_PER_TICK = 64;
 /** A request is not retried once this many connections broke while it was running, in one attempt of its caller. */
 const MAX_BROKEN_CONNECTIONS = 2;
+/** Responses with this HTTP status or a higher one are errors of the server. */
+const FIRST_FAILURE_STATUS = 500;
 /** A crash is identified by a random integer below this. */
 const CRASH_ID_RANGE = 2 ** 32;
 
@@ -126,12 +128,18 @@
     return chooseProbationDaemon(this.fingerprintOf(request), addresses);
   }
 
-  /** Records that the local backend server has responded to a request. */
-  recordResponse(request: RoutedRequest): void {
+  /**
+   * Records that the local backend server has responded to a request. An error response clears no request: a server that
+   * fails may respond before it comes to what would crash it.
+   */
+  recordResponse(request: RoutedRequest, status: number): void {
     const { nowMs, logger } = this.context;
     // A process that refused connections for a moment may be the one that responds now.
     this.hasCrashed = false;
     this.interruptedRuns.recordAnswered(nowMs());
+    if (status >= FIRST_FAILURE_STATUS) {
+      return;
+    }
     this.recentResponses.record(request);
     if (!this.needsClassification(request)) {
       return;
--- a/packages/router/src/request_quarantine_propagation_test.ts
+++ b/packages/router/src/request_quarantine_propagation_test.ts
@@ -25,6 +25,8 @@
 /** Time in which a broadcast without losses arrives, in milliseconds. */
 const SETTLE_MS = 100;
 const LETHAL = { ...SAMPLE_REQUEST, target: "/lethal", brokenConnections: 0 };
+/** HTTP status. */
+const OK = 200;
 const CRASH = { instance: "i-1", proof: "refused" } as const;
 
 type Fleet = LossyFleet<QuarantineUpdate, RequestQuarantine>;
@@ -85,7 +87,7 @@
             crash(fleet, 1);
             fleet.run(SETTLE_MS);
             fleet.startLoss(loss);
-            fleet.daemons[0]!.recordResponse(LETHAL);
+            fleet.daemons[0]!.recordResponse(LETHAL, OK);
             fleet.run(PROPAGATION_MS);
             return countOthers(fleet, "clear");
           });
@@ -97,7 +99,7 @@
   describe("that loses none", () => {
     it("sends nothing while no server crashes", () => {
       const fleet = createFleet(1);
-      fleet.daemons[0]!.recordResponse(LETHAL);
+      fleet.daemons[0]!.recordResponse(LETHAL, OK);
       fleet.run(PROPAGATION_MS);
       expect(fleet.sent).to.have.length(0);
     });
--- a/packages/router/src/request_quarantine_test.ts
+++ b/packages/router/src/request_quarantine_test.ts
@@ -18,10 +18,15 @@
 const MANY = 40;
 /** Longer than the interval of repeated reports, in milliseconds. */
 const REPEAT_WAIT_MS = 1_100;
+/** Longer than all connections of a crashing server take to break, in milliseconds. */
+const RESPONSE_DELAY_MS = 200;
 /** Difference of two successive random numbers; all numbers of a test differ. */
 const RANDOM_STEP = 0.618;
 /** Payload of a datagram in one Ethernet frame, in bytes. */
 const MAX_DATAGRAM_BYTES = 1_472;
+/** HTTP statuses. */
+const OK = 200;
+const INTERNAL_SERVER_ERROR = 500;
 const CRASH = { instance: "i-1", proof: "refused" } as const;
 
 const createRequest = (
@@ -146,7 +151,7 @@
     // Guards against suspecting popular requests, which are in flight at every crash: the crashed process has responded
     // to them before, so they can't have crashed it.
     it("does not suspect requests that the crashed process had responded to", () => {
-      fleet.at(0).recordResponse(createRequest("/popular"));
+      fleet.at(0).recordResponse(createRequest("/popular"), OK);
       fleet.crash(0, [createRequest("/popular"), createRequest("/lethal")]);
       fleet.deliver();
       expect(fleet.classify(createRequest("/popular"))).to.deep.equal(
@@ -161,7 +166,7 @@
   // are no longer recorded.
   describe("when a connection breaks to a server that is known to have crashed", () => {
     it("suspects no request, and the next process's requests when that crashes", () => {
-      fleet.at(0).recordResponse(createRequest("/popular"));
+      fleet.at(0).recordResponse(createRequest("/popular"), OK);
       fleet.crash(0, [createRequest("/lethal")]);
       fleet.at(0).recordBrokenConnection(createRequest("/popular", 1), true);
       fleet.at(0).recordBackendEnd({ instance: "i-1", proof: "replaced" });
@@ -181,12 +186,12 @@
     it("suspects a request whose connection broke, until it gets a response", () => {
       const retried = createRequest("/beside", 1);
       expect(fleet.at(1).classify(retried).kind).to.equal("suspect");
-      fleet.at(1).recordResponse(retried);
+      fleet.at(1).recordResponse(retried, OK);
       expect(fleet.at(1).classify(retried).kind).to.equal("clear");
     });
 
     it("clears it when the crash is reported after its response", () => {
-      fleet.at(1).recordResponse(createRequest("/beside", 1));
+      fleet.at(1).recordResponse(createRequest("/beside", 1), OK);
       fleet.crash(0, [createRequest("/beside")]);
       fleet.deliver();
       expect(fleet.classify(createRequest("/beside"))).to.deep.equal(
@@ -203,12 +208,12 @@
         (_, index) => createRequest(`/${index}`),
       );
       Array.from({ length: MANY }).forEach(() => {
-        fleet.at(1).recordResponse(createRequest("/other"));
+        fleet.at(1).recordResponse(createRequest("/other"), OK);
         fleet.crash(1, requests);
       });
       fleet.nowMs += REPEAT_WAIT_MS;
       fleet.at(1).tick();
-      requests.forEach((request) => fleet.at(0).recordResponse(request));
+      requests.forEach((request) => fleet.at(0).recordResponse(request, OK));
       const sizes = fleet.sent.map(({ update }) =>
         encodeDatagram(update).length
       );
@@ -220,7 +225,7 @@
   // daemon that knows of the response inform all others.
   describe("when a request that was answered is reported repeatedly", () => {
     it("informs all daemons once, then only those that report it", () => {
-      fleet.at(1).recordResponse(createRequest("/beside", 1));
+      fleet.at(1).recordResponse(createRequest("/beside", 1), OK);
       fleet.crash(0, [createRequest("/beside")]);
       const reports = fleet.sent.splice(0).filter(({ to }) =>
         to === DAEMONS[1]
@@ -237,6 +242,64 @@
     });
   });
 
+  // Guards against a request that crashes servers without limit: one of many servers that fail has answered it, since it
+  // failed before it came to what crashes it, and the crashes of the next minute were not reported.
+  describe("when a failing server has responded with an error", () => {
+    const fail = (index: number, request: RoutedRequest) =>
+      fleet.at(index).recordResponse(request, INTERNAL_SERVER_ERROR);
+
+    it("still suspects the request, and quarantines it when a second server crashes", () => {
+      const lethal = createRequest("/lethal");
+      fleet.crash(0, [lethal]);
+      fleet.deliver();
+      fail(1, lethal);
+      fleet.deliver();
+      expect(fleet.classify(lethal)).to.deep.equal(atAll("suspect"));
+      fleet.crash(2, [lethal], true);
+      fleet.deliver();
+      expect(fleet.classify(lethal)).to.deep.equal(atAll("quarantined"));
+    });
+
+    it("keeps a request quarantined", () => {
+      const lethal = createRequest("/lethal");
+      fleet.crash(0, [lethal]);
+      fleet.deliver();
+      fleet.crash(1, [lethal], true);
+      fleet.deliver();
+      fail(2, lethal);
+      fleet.deliver();
+      expect(fleet.classify(lethal)).to.deep.equal(atAll("quarantined"));
+    });
+
+    it("suspects the request when the same process crashes", () => {
+      const lethal = createRequest("/lethal");
+      fail(0, lethal);
+      fleet.crash(0, [lethal]);
+      fleet.deliver();
+      expect(fleet.classify(lethal)).to.deep.equal(atAll("suspect"));
+    });
+
+    it("suspects no request whose connection broke well before the response", () => {
+      const broken = createRequest("/broken");
+      fleet.at(0).recordBrokenConnection(broken, false);
+      fleet.nowMs += RESPONSE_DELAY_MS;
+      fail(0, createRequest("/other"));
+      fleet.at(0).recordBackendEnd(CRASH);
+      fleet.deliver();
+      expect(fleet.classify(broken)).to.deep.equal(atAll("clear"));
+    });
+
+    it("clears the request once another server has served it", () => {
+      const beside = createRequest("/beside");
+      fleet.crash(0, [beside]);
+      fleet.deliver();
+      fail(1, beside);
+      fleet.at(2).recordResponse(beside, OK);
+      fleet.deliver();
+      expect(fleet.classify(beside)).to.deep.equal(atAll("clear"));
+    });
+  });
+
   describe("when a second server has crashed while running a suspect", () => {
     const quarantine = () => {
       fleet.crash(0, [createRequest("/lethal"), createRequest("/beside")]);
@@ -272,7 +335,7 @@
       quarantine();
       fleet.nowMs += REPEAT_WAIT_MS;
       fleet.daemons.forEach((daemon) => daemon.tick());
-      fleet.at(2).recordResponse(createRequest("/lethal"));
+      fleet.at(2).recordResponse(createRequest("/lethal"), OK);
       fleet.deliver((sent) => [...sent].reverse());
       expect(fleet.classify(createRequest("/lethal"))).to.deep.equal(
         atAll("clear"),
--- a/packages/router/src/testing/lossy_fleet.ts
+++ b/packages/router/src/testing/lossy_fleet.ts
@@ -147,7 +147,8 @@
     }
   }
 
-  private readonly random = (): number => {
+  /** Returns a number from 0 (inclusive) to 1 (exclusive). */
+  readonly random = (): number => {
     const { factor, increment, modulus } = LCG;
     this.randomState = (this.randomState * factor + increment) % modulus;
     return this.randomState / modulus;
