Hold the linger timer in the test of an idle connection that is ended

What was seen: "with an idle connection whose caller sends again delivers the complete response" failed 1 time in 20 runs of the file, four at once on 16 cores at a load of 60: 195,584 bytes received instead of 1,000,000.

Cause: the test is wrong. The connection lingers for 300 ms after its end, and the caller began to read 50 ms after it, by a timer of the same process. When the machine does not run that process, both timers are late, and the connection is closed before the response was read. Traced: the wait of 50 ms took 360 ms with 3 ms of processor time in one of 190 runs; a test process that is held up for 350 ms at this point failed in 3 of 3 runs, each with the same 195,584 bytes.

Change: the timer is an argument, as the clock is. The test holds it until the response was read, requires that it is no shorter than 100 kB take at 10 Mbit/s (80 ms, where the former test required 50 ms in effect), that the connection is still open then, and that it is closed when the timer fires. With a connection that is closed at once it fails as before (128,000 bytes).

--- a/packages/connections/src/caller_connection.ts
+++ b/packages/connections/src/caller_connection.ts
@@ -31,6 +31,12 @@
 /** How long after its end of the connection a caller is taken for gone at the latest if it is near, in milliseconds. */
 const PROBE_RESULT_MS = 60;
 
+/** Calls back once after a time in milliseconds, as `setTimeout` does. */
+export type StartTimer = (
+  callback: () => void,
+  delayMs: number,
+) => NodeJS.Timeout;
+
 /** Tracks the requests and responses of one connection, and closes it without truncating a response. */
 export class CallerConnection {
   /** Responses not yet handed completely to the operating system, in the order of their requests. */
@@ -42,16 +48,28 @@
   /** Bytes read at the last check, and when that number last changed. */
   private lastCheck: { bytes: number; changedAtMs: number };
 
-  private constructor(private readonly socket: Socket, nowMs: number) {
+  private constructor(
+    private readonly socket: Socket,
+    nowMs: number,
+    private readonly startLingerTimer: StartTimer,
+  ) {
     this.lastCheck = { bytes: 0, changedAtMs: nowMs };
     socket.once("end", () => this.probeCaller());
     // The HTTP server calls this after the last response of a connection.
     socket.destroySoon = () => this.end();
   }
 
-  /** Manages a connection that was accepted at `nowMs`, in milliseconds on the clock of the other methods. */
-  static create(socket: Socket, nowMs: number): CallerConnection {
-    return new CallerConnection(socket, nowMs);
+  /**
+   * Manages a connection that was accepted at `nowMs`, in milliseconds on the clock of the other methods.
+   *
+   * @param startLingerTimer starts the timer that closes the connection after its end.
+   */
+  static create(
+    socket: Socket,
+    nowMs: number,
+    startLingerTimer: StartTimer,
+  ): CallerConnection {
+    return new CallerConnection(socket, nowMs, startLingerTimer);
   }
 
   /** Whether requests that are received from now on get no response. */
@@ -130,7 +148,10 @@
     const { socket } = this;
     this.hasLastResponse = true;
     socket.end(() => {
-      const timer = setTimeout(() => socket.destroy(), LINGER_TIMEOUT_MS);
+      const timer = this.startLingerTimer(
+        () => socket.destroy(),
+        LINGER_TIMEOUT_MS,
+      );
       socket.once("close", () => clearTimeout(timer));
     });
   }
--- a/packages/connections/src/caller_connections.ts
+++ b/packages/connections/src/caller_connections.ts
@@ -10,7 +10,7 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as ConnectionServer, type Socket } from "node:net";
-import { CallerConnection } from "./caller_connection.ts";
+import { CallerConnection, type StartTimer } from "./caller_connection.ts";
 
 /** Statuses for input that the parser rejects, by error code; others are `400 Bad Request`. */
 const MALFORMED_INPUT_STATUSES: Readonly<Record<string, string>> = {
@@ -42,6 +42,7 @@
     private readonly server: Server,
     private readonly listeners: ConnectionListeners,
     private readonly nowMs: () => number,
+    private readonly startLingerTimer: StartTimer,
   ) {
     // Read by Node.js: whether requests of callers that have closed their sending side are still answered.
     Object.assign(server, { httpAllowHalfOpen: true });
@@ -60,13 +61,15 @@
    * Starts to track the connections of a server. Must be called after the server's request listener was added.
    *
    * @param nowMs returns the current time in milliseconds on a monotonic clock.
+   * @param startLingerTimer starts the timer that closes a connection after its end.
    */
   static create(
     server: Server,
     listeners: ConnectionListeners = {},
     nowMs: () => number = () => performance.now(),
+    startLingerTimer: StartTimer = setTimeout,
   ): CallerConnections {
-    return new CallerConnections(server, listeners, nowMs);
+    return new CallerConnections(server, listeners, nowMs, startLingerTimer);
   }
 
   /** How many connections have a request, a response or bytes in flight. */
@@ -144,7 +147,11 @@
   }
 
   private accept(socket: Socket): void {
-    const connection = CallerConnection.create(socket, this.nowMs());
+    const connection = CallerConnection.create(
+      socket,
+      this.nowMs(),
+      this.startLingerTimer,
+    );
     this.connections.set(socket, connection);
     socket.once("close", () => this.connections.delete(socket));
   }
--- a/packages/connections/src/caller_connections_test.ts
+++ b/packages/connections/src/caller_connections_test.ts
@@ -16,6 +16,7 @@
   CallerConnections,
   type MalformedInput,
 } from "./caller_connections.ts";
+import type { StartTimer } from "./caller_connection.ts";
 
 /** More than is received for a caller that does not read, and less than the operating system buffers, in bytes. */
 const RESPONSE_BYTES = 1_000_000;
@@ -34,6 +35,9 @@
 /** Within this time work for callers that have left must stop, in milliseconds. */
 const CANCELLATION_BOUND_MS = 500;
 
+/** Time that 100 kB take on a network link of 10 Mbit/s, in milliseconds: closing any sooner truncates responses. */
+const SLOW_LINK_MS = 80;
+
 /** Longer than the first bytes of a new connection are waited for, in milliseconds. */
 const IDLE_AFTER_MS = 1_000;
 
@@ -117,15 +121,20 @@
   let server: Server;
   let connections: CallerConnections;
   let handle: Handle;
+  let startLingerTimer: StartTimer;
   let caller: Caller;
   let malformedInputs: MalformedInput[];
 
   beforeEach(async () => {
     malformedInputs = [];
+    startLingerTimer = setTimeout;
     server = createServer((incoming, response) => handle(incoming, response));
-    connections = CallerConnections.create(server, {
-      onMalformedInput: (input) => malformedInputs.push(input),
-    });
+    connections = CallerConnections.create(
+      server,
+      { onMalformedInput: (input) => malformedInputs.push(input) },
+      () => performance.now(),
+      (callback, delayMs) => startLingerTimer(callback, delayMs),
+    );
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", resolve)
     );
@@ -196,8 +205,13 @@
   describe("with an idle connection whose caller sends again", () => {
     // Guards against a truncated response: an idle connection is closed at once while a slow caller is still receiving
     // its response. The caller's next, pipelined request reaches a closed connection, and the reset discards 804 of
-    // 1,000 kB of the response.
-    it("delivers the complete response", async () => {
+    // 1,000 kB of the response. The timer is held: this process may not be run for longer than the connection lingers.
+    it("delivers the complete response, and closes after a timeout", async () => {
+      const lingerTimers: { closeNow: () => void; delayMs: number }[] = [];
+      startLingerTimer = (closeNow, delayMs) => {
+        lingerTimers.push({ closeNow, delayMs });
+        return setTimeout(() => undefined, 0);
+      };
       handle = (_incoming, response) => {
         response.writeHead(200, { "content-length": RESPONSE_BYTES });
         response.end(Buffer.alloc(RESPONSE_BYTES));
@@ -215,6 +229,11 @@
       await sleep(50);
       await caller.readToEnd();
       expect(caller.bytes).to.be.greaterThan(RESPONSE_BYTES);
+      expect(connections.openCount).to.equal(1);
+      expect(lingerTimers).to.have.lengthOf(1);
+      expect(lingerTimers[0]!.delayMs).to.be.at.least(SLOW_LINK_MS);
+      lingerTimers[0]!.closeNow();
+      await until(() => connections.openCount === 0);
     });
   });
 
--- a/packages/connections/src/mod.ts
+++ b/packages/connections/src/mod.ts
@@ -8,3 +8,4 @@
   type ConnectionListeners,
   type MalformedInput,
 } from "./caller_connections.ts";
+export type { StartTimer } from "./caller_connection.ts";
