Break the connections of the crashing server when a request has arrived

What was seen: "when a server crashes while running a suspect and another suspect is queued quarantines only the first" failed 7 of 12 runs, four at once on 16 cores at a load of 38: the second outcome was `not_run` instead of `unknown`.

Cause: the test is wrong. Its server broke its other connections 10 ms after the first by a timer of the same process. Traced in eight runs: in the three that passed, the second request arrived 7 to 10 ms after the first; in the five that failed, the timer fired after 13 to 40 ms, before that request was written, and the daemon rightly refused it with `backend_unreachable`. The case under test was then not run at all.

Change: the server breaks the connections when the second request has arrived. The expectations are unchanged, and the case is run each time. A crash window of 0 ms in the product makes it fail in 3 of 3 runs.

--- a/packages/router/src/local_backend_test.ts
+++ b/packages/router/src/local_backend_test.ts
@@ -31,14 +31,16 @@
   deadlineAtMs: monotonicMs() + 2_000,
 });
 
-/** Time between the breaks of a crashing server's connections, in milliseconds. */
-const CONNECTION_BREAK_DELAY_MS = 10;
-
-/** Starts a backend server that crashes at once when it receives a request for `/lethal`. */
+/**
+ * Starts a backend server that crashes at once when it receives a request for `/lethal`. Its other connections break
+ * when the next request has arrived on one of them.
+ */
 function startServer(): Promise<Server> {
   let hasCrashed = false;
   const serve = (incoming: IncomingMessage, response: ServerResponse) => {
     if (hasCrashed) {
+      server.close();
+      server.closeAllConnections();
       return;
     }
     if (incoming.url !== "/lethal") {
@@ -47,10 +49,6 @@
     }
     hasCrashed = true;
     incoming.socket.destroy();
-    setTimeout(() => {
-      server.close();
-      server.closeAllConnections();
-    }, CONNECTION_BREAK_DELAY_MS);
   };
   const server = createServer(serve);
   return new Promise((resolve) =>
