Log where a request of the former daemon was that was not answered in time

Of the requests that end at their deadline while a daemon drains beside load, no line said which process each had waited for. BL1604 request_unfinished names the stage (body, slot, backend server, owner's daemon, retry), the time in it, the age of the request, and by how much the control loop ran late in total since the request arrived, in the daemon that the caller asked and in the owner's.

--- a/packages/daemon/src/attempt.ts
+++ b/packages/daemon/src/attempt.ts
@@ -7,6 +7,7 @@
 import type { Assignment, Match } from "@bamboolink/routing";
 import type { HeaderFields } from "./http_headers.ts";
 import type { RequestBody } from "./request_body.ts";
+import type { RequestProgress } from "./request_progress.ts";
 
 /** A request that matched a route and is sent to the owner of its key. */
 export interface RoutedRequest {
@@ -22,6 +23,8 @@
   readonly deadlineMs: number;
   /** Aborted when the caller disconnects or the deadline passes. */
   readonly signal: AbortSignal;
+  /** Where the request is at the moment, for the log. */
+  readonly progress: RequestProgress;
 }
 
 /** Why a request was not run. These values are sent to callers. */
--- a/packages/daemon/src/backend_dispatcher.ts
+++ b/packages/daemon/src/backend_dispatcher.ts
@@ -122,6 +122,7 @@
       priority: request.match.operation.priority,
       deadlineMs: request.deadlineMs,
     };
+    request.progress.enter("slot", monotonicMs());
     const outcome = await slotLimiter.acquire(slot, request.signal);
     switch (outcome.kind) {
       case "cancelled":
@@ -159,6 +160,7 @@
       slotLimiter.release(slot);
       return notRun("not_owner", "this daemon may not serve the key any more");
     }
+    request.progress.enter("backend_server", startedMs);
     session.releases.beginRequest(assignment);
     const finish = (tookMs?: number) => {
       slotLimiter.release(slot, tookMs);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -25,6 +25,7 @@
 import type { DaemonSettings } from "./daemon_settings.ts";
 import { describeStatus } from "./daemon_status.ts";
 import { RequestRouter } from "./request_router.ts";
+import { EventLoopDelay } from "./event_loop_delay.ts";
 import { Fleet } from "./fleet.ts";
 import { chooseNeighbours } from "./neighbours.ts";
 import { OwnerForwarder } from "./owner_forwarder.ts";
@@ -81,7 +82,7 @@
   private tickTimer: NodeJS.Timeout | undefined;
   private stopping = false;
   private lastRequestMs = -Infinity;
-  private lastTickMs = Infinity;
+  private readonly delay = EventLoopDelay.create(TICK_INTERVAL_MS);
   private lastCpuUsage = process.cpuUsage();
   private wasAnnouncementMissing = false;
 
@@ -157,6 +158,7 @@
       logger,
       metrics: this.metrics,
       randomness,
+      delay: this.delay,
       sessionId,
       maximumBodyBytes: settings.maximum_body_bytes,
       maximumWaiting: settings.maximum_waiting,
@@ -342,9 +344,8 @@
   }
 
   private logStall(nowMs: number): void {
-    const lateMs = Math.round(nowMs - this.lastTickMs - TICK_INTERVAL_MS);
+    const lateMs = Math.round(this.delay.recordTurn(nowMs));
     const { user, system } = process.cpuUsage(this.lastCpuUsage);
-    this.lastTickMs = nowMs;
     this.lastCpuUsage = process.cpuUsage();
     if (lateMs > STALL_THRESHOLD_MS) {
       this.logger.log("process_stalled", {
--- a/packages/daemon/src/owner_forwarder.ts
+++ b/packages/daemon/src/owner_forwarder.ts
@@ -56,6 +56,11 @@
         "the owner's address is not known here yet",
       );
     }
+    request.progress.enter(
+      "owner_daemon",
+      monotonicMs(),
+      assignment.session,
+    );
     try {
       const response = await this.agent.request({
         origin: `http://${address}`,
--- a/packages/daemon/src/request_router.ts
+++ b/packages/daemon/src/request_router.ts
@@ -21,10 +21,12 @@
   type RoutedRequest,
 } from "./attempt.ts";
 import { monotonicMs } from "./clock.ts";
+import type { EventLoopDelay } from "./event_loop_delay.ts";
 import type { Fleet } from "./fleet.ts";
 import { readSingleHeader, selectEndToEndHeaders } from "./http_headers.ts";
 import type { Randomness } from "./randomness.ts";
 import { readRequestBody, type RequestBody } from "./request_body.ts";
+import { RequestProgress } from "./request_progress.ts";
 
 /** Allowed retries of requests that may have run, as a share of all requests. */
 const RETRY_RATIO = 0.1;
@@ -37,6 +39,7 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly randomness: Randomness;
+  readonly delay: EventLoopDelay;
   /** Id of this daemon's session; empty while it has none. */
   readonly sessionId: () => string;
   readonly maximumBodyBytes: number;
@@ -126,6 +129,7 @@
     const deadlineMs = startedMs +
       readTimeoutMs(incoming, match.value.operation.timeout_ms);
     const signal = createAbortSignal(response, deadlineMs - startedMs);
+    const progress = RequestProgress.create(this.context.delay, startedMs);
     const body = await readRequestBody(incoming, this.context.maximumBodyBytes);
     const result: AttemptResult = body.isErr()
       ? {
@@ -140,9 +144,13 @@
           body: body.value,
           deadlineMs,
           signal,
+          progress,
         }),
         forwarded,
       );
+    if (result.kind !== "answer" || response.destroyed) {
+      this.logUnfinished({ id, deadlineMs, signal, progress, forwarded });
+    }
     await this.respond({
       result,
       writer,
@@ -152,6 +160,26 @@
     });
   }
 
+  /** Logs where a request was that ended because its time was up or its caller had left. */
+  private logUnfinished(
+    request:
+      & Pick<RoutedRequest, "id" | "deadlineMs" | "signal" | "progress">
+      & {
+        forwarded: boolean;
+      },
+  ): void {
+    const nowMs = monotonicMs();
+    const isTimeUp = nowMs >= request.deadlineMs;
+    if (isTimeUp || request.signal.aborted) {
+      this.context.logger.log("request_unfinished", {
+        request_id: request.id,
+        hop: request.forwarded ? "owner" : "entrance",
+        reason: isTimeUp ? "deadline" : "caller_left",
+        ...request.progress.describe(nowMs),
+      });
+    }
+  }
+
   /** Makes attempts until one is final. A request that another daemon forwarded is attempted once. */
   private async run(
     request: RoutedRequest,
@@ -181,6 +209,7 @@
         );
       }
       this.waiting += 1;
+      request.progress.enter("retry", monotonicMs());
       await sleep(delayMs, undefined, { signal: request.signal }).catch(() =>
         undefined
       );
@@ -295,6 +324,7 @@
     body: RequestBody;
     deadlineMs: number;
     signal: AbortSignal;
+    progress: RequestProgress;
   },
 ): RoutedRequest {
   return {
--- a/packages/daemon/src/request_router_test.ts
+++ b/packages/daemon/src/request_router_test.ts
@@ -18,6 +18,7 @@
   unknown,
 } from "./attempt.ts";
 import { monotonicMs } from "./clock.ts";
+import { EventLoopDelay } from "./event_loop_delay.ts";
 import { RequestRouter } from "./request_router.ts";
 import { Fleet } from "./fleet.ts";
 import { Randomness } from "./randomness.ts";
@@ -130,6 +131,7 @@
       logger,
       metrics: Metrics.create(),
       randomness: Randomness.create(),
+      delay: EventLoopDelay.create(50),
       sessionId: () => "own",
       maximumBodyBytes: 1_000,
       maximumWaiting: 10,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -230,6 +230,14 @@
       "A request may or may not have run; its caller was informed of this.",
     action: "Look up `request_id` in the backend server's own records.",
   },
+  request_unfinished: {
+    number: 1604,
+    severity: "info",
+    meaning:
+      "The time of a request was up or its caller had left (`reason`) when it was in `stage`, for `stage_ms` of its `age_ms` (`owner` is the session that it was last sent to): `body` (reading it from the caller), `slot` (queue of the backend server), `backend_server`, `owner_daemon` or `retry`. `late_ms` is by how much the control loop ran late in total since the request arrived.",
+    action:
+      "If `late_ms` is a large part of `age_ms`, the host is overloaded or was paused. In `owner_daemon`, look for the same `request_id` in the log of `owner`; if it is missing there, that daemon had not read the request.",
+  },
   answer_cut: {
     number: 1603,
     severity: "warn",
