Read what has arrived before a request is given up at its deadline

What callers saw: "may have run" (504, deadline) for a request whose response lay in the socket of the daemon that they had asked, when that daemon had not been run by its host until the deadline had passed.

Cause: after a stall the event loop runs timers before it reads sockets, so the timer of the deadline aborts the attempt first.

Change: the timer aborts in the check phase of the same turn, after one read of the sockets. A process that is not late aborts within the same turn as before.

A request without a response still ends at its deadline, as before.

--- a/packages/daemon/src/request_router.ts
+++ b/packages/daemon/src/request_router.ts
@@ -347,13 +347,19 @@
   return callerTimeoutMs > 0 ? Math.min(callerTimeoutMs, timeoutMs) : timeoutMs;
 }
 
-/** Creates a signal that is aborted when the caller disconnects or the timeout expires. */
+/**
+ * Creates a signal that is aborted when the caller disconnects or the timeout expires. Timers run before sockets are
+ * read, so after a stall a response that has arrived would lose to the timeout; the abort waits for one read of them.
+ */
 function createAbortSignal(
   response: ServerResponse,
   timeoutMs: number,
 ): AbortSignal {
   const abort = new AbortController();
-  const timer = setTimeout(() => abort.abort(), Math.max(1, timeoutMs));
+  const timer = setTimeout(
+    () => setImmediate(() => abort.abort()),
+    Math.max(1, timeoutMs),
+  );
   response.once("close", () => {
     clearTimeout(timer);
     abort.abort();
