Log the expected wait for a slot with each refusal of the former daemon

Beside load, requests of a fleet that drains a daemon are refused as too_late with most of their time left; the line did not tell what wait was expected.

--- a/packages/daemon/src/response_writer.ts
+++ b/packages/daemon/src/response_writer.ts
@@ -58,6 +58,7 @@
         logger.log("request_refused", {
           request_id: requestId,
           reason: result.reason,
+          wait_ms: Math.round(result.waitMs),
         });
         return this.writeOutcome(
           { ...result, status: 503, outcome: "not_run" },
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -220,7 +220,8 @@
   request_refused: {
     number: 1601,
     severity: "debug",
-    meaning: "A request was refused and not run.",
+    meaning:
+      "A request was refused and not run. `wait_ms` is the expected wait for a slot, if there is a queue for them.",
     action: NOTHING,
   },
   request_unknown: {
