Run no request that its forwarding daemon has given up

What callers saw: beside heavy load, requests refused (not_run, too_late) or ended at their deadline at an owner that spends its little processor time and its six slots on requests that nobody waits for any more.

Cause: data and the end of a connection that arrive together are read in different turns of the event loop, and the end of a half-closed connection is reported only later still. A daemon that has fallen behind therefore always dispatches an abandoned request before it learns that it is abandoned.

Change: a forwarded request waits until the sockets were read once more, and the end of the data of its connection aborts it. Daemons never close only their half of a connection, so this holds for forwarded requests only; requests of callers are served as before.

--- a/packages/daemon/src/request_router.ts
+++ b/packages/daemon/src/request_router.ts
@@ -6,7 +6,11 @@
  */
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { setTimeout as sleep } from "node:timers/promises";
+import type { Socket } from "node:net";
+import {
+  setImmediate as nextImmediate,
+  setTimeout as sleep,
+} from "node:timers/promises";
 import { decideRetry, retryAfterMs, RetryBudget } from "@bamboolink/admission";
 import type { Logger } from "@bamboolink/logger";
 import type { Metrics } from "@bamboolink/metrics";
@@ -128,9 +132,15 @@
     }
     const deadlineMs = startedMs +
       readTimeoutMs(incoming, match.value.operation.timeout_ms);
-    const signal = createAbortSignal(response, deadlineMs - startedMs);
+    const signal = createAbortSignal(response, {
+      timeoutMs: deadlineMs - startedMs,
+      sender: forwarded ? incoming.socket : undefined,
+    });
     const progress = RequestProgress.create(this.context.delay, startedMs);
     const body = await readRequestBody(incoming, this.context.maximumBodyBytes);
+    if (forwarded) {
+      await waitForArrivedData();
+    }
     const result: AttemptResult = body.isErr()
       ? {
         kind: "invalid",
@@ -347,22 +357,38 @@
   return callerTimeoutMs > 0 ? Math.min(callerTimeoutMs, timeoutMs) : timeoutMs;
 }
 
+/**
+ * Waits until the sockets were read once more. A process that has fallen behind reads a request long before the end of
+ * its connection, although both have arrived, and would run a request that its sender has given up.
+ */
+async function waitForArrivedData(): Promise<void> {
+  await nextImmediate();
+  await nextImmediate();
+}
+
 /**
  * Creates a signal that is aborted when the caller disconnects or the timeout expires. Timers run before sockets are
  * read, so after a stall a response that has arrived would lose to the timeout; the abort waits for one read of them.
+ *
+ * @param options `sender` is the connection of a daemon that forwarded the request; unlike a caller it never closes
+ *   only its own half, so the end of its data means that it has given up.
  */
 function createAbortSignal(
   response: ServerResponse,
-  timeoutMs: number,
+  options: { timeoutMs: number; sender: Socket | undefined },
 ): AbortSignal {
+  const { timeoutMs, sender } = options;
   const abort = new AbortController();
   const timer = setTimeout(
     () => setImmediate(() => abort.abort()),
     Math.max(1, timeoutMs),
   );
-  response.once("close", () => {
+  const leave = () => {
     clearTimeout(timer);
+    sender?.removeListener("end", leave);
     abort.abort();
-  });
+  };
+  sender?.once("end", leave);
+  response.once("close", leave);
   return abort.signal;
 }
--- a/packages/daemon/src/stalled_daemon_test.ts
+++ b/packages/daemon/src/stalled_daemon_test.ts
@@ -7,103 +7,20 @@
 import type { AddressInfo } from "node:net";
 import { Logger } from "@bamboolink/logger";
 import { Metrics } from "@bamboolink/metrics";
-import {
-  CONFIGURATION_KEY,
-  HEADERS,
-  sessionKey,
-  tableKey,
-} from "@bamboolink/types";
+import { HEADERS } from "@bamboolink/types";
 import { expect } from "chai";
 import { request } from "undici";
 import { monotonicMs } from "./clock.ts";
 import { EventLoopDelay } from "./event_loop_delay.ts";
-import { Fleet } from "./fleet.ts";
 import { OwnerForwarder } from "./owner_forwarder.ts";
 import { Randomness } from "./randomness.ts";
 import { RequestRouter } from "./request_router.ts";
+import { createFleet } from "./testing/sample_fleet.ts";
 
 const TIMEOUT_MS = 200;
 /** How long the process stalls past the deadline. */
 const EXCESS_MS = 20;
 
-const DOCUMENT = {
-  schema: "bamboolink/1",
-  availability_zones: [{ name: "z", region: "r" }],
-  services: [{
-    name: "quote-desk",
-    availability_zones: ["z"],
-    partitions: 16,
-    queue: { length: 1, retry_after_ms: 1 },
-    objective: { good_share: 0.99, within_ms: 100 },
-    weights: { imbalance: 1, unavailable_time: 1 },
-    operations: [{
-      name: "quote",
-      method: "GET",
-      path: "/quotes/:part",
-      key: { from: "path", parameter: "part" },
-      idempotent: true,
-      priority: "interactive",
-      timeout_ms: TIMEOUT_MS,
-    }],
-  }],
-};
-
-function createFleet(logger: Logger, ownerPort: number): Fleet {
-  const fleet = Fleet.create(logger);
-  const version = {
-    version: 1,
-    author: "test",
-    note: "",
-    attempt: "1",
-    applied_at_ms: 1,
-    document: DOCUMENT,
-  };
-  const owner = {
-    id: "owner",
-    host: "owner",
-    region: "r",
-    availability_zone: "z",
-    control_address: "127.0.0.1:1",
-    data_address: `127.0.0.1:${ownerPort}`,
-    service: "quote-desk",
-    slots: 6,
-    checks_fencing: true,
-    longest_work_ms: 5_000,
-    draining: false,
-    state: "open",
-    witnesses: [],
-    replaces: [],
-    declared_lost: false,
-    started_at_ms: 0,
-    sealed_reason: "",
-  };
-  const shard = {
-    service: "quote-desk",
-    first: 0,
-    version: 1,
-    changes: [],
-    sessions: ["owner"],
-    owners: new Array(16).fill(0),
-    tokens: new Array(16).fill(1),
-    overrides: [],
-  };
-  const values: readonly [string, unknown][] = [
-    [CONFIGURATION_KEY, { current: version, history: [] }],
-    [sessionKey("owner"), owner],
-    [tableKey("quote-desk", 0), shard],
-  ];
-  fleet.merge({
-    from: 0,
-    to: values.length,
-    records: values.map(([key, value], index) => ({
-      key,
-      value: JSON.stringify(value),
-      revision: index + 1,
-    })),
-  });
-  return fleet;
-}
-
 function blockUntil(endMs: number): void {
   while (monotonicMs() < endMs) {
     // Blocks the event loop.
@@ -137,7 +54,11 @@
       const remainingMs = Number(incoming.headers[HEADERS.deadlineMs]);
       blockUntil(monotonicMs() + remainingMs + EXCESS_MS);
     });
-    const fleet = createFleet(logger, await listen(owner));
+    const fleet = createFleet(logger, {
+      timeoutMs: TIMEOUT_MS,
+      owner: "owner",
+      ownerPort: await listen(owner),
+    });
     const sessionId = () => "entrance";
     forwarder = OwnerForwarder.create({ fleet, sessionId });
     const router = RequestRouter.create({
