--- a/packages/daemon/src/request_router.ts
+++ b/packages/daemon/src/request_router.ts
@@ -6,7 +6,11 @@
  */
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { setTimeout as sleep } from "node:timers/promises";
+import type { Socket } from "node:net";
+import {
+  setImmediate as nextImmediate,
+  setTimeout as sleep,
+} from "node:timers/promises";
 import { decideRetry, retryAfterMs, RetryBudget } from "@bamboolink/admission";
 import type { Logger } from "@bamboolink/logger";
 import type { Metrics } from "@bamboolink/metrics";
@@ -21,10 +25,12 @@
   type RoutedRequest,
 } from "./attempt.ts";
 import { monotonicMs } from "./clock.ts";
+import type { EventLoopDelay } from "./event_loop_delay.ts";
 import type { Fleet } from "./fleet.ts";
 import { readSingleHeader, selectEndToEndHeaders } from "./http_headers.ts";
 import type { Randomness } from "./randomness.ts";
 import { readRequestBody, type RequestBody } from "./request_body.ts";
+import { RequestProgress } from "./request_progress.ts";
 
 /** Allowed retries of requests that may have run, as a share of all requests. */
 const RETRY_RATIO = 0.1;
@@ -37,6 +43,7 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly randomness: Randomness;
+  readonly delay: EventLoopDelay;
   /** Id of this daemon's session; empty while it has none. */
   readonly sessionId: () => string;
   readonly maximumBodyBytes: number;
@@ -125,8 +132,15 @@
     }
     const deadlineMs = startedMs +
       readTimeoutMs(incoming, match.value.operation.timeout_ms);
-    const signal = createAbortSignal(response, deadlineMs - startedMs);
+    const signal = createAbortSignal(response, {
+      timeoutMs: deadlineMs - startedMs,
+      sender: forwarded ? incoming.socket : undefined,
+    });
+    const progress = RequestProgress.create(this.context.delay, startedMs);
     const body = await readRequestBody(incoming, this.context.maximumBodyBytes);
+    if (forwarded) {
+      await waitForArrivedData();
+    }
     const result: AttemptResult = body.isErr()
       ? {
         kind: "invalid",
@@ -140,9 +154,13 @@
           body: body.value,
           deadlineMs,
           signal,
+          progress,
         }),
         forwarded,
       );
+    if (result.kind !== "answer" || response.destroyed) {
+      this.logUnfinished({ id, deadlineMs, signal, progress, forwarded });
+    }
     await this.respond({
       result,
       writer,
@@ -152,6 +170,26 @@
     });
   }
 
+  /** Logs where a request was that ended because its time was up or its caller had left. */
+  private logUnfinished(
+    request:
+      & Pick<RoutedRequest, "id" | "deadlineMs" | "signal" | "progress">
+      & {
+        forwarded: boolean;
+      },
+  ): void {
+    const nowMs = monotonicMs();
+    const isTimeUp = nowMs >= request.deadlineMs;
+    if (isTimeUp || request.signal.aborted) {
+      this.context.logger.log("request_unfinished", {
+        request_id: request.id,
+        hop: request.forwarded ? "owner" : "entrance",
+        reason: isTimeUp ? "deadline" : "caller_left",
+        ...request.progress.describe(nowMs),
+      });
+    }
+  }
+
   /** Makes attempts until one is final. A request that another daemon forwarded is attempted once. */
   private async run(
     request: RoutedRequest,
@@ -181,6 +219,7 @@
         );
       }
       this.waiting += 1;
+      request.progress.enter("retry", monotonicMs());
       await sleep(delayMs, undefined, { signal: request.signal }).catch(() =>
         undefined
       );
@@ -295,6 +334,7 @@
     body: RequestBody;
     deadlineMs: number;
     signal: AbortSignal;
+    progress: RequestProgress;
   },
 ): RoutedRequest {
   return {
@@ -317,16 +357,38 @@
   return callerTimeoutMs > 0 ? Math.min(callerTimeoutMs, timeoutMs) : timeoutMs;
 }
 
-/** Creates a signal that is aborted when the caller disconnects or the timeout expires. */
+/**
+ * Waits until the sockets were read once more. A process that has fallen behind reads a request long before the end of
+ * its connection, although both have arrived, and would run a request that its sender has given up.
+ */
+async function waitForArrivedData(): Promise<void> {
+  await nextImmediate();
+  await nextImmediate();
+}
+
+/**
+ * Creates a signal that is aborted when the caller disconnects or the timeout expires. Timers run before sockets are
+ * read, so after a stall a response that has arrived would lose to the timeout; the abort waits for one read of them.
+ *
+ * @param options `sender` is the connection of a daemon that forwarded the request; unlike a caller it never closes
+ *   only its own half, so the end of its data means that it has given up.
+ */
 function createAbortSignal(
   response: ServerResponse,
-  timeoutMs: number,
+  options: { timeoutMs: number; sender: Socket | undefined },
 ): AbortSignal {
+  const { timeoutMs, sender } = options;
   const abort = new AbortController();
-  const timer = setTimeout(() => abort.abort(), Math.max(1, timeoutMs));
-  response.once("close", () => {
+  const timer = setTimeout(
+    () => setImmediate(() => abort.abort()),
+    Math.max(1, timeoutMs),
+  );
+  const leave = () => {
     clearTimeout(timer);
+    sender?.removeListener("end", leave);
     abort.abort();
-  });
+  };
+  sender?.once("end", leave);
+  response.once("close", leave);
   return abort.signal;
 }
