Confirm nothing before others have told a starting daemon what they know

Cause: the store's text was the text in force, which counts as evidence. That others have a newer version was not known yet: the daemon had heard nobody.

Change: nothing is confirmed, here or to others, until the query for the report of an earlier process has ended, which each start makes already (three answers, or 0.8 s). Its answers also hold the report of the daemon that answers, so the newest version is known with them; until its document is fetched the requests get 503. Starting daemons that know no other answer 503 to unknown routes for 0.8 s at most, instead of 404.

--- a/packages/router/src/configuration_checker.ts
+++ b/packages/router/src/configuration_checker.ts
@@ -58,6 +58,8 @@
   /** The address at which a daemon serves its configuration, if the daemon is known. */
   readonly findPeerAddress: (daemon: string) => string | undefined;
   readonly send: (datagram: Datagram, daemon: string) => void;
+  /** Waits, for a bounded time after the start, for what an earlier process of this daemon has reported to others. */
+  readonly awaitEarlierReport: () => Promise<void>;
 }
 
 /** Confirms that the configuration of one daemon is current. */
@@ -69,8 +71,14 @@
   private onResponse: () => void = () => undefined;
   /** When the reading daemon was last asked; responses to other questions are ignored. */
   private askedAtMs: number | undefined;
+  /** Until then this daemon may know less than others, so that an older version in the store looks like the newest. */
+  private hasAwaitedOthers = false;
 
-  private constructor(private readonly context: ConfigurationCheckerContext) {}
+  private constructor(private readonly context: ConfigurationCheckerContext) {
+    void context.awaitEarlierReport().then(() => {
+      this.hasAwaitedOthers = true;
+    });
+  }
 
   /** Creates a checker that has made no check yet. */
   static create(context: ConfigurationCheckerContext): ConfigurationChecker {
@@ -80,7 +88,7 @@
   /** Age of the evidence that the configuration in force is the newest one, in milliseconds. */
   get evidenceAgeMs(): number {
     const { evidence, configuration, nowMs } = this.context;
-    return configuration.isSuperseded
+    return this.mayBeSuperseded
       ? Infinity
       : evidence.ageMs(configuration.version, nowMs());
   }
@@ -88,10 +96,14 @@
   /** Whether the configuration in force is known to be the newest one. */
   get isConfirmed(): boolean {
     const { evidence, configuration, nowMs } = this.context;
-    return !configuration.isSuperseded &&
+    return !this.mayBeSuperseded &&
       evidence.isRecent(configuration.version, nowMs());
   }
 
+  private get mayBeSuperseded(): boolean {
+    return !this.hasAwaitedOthers || this.context.configuration.isSuperseded;
+  }
+
   /**
    * Waits until the configuration in force is known to be the newest one; a newer one that the check finds is in force
    * afterwards.
@@ -122,14 +134,14 @@
   async handleRequest(
     { sender, askedAtMs }: ConfigurationCheckRequest,
   ): Promise<void> {
-    const { evidence, configuration, address, nowMs, send } = this.context;
+    const { evidence, address, nowMs, send } = this.context;
     const receivedAtMs = nowMs();
     if (this.evidenceAgeMs > MAX_REPEATED_AGE_MS) {
       await this.readStore();
     }
     const { version, observedAtMs } = evidence.observation;
     const ageMs = Math.max(0, receivedAtMs - observedAtMs);
-    if (ageMs <= MAX_EVIDENCE_AGE_MS && !configuration.isSuperseded) {
+    if (ageMs <= MAX_EVIDENCE_AGE_MS && !this.mayBeSuperseded) {
       send({
         kind: "configuration",
         sender: address,
@@ -164,7 +176,8 @@
   }
 
   private async check(): Promise<void> {
-    const { address, findReader, nowMs } = this.context;
+    const { address, findReader, nowMs, awaitEarlierReport } = this.context;
+    await awaitEarlierReport();
     if (nowMs() < this.pausedUntilMs) {
       return;
     }
--- a/packages/router/src/configuration_checker_test.ts
+++ b/packages/router/src/configuration_checker_test.ts
@@ -59,6 +59,8 @@
   /** Daemons whose datagrams are lost. */
   readonly cutDaemons = new Set<string>();
   readonly refusedStoreDaemons = new Set<string>();
+  /** Resolves when daemons have been told what earlier processes had reported. */
+  earlierReport: Promise<void> = Promise.resolve();
   /** Daemons from which no configuration can be fetched. */
   readonly cutPeers = new Set<string>();
   private readonly daemons = new Map<
@@ -109,6 +111,7 @@
       findReader: () => READER,
       findPeerAddress: (daemon) => daemon,
       send: (datagram, daemon) => this.deliver(datagram, daemon),
+      awaitEarlierReport: () => this.earlierReport,
     });
     configuration.applyDocument("1", "store");
     this.daemons.set(name, { checker, configuration });
@@ -263,6 +266,28 @@
     });
   });
 
+  describe("right after the start, before others have told what they know", () => {
+    // Guards against 404 by an older version that a restored store holds, while others have the newest one.
+    it("does not confirm what the store holds", async () => {
+      fleet.earlierReport = new Promise(() => {});
+      const { checker } = fleet.add(READER);
+      expect(await checker.confirm(0)).to.equal(false);
+      expect(checker.isConfirmed).to.equal(false);
+      expect(fleet.store.readCount).to.equal(0);
+    });
+
+    it("confirms once they have, or once they are no longer awaited", async () => {
+      let endQuery = () => {};
+      fleet.earlierReport = new Promise((resolve) => {
+        endQuery = resolve;
+      });
+      const { checker } = fleet.add(READER);
+      const confirmation = checker.confirm(CALLER_WAIT_MS);
+      endQuery();
+      expect(await confirmation).to.equal(true);
+    });
+  });
+
   describe("while the store is down", () => {
     it("does not confirm, and does not read again at once", async () => {
       fleet.store.isDown = true;
--- a/packages/router/src/gossip_node.ts
+++ b/packages/router/src/gossip_node.ts
@@ -247,9 +247,11 @@
     this.sendDatagram({ kind: "ask_reports", sender, names }, peer);
   }
 
+  /** Sends the requested reports, and its own: a daemon that has just started may lack it, too. */
   private sendReports(peer: string, names: readonly number[]): void {
     const { view } = this.context;
-    const reports = view.findReports(names);
+    view.updateOwnReport(this.context.describeSelf());
+    const reports = [view.ownReport, ...view.findReports(names)];
     const sender = view.ownReport.address;
     this.send(encodeGossip({ sender, reports, digests: [] }), peer);
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -262,6 +262,12 @@
         this.ingress.setLimits(configuration.limits);
       },
     });
+    this.earlierReportQuery = EarlierReportQuery.create({
+      random,
+      nowMs: monotonicMs,
+      knownAddresses: () => this.view.knownAddresses,
+      request: (peer) => this.gossip.requestEarlierReport(peer),
+    });
     this.configurationChecker = ConfigurationChecker.create({
       address: settings.gossipAddress,
       logger,
@@ -273,6 +279,7 @@
       findReader: () => this.ownership.findReader(),
       findPeerAddress: (daemon) => this.view.find(daemon)?.peerAddress,
       send: (datagram, daemon) => this.gossip.sendDatagram(datagram, daemon),
+      awaitEarlierReport: () => this.earlierReportQuery.awaitEnd(),
     });
     this.members = MemberDirectory.create({
       store: this.store,
@@ -289,7 +296,8 @@
       linkBytesPerSecond: settings.linkBytesPerSecond ?? Infinity,
       describeSelf: () => this.describeSelf(),
       onReports: (reports) => this.handleReports(reports),
-      onEarlierReport: ({ statedStatus }) => {
+      onEarlierReport: ({ statedStatus, configurationVersion }) => {
+        this.configuration.recordReportedVersion(configurationVersion);
         if (statedStatus !== null) {
           this.backendManager.restoreStatus(statedStatus);
         }
@@ -297,12 +305,6 @@
       onReportsAnswered: (peer) => this.earlierReportQuery.recordAnswer(peer),
       onDatagram: (datagram) => this.handleDatagram(datagram),
     });
-    this.earlierReportQuery = EarlierReportQuery.create({
-      random,
-      nowMs: monotonicMs,
-      knownAddresses: () => this.view.knownAddresses,
-      request: (peer) => this.gossip.requestEarlierReport(peer),
-    });
     this.forwarder = Forwarder.create({
       logger,
       onLoad: (daemon, { route, load, isCompleted }) => {
