Write no second response for a body that ends after its request's response

A caller whose request was refused before its body had arrived, and which then closed its sending side or sent a malformed chunk, received 400 behind the 503: bytes that belong to no request. The rest of the body was taken for malformed input without a request, since only requests without a complete response were looked at.

The connection now keeps the last request that it received. Bytes that can't be parsed while that one is incomplete belong to its body, so the connection is only closed; the log line stays. Bytes after a complete request still get 400.

--- a/packages/connections/src/caller_connection.ts
+++ b/packages/connections/src/caller_connection.ts
@@ -35,6 +35,8 @@
 export class CallerConnection {
   /** Responses not yet handed completely to the operating system, in the order of their requests. */
   private readonly openResponses = new Set<ServerResponse>();
+  /** The last request that was received, until all of its body was read. */
+  private lastRequest: IncomingMessage | undefined;
   private hasLastResponse = false;
   private hasRejected = false;
   /** Bytes read when the last response was sent, or when the last request was complete. */
@@ -100,10 +102,16 @@
       this.handledBytes = this.socket.bytesRead;
     };
     this.openResponses.add(response);
+    this.lastRequest = incoming;
     // Handling a request may mark its response as the last one; requests after it could then not be answered.
     this.hasLastResponse = !response.shouldKeepAlive;
     // A body may arrive after the response; counted as a further request, it would keep the connection busy forever.
-    incoming.once("close", updateHandledBytes);
+    incoming.once("close", () => {
+      updateHandledBytes();
+      if (this.lastRequest === incoming) {
+        this.lastRequest = undefined;
+      }
+    });
     response.once("close", () => {
       this.openResponses.delete(response);
       updateHandledBytes();
@@ -190,7 +198,10 @@
   private endAfterMalformedInput(status: string): void {
     const { socket } = this;
     const last = [...this.openResponses].at(-1);
-    if (last === undefined) {
+    if (last === undefined && this.lastRequest?.complete === false) {
+      // The bytes belong to its body, and it was answered before they arrived.
+      this.end();
+    } else if (last === undefined) {
       this.writeRejection(status);
     } else if (socket.readableEnded) {
       socket.destroy();
--- a/packages/connections/src/caller_connections_test.ts
+++ b/packages/connections/src/caller_connections_test.ts
@@ -435,6 +435,31 @@
     });
   });
 
+  describe("with a request that was answered before its body arrived", () => {
+    const headers =
+      "POST /early HTTP/1.1\r\nhost: shop.example\r\ntransfer-encoding: chunked\r\n\r\n";
+
+    beforeEach(async () => {
+      handle = (_incoming, response) => response.end("early");
+      await caller.send(`${headers}5\r\nbo`);
+      await until(() => connections.busyCount === 0);
+    });
+
+    // Guards against a second response to one request.
+    it("writes nothing more if its caller closes its sending side", async () => {
+      caller.end();
+      await caller.readToEnd();
+      expect(caller.text).to.match(/^HTTP\/1\.1 200 OK\r\n[^]*early$/);
+    });
+
+    // Guards against the same for a body that is malformed.
+    it("writes nothing more if its body is malformed", async () => {
+      await caller.send("dy no end\r\n");
+      await caller.readToEnd();
+      expect(caller.text).to.match(/^HTTP\/1\.1 200 OK\r\n[^]*early$/);
+    });
+  });
+
   describe("with a caller that continues to send malformed bytes", () => {
     // Guards against counting one request once per chunk of the bytes after it.
     it("reports them once", async () => {
