Answer requests behind a refused one that expects 100-continue

A caller that sent a request with `Expect: 100-continue`, its body without waiting, and a further request behind, got 503 or 404 for the first and the end of the connection in place of the second response, although the second one had run. Node.js closes the connection after a final response without an interim one; the ingress did not know that it does.

If the whole body has arrived there is nothing to close for: the interim response is sent, which makes Node.js keep the connection. If it has not, no request behind it can have been read yet, and the response is now marked as the last one, so that none is run later.

The two tests, with a split at each byte of the head, failed before and pass now.

--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -794,12 +794,20 @@
     if (response.destroyed || response.headersSent) {
       return;
     }
+    const { req } = response;
+    if (awaitsContinue(req) && req.complete && !req.readableEnded) {
+      // Otherwise Node.js closes the connection, and requests that were pipelined behind would get no response.
+      response.writeContinue();
+    }
     const routerResponse = this.context.protocol.write(outcome, request?.id);
     response.writeHead(routerResponse.status, {
       ...routerResponse.headers,
       "content-length": Buffer.byteLength(routerResponse.body),
       ...this.connectionHeader(response),
     });
+    if (!response.shouldKeepAlive) {
+      this.connections.closeAfterNextResponse(req.socket);
+    }
     response.end(routerResponse.body);
   }
 
--- a/packages/router/src/ingress_test.ts
+++ b/packages/router/src/ingress_test.ts
@@ -317,6 +317,26 @@
         expect(received).to.match(/\r\nconnection: close\r\n/i);
       });
     });
+
+    // Guards against a request that runs although the response before it, which closes the connection, is the last one.
+    [0, TICK_MS].forEach((checkMs) => {
+      it(`answers each request behind a refused one that it runs, after a check of ${checkMs} ms`, async () => {
+        fixture.isConfirmed = false;
+        fixture.checkMs = checkMs;
+        const head = createHead("/unknown/1", expectation);
+        await Promise.all(
+          Array.from({ length: head.length }, async (_, splitAt) => {
+            const target = `/known/${splitAt}`;
+            const text = `${head}body${createHead(target, "")}`;
+            const sent = { text, splitAt, isEnded: false, count: 2 };
+            const [first, ...others] = await fixture.sendInParts(sent);
+            expect(first).to.equal(503);
+            const ran = fixture.ran.filter((each) => each.target === target);
+            expect(others).to.have.length(ran.length);
+          }),
+        );
+      });
+    });
   });
 
   describe("with a request that expects something unknown", () => {
