Return an error for a peer's response that is not JSON

A daemon that asked another one for a record of the store, or for ownership records, threw an exception where the response had status 200 and was not JSON. It ended the request of a caller that waited for a check of the configuration with its connection, and where nothing awaits the call, an unhandled rejection ends the process. By reading, no daemon sends such a response; an address that another program has taken over could.

The text is now parsed with the schema, to the error that responses of a wrong shape already gave. That a process ends was not run.

--- a/packages/router/src/peer_client.ts
+++ b/packages/router/src/peer_client.ts
@@ -6,7 +6,7 @@
  */
 import { BamboolinkError } from "@bamboolink/errors";
 import type { CasRequest, StoredRecord } from "@bamboolink/store";
-import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import { err, errAsync, ok, okAsync, Result, ResultAsync } from "neverthrow";
 import { z } from "zod";
 import { Cancellation } from "./cancellation.ts";
 import { monotonicMs } from "./clock.ts";
@@ -160,17 +160,19 @@
   schema: S,
   text: string,
   peer: string,
-): ResultAsync<z.infer<S>, BamboolinkError> {
-  const parsed = schema.safeParse(JSON.parse(text));
-  return parsed.success ? okAsync(parsed.data) : errAsync(
+): Result<z.infer<S>, BamboolinkError> {
+  const createError = (cause: unknown) =>
     BamboolinkError.create(
       "unknown_effect",
       "the peer's response is malformed",
-      {
-        step: "peer.ask",
-        peer,
-        cause: parsed.error,
-      },
-    ),
+      { step: "peer.ask", peer, cause },
+    );
+  const parseJson = Result.fromThrowable(
+    (): unknown => JSON.parse(text),
+    createError,
   );
+  return parseJson().andThen((value): Result<z.infer<S>, BamboolinkError> => {
+    const parsed = schema.safeParse(value);
+    return parsed.success ? ok(parsed.data) : err(createError(parsed.error));
+  });
 }
