Leave out the time in which the daemon was not run between breaks

What callers saw: a proper request that was suspect and queued behind a lethal one got 503 for 30 s or more at all daemons, and the lethal request stayed a suspect that may run again. Found as one failure in 40 runs of local_backend_test.js, four at once on 16 cores at a load of 60.

Cause: the breaks of one crash are told from an earlier, unrelated break by their time: at most 100 ms apart. The time is read when the daemon reads the break. The queued request is sent as soon as the first break was read, and if the daemon is then not run for more than 100 ms, the second break seems to be another crash, with the queued request as the only one that ran.

Change: the times of interrupted runs come from a clock that leaves out the lag of the event loop, which is measured already (`LoopLag`): it advances by one interval of the ticks (50 ms) at most while a tick is overdue. The windows of 100 ms and 10 s are as they were.

The new test holds the process up for 300 ms between the two breaks.

Ruled out: blaming by the order of sending, since a server that only reset the first connection and crashed under the second request long after would then be taken for a crash under the first. Left: several delays of more than 50 ms each between the same two breaks still add up. That the one failure seen was such a delay is inferred from its values, not from a trace of that run.

--- a/packages/router/src/local_backend_test.ts
+++ b/packages/router/src/local_backend_test.ts
@@ -17,6 +17,7 @@
 import { Cancellation } from "./cancellation.ts";
 import { bootMs, monotonicMs } from "./clock.ts";
 import { LocalBackend } from "./local_backend.ts";
+import { LoopLag } from "./loop_lag.ts";
 import type { BackendProtocol } from "./ports/backend_protocol.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
 import { SAMPLE_REQUEST } from "./testing/sample_request.ts";
@@ -31,16 +32,30 @@
   deadlineAtMs: monotonicMs() + 2_000,
 });
 
+/** Interval at which the event loop's lag is measured, in milliseconds. */
+const TICK_MS = 50;
+/** How long the process is not run, in milliseconds: longer than the breaks of one crash are apart otherwise. */
+const STALL_MS = 300;
+
+/** Keeps the event loop from running. */
+function stall(): void {
+  const endMs = monotonicMs() + STALL_MS;
+  while (monotonicMs() < endMs);
+}
+
 /**
  * Starts a backend server that crashes at once when it receives a request for `/lethal`. Its other connections break
  * when the next request has arrived on one of them.
+ *
+ * @param onBreak called after these have broken, before the daemon can detect it.
  */
-function startServer(): Promise<Server> {
+function startServer(onBreak: () => void): Promise<Server> {
   let hasCrashed = false;
   const serve = (incoming: IncomingMessage, response: ServerResponse) => {
     if (hasCrashed) {
       server.close();
       server.closeAllConnections();
+      onBreak();
       return;
     }
     if (incoming.url !== "/lethal") {
@@ -56,13 +71,14 @@
   );
 }
 
-function createBackend(server: Server) {
+function createBackend(server: Server, lag: LoopLag) {
   const logger = Logger.createRateLimited("test", { level: "error" });
   const quarantine = RequestQuarantine.create({
     address: "own",
     logger,
     random: () => 0,
     nowMs: monotonicMs,
+    runningMs: () => lag.runningMs,
     broadcast: () => undefined,
     sendToSome: () => undefined,
     sendTo: () => undefined,
@@ -97,41 +113,65 @@
 
 describe("LocalBackend", () => {
   let server: Server;
+  let lag: LoopLag;
+  let ticks: NodeJS.Timeout;
+  let onBreak: () => void;
 
   beforeEach(async () => {
-    server = await startServer();
+    onBreak = () => undefined;
+    server = await startServer(() => onBreak());
+    lag = LoopLag.create(TICK_MS, monotonicMs);
+    ticks = setInterval(() => lag.recordTick(), TICK_MS);
   });
 
   afterEach(() => {
+    clearInterval(ticks);
     server.close();
     server.closeAllConnections();
   });
 
+  /** Runs a lethal and another suspect; returns how they end, and how they are classified after the crash. */
+  async function runSuspects() {
+    const { backend, quarantine } = createBackend(server, lag);
+    const attempt = (request: RoutedRequest) =>
+      backend.attempt(request, Cancellation.create());
+    await Promise.all(
+      ["/a", "/b"].map((target) => attempt(createRequest(target))),
+    );
+    const suspects = ["/lethal", "/popular"].map(createRequest);
+    quarantine.applyUpdate({
+      kind: "crash_reports",
+      sender: "other",
+      suspected: suspects.map((
+        request,
+      ) => [fingerprintRequest(request), [7], 0, 0]),
+    });
+    const outcomes = await Promise.all(suspects.map(attempt));
+    quarantine.recordBackendEnd({ instance: "i-1", proof: "refused" });
+    await backend.close();
+    return {
+      outcomes: outcomes.map(({ kind }) => kind),
+      classifications: suspects.map((request) =>
+        quarantine.classify(request).kind
+      ),
+    };
+  }
+
   describe("when a server crashes while running a suspect and another suspect is queued", () => {
     // Guards against quarantining the queued request: it is sent next, on a connection to the crashed server whose
     // break has not been detected yet.
     it("quarantines only the first", async () => {
-      const { backend, quarantine } = createBackend(server);
-      const attempt = (request: RoutedRequest) =>
-        backend.attempt(request, Cancellation.create());
-      await Promise.all(
-        ["/a", "/b"].map((target) => attempt(createRequest(target))),
-      );
-      const suspects = ["/lethal", "/popular"].map(createRequest);
-      quarantine.applyUpdate({
-        kind: "crash_reports",
-        sender: "other",
-        suspected: suspects.map((
-          request,
-        ) => [fingerprintRequest(request), [7], 0, 0]),
-      });
-      const outcomes = await Promise.all(suspects.map(attempt));
-      expect(outcomes.map(({ kind }) => kind))
-        .to.deep.equal(["unknown", "unknown"]);
-      quarantine.recordBackendEnd({ instance: "i-1", proof: "refused" });
-      expect(suspects.map((request) => quarantine.classify(request).kind))
-        .to.deep.equal(["quarantined", "suspect"]);
-      await backend.close();
+      const { outcomes, classifications } = await runSuspects();
+      expect(outcomes).to.deep.equal(["unknown", "unknown"]);
+      expect(classifications).to.deep.equal(["quarantined", "suspect"]);
+    });
+
+    // Guards against quarantining the queued request because its connection's break is read late.
+    it("quarantines only the first if the process is not run for a moment", async () => {
+      onBreak = stall;
+      const { outcomes, classifications } = await runSuspects();
+      expect(outcomes).to.deep.equal(["unknown", "unknown"]);
+      expect(classifications).to.deep.equal(["quarantined", "suspect"]);
     });
   });
 });
--- a/packages/router/src/loop_lag.ts
+++ b/packages/router/src/loop_lag.ts
@@ -26,6 +26,7 @@
   private recentLags: number[] = [];
   private lastTickAtMs: number;
   private maxMs = 0;
+  private totalMs = 0;
 
   private constructor(
     private readonly tickMs: number,
@@ -48,6 +49,7 @@
   recordTick(): void {
     const lagMs = this.overdueLagMs();
     this.maxMs = Math.max(this.maxMs, lagMs);
+    this.totalMs += lagMs;
     this.recentLags = [...this.recentLags, lagMs].slice(-RECENT_TICKS);
     this.lastTickAtMs = this.now();
   }
@@ -59,6 +61,11 @@
     return maxMs;
   }
 
+  /** The time on the monotonic clock without all lag, in milliseconds; it stops while a tick is overdue. */
+  get runningMs(): number {
+    return this.now() - this.totalMs - this.overdueLagMs();
+  }
+
   /**
    * How long input that is read now may have waited, in milliseconds; 0 below the relevant lag. The time since the last
    * tick counts, too: a long event-loop turn delays the timer.
--- a/packages/router/src/loop_lag_test.ts
+++ b/packages/router/src/loop_lag_test.ts
@@ -67,6 +67,25 @@
     });
   });
 
+  describe("as a clock that leaves out the lag", () => {
+    it("advances while ticks are on time", () => {
+      const { lag, advance, tickAfter } = createLag();
+      tickAfter(50);
+      advance(20);
+      expect(lag.runningMs).to.equal(70);
+    });
+
+    it("advances by one interval at most while a tick is overdue, and goes on after it", () => {
+      const { lag, advance, tickAfter } = createLag();
+      advance(400);
+      expect(lag.runningMs).to.equal(50);
+      tickAfter(100);
+      expect(lag.runningMs).to.equal(50);
+      tickAfter(50);
+      expect(lag.runningMs).to.equal(100);
+    });
+  });
+
   describe("when a request is received together with its caller's disconnect", () => {
     /** Serves one request whose caller has disconnected at once; returns whether that is detected. */
     function serveOne(
--- a/packages/router/src/request_quarantine.ts
+++ b/packages/router/src/request_quarantine.ts
@@ -48,6 +48,11 @@
   readonly logger: Logger;
   readonly random: () => number;
   readonly nowMs: () => number;
+  /**
+   * Returns a time like `nowMs` that leaves out how long this process was not run: by it the breaks of one crash are
+   * close together, however late they are read. Defaults to `nowMs`.
+   */
+  readonly runningMs?: () => number;
   /** Sends an update to all alive daemons. */
   readonly broadcast: (update: QuarantineUpdate) => void;
   /** Sends an update to a few alive daemons, different ones each time. */
@@ -131,7 +136,7 @@
     const { nowMs, logger } = this.context;
     // A process that refused connections for a moment may be the one that responds now.
     this.hasCrashed = false;
-    this.interruptedRuns.recordAnswered(nowMs());
+    this.interruptedRuns.recordAnswered(this.runningMs());
     this.recentResponses.record(request);
     if (!this.needsClassification(request)) {
       return;
@@ -157,7 +162,7 @@
       requestId: request.id,
       fingerprint: this.fingerprintOf(request),
       isOnProbation,
-      interruptedAtMs: this.context.nowMs(),
+      interruptedAtMs: this.runningMs(),
     });
   }
 
@@ -167,7 +172,7 @@
     // Refused: no process listens until the next one starts. Replaced: the next process already runs.
     this.hasCrashed = proof === "refused";
     const answeredFingerprints = this.recentResponses.takeFingerprints();
-    const runs = this.interruptedRuns.takeRunsAtCrash(nowMs())
+    const runs = this.interruptedRuns.takeRunsAtCrash(this.runningMs())
       .filter(({ fingerprint }) => !answeredFingerprints.has(fingerprint));
     if (runs.length === 0) {
       return;
@@ -234,6 +239,11 @@
     );
   }
 
+  private runningMs(): number {
+    const { nowMs, runningMs = nowMs } = this.context;
+    return runningMs();
+  }
+
   private repeatChanges(nowMs: number): void {
     const changed = this.changes.takeDue(nowMs, MAX_REPEATS_PER_TICK);
     const { sendToSome } = this.context;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -175,6 +175,7 @@
       logger,
       random,
       nowMs: monotonicMs,
+      runningMs: () => this.lag.runningMs,
       broadcast: (update) => this.gossip.broadcast(update),
       sendToSome: (update) => this.gossip.sendToSome(update),
       sendTo: (update, address) => this.gossip.sendDatagram(update, address),
