Keep a limit stated while another fault of the soak still states it

What was seen: seed 12024 of the soak (12 s, all kinds of faults): 127.120.0.10 got 564 requests in 4000 ms with a limit of 2.5 a second.

Cause: the soak is wrong. The seed states a limit at the same host at 8,108 ms and at 11,108 ms. When the first ended, the stand-in server stated none any more, while the second was still checked.

Change: the server states the limit until the last of overlapping statements has ended, so that the second check checks what it means to. The bound is unchanged. The seed is kept.

--- a/soak/src/regression_seeds.ts
+++ b/soak/src/regression_seeds.ts
@@ -44,4 +44,15 @@
     cause:
       "heads of more than 64 KiB got 431 although the configurations allowed them",
   },
+  {
+    seed: 12_024,
+    hasRestarts: true,
+    hasRollbacksAndLethalRequests: true,
+    hasStatedStatus: true,
+    hasSingleFaults: true,
+    hasSeries: true,
+    durationMs: 12_000,
+    cause:
+      "the first of two overlapping statements of a limit ended, and the server stated none while the second was checked",
+  },
 ];
--- a/soak/src/stated_status_fault.ts
+++ b/soak/src/stated_status_fault.ts
@@ -23,21 +23,35 @@
 /** Whether the daemon beside a backend server was stopped or paused since a time in Unix milliseconds. */
 type WasDisturbed = (sinceMs: number) => boolean;
 
+/** How many faults that state a limit a host has now. */
+const limitStatements = new WeakMap<FleetHost, number>();
+
+function changeLimitStatements(host: FleetHost, change: 1 | -1): number {
+  const count = (limitStatements.get(host) ?? 0) + change;
+  limitStatements.set(host, count);
+  return count;
+}
+
 /**
- * Makes a backend server state a limit, and later none.
+ * Makes a backend server state a limit, and none once the last of overlapping calls for its host has ended. These must
+ * state the same limit.
  *
  * @param limit `perSecond`: in requests per second; `forMs`: how long it is stated beyond `STABILITY_MS`.
  * @returns a message for a limit that was exceeded.
  */
 export async function stateLimit(
-  { backend, address }: FleetHost,
+  host: FleetHost,
   limit: { perSecond: number; forMs: number },
 ): Promise<string[]> {
+  const { backend, address } = host;
+  changeLimitStatements(host, 1);
   backend.advertisedLimit = String(limit.perSecond);
   const statedAtMs = Date.now();
   await sleep(STABILITY_MS + WINDOW_MS + limit.forMs);
   const endedAtMs = Date.now();
-  backend.advertisedLimit = undefined;
+  if (changeLimitStatements(host, -1) === 0) {
+    backend.advertisedLimit = undefined;
+  }
   const counted = backend.arrivals.filter((atMs) =>
     atMs >= statedAtMs + STABILITY_MS && atMs < endedAtMs
   );
