Poll the store less often while daemons start together

What callers saw: nothing wrong.

Change: a daemon that knows no other draws 0.4 to 0.75 s. It needs no other to be in time: 0.75 s, 0.6 s until a poll counts as unanswered and 0.6 s for a slow store are below 2 s. So that fewer first polls leave no larger gaps, a daemon that plans for the first time fills gaps from 1.75 intervals on (2.5 later, as before: a lost plan looks like a gap of two).

Gaps from 2 intervals on at any time: a bound of watch_poll_coordinator_test.ts fails (40 daemons, a tenth of the announcements lost).

--- a/packages/membership/src/watch_poll_coordinator.ts
+++ b/packages/membership/src/watch_poll_coordinator.ts
@@ -19,6 +19,11 @@
  * received looks like a gap of two intervals.
  */
 const MIN_GAP_MS = 2.5 * RENEWAL_INTERVAL_MS;
+/**
+ * The same for a daemon that plans for the first time, in milliseconds: daemons that start together draw their first
+ * timeouts at random, which leaves larger gaps than lost plans do.
+ */
+const MIN_FIRST_GAP_MS = 1.75 * RENEWAL_INTERVAL_MS;
 /** Maximum time until a daemon's next renewal, in milliseconds; larger fleets need no coordination. */
 const MAX_TIMEOUT_MS = 28_000;
 /** Plans that are closer to each other, in milliseconds, may be replaced before the others' new plans are known. */
@@ -31,6 +36,7 @@
   /** When the other daemons will renew, by address. */
   private readonly plansMs = new Map<string, number>();
   private ownPlanMs = -Infinity;
+  private hasPlanned = false;
 
   private constructor(
     private readonly address: string,
@@ -41,7 +47,7 @@
    * Creates a coordinator that knows no plans.
    *
    * @param address identifies this daemon.
-   * @param uncoordinated used while no plan of another daemon is known, and in large fleets.
+   * @param uncoordinated used while no other daemon or none of its plans is known, and in large fleets.
    */
   static create(
     address: string,
@@ -73,17 +79,29 @@
       endedUnchanged: boolean;
     },
   ): number {
-    const daemons = others.length + 1;
     this.forgetAllBut(others);
+    const timeoutMs = others.length === 0
+      ? this.uncoordinated.drawLoneTimeoutMs()
+      : this.chooseSharedTimeoutMs({ nowMs, others, endedUnchanged });
+    this.ownPlanMs = nowMs + timeoutMs;
+    return timeoutMs;
+  }
+
+  /** Chooses the timeout of a daemon that shares the renewals with others, in milliseconds. */
+  private chooseSharedTimeoutMs(
+    { nowMs, others, endedUnchanged }: {
+      nowMs: number;
+      others: readonly string[];
+      endedUnchanged: boolean;
+    },
+  ): number {
+    const daemons = others.length + 1;
     const plans = [...this.plansMs].filter(([, planMs]) =>
       planMs >= nowMs - RENEWAL_INTERVAL_MS
     );
-    const timeoutMs =
-      plans.length === 0 || !WatchPollCoordinator.coordinates(daemons)
-        ? this.uncoordinated.nextTimeoutMs({ daemons, endedUnchanged })
-        : this.planTimeoutMs(plans, { nowMs, daemons });
-    this.ownPlanMs = nowMs + timeoutMs;
-    return timeoutMs;
+    return plans.length === 0 || !WatchPollCoordinator.coordinates(daemons)
+      ? this.uncoordinated.nextTimeoutMs({ daemons, endedUnchanged })
+      : this.planTimeoutMs(plans, { nowMs, daemons });
   }
 
   /**
@@ -104,9 +122,11 @@
     const isTied = plans.some(([daemon, planMs]) =>
       Math.abs(planMs - nowMs) < TIE_WINDOW_MS && daemon < this.address
     );
-    const freeAtMs = findFreeTimeMs(plansMs, nowMs);
+    const minGapMs = this.hasPlanned ? MIN_GAP_MS : MIN_FIRST_GAP_MS;
+    this.hasPlanned = true;
+    const freeAtMs = findFreeTimeMs(plansMs, { startMs: nowMs, minGapMs });
     const planMs = isTied
-      ? findFreeTimeMs([...plansMs, freeAtMs], nowMs)
+      ? findFreeTimeMs([...plansMs, freeAtMs], { startMs: nowMs, minGapMs })
       : freeAtMs;
     return Math.ceil(Math.min(planMs - nowMs, fullTimeoutMs));
   }
@@ -120,14 +140,17 @@
 }
 
 /** Finds the first time after `startMs` that is in a gap between the plans, or behind them, in milliseconds. */
-function findFreeTimeMs(plansMs: readonly number[], startMs: number): number {
+function findFreeTimeMs(
+  plansMs: readonly number[],
+  { startMs, minGapMs }: { startMs: number; minGapMs: number },
+): number {
   const timesMs = [
     startMs,
     ...plansMs.filter((planMs) => planMs > startMs)
       .sort((left, right) => left - right),
   ];
   const beforeGapMs = timesMs.find((timeMs, index) =>
-    (timesMs[index + 1] ?? Infinity) - timeMs >= MIN_GAP_MS
+    (timesMs[index + 1] ?? Infinity) - timeMs >= minGapMs
   );
   return (beforeGapMs ?? startMs) + RENEWAL_INTERVAL_MS;
 }
--- a/packages/membership/src/watch_poll_schedule.ts
+++ b/packages/membership/src/watch_poll_schedule.ts
@@ -10,6 +10,11 @@
 const MAX_TIMEOUT_MS = 28_000;
 /** Mean time between two renewals in the whole fleet. A daemon that receives a change notifies the others. */
 const MEAN_RENEWAL_INTERVAL_MS = 350;
+/**
+ * Maximum timeout of a daemon that knows no other, in milliseconds. Such a daemon can't rely on renewals of others: even
+ * if its connection is dead and the store takes 600 ms to respond, it receives a change within 2 s.
+ */
+const MAX_LONE_TIMEOUT_MS = 750;
 
 /** The poll timeouts of one daemon's watch. */
 export class WatchPollSchedule {
@@ -44,4 +49,12 @@
       isStaggered ? fullTimeoutMs : fullTimeoutMs * (1 - this.random()),
     );
   }
+
+  /**
+   * Draws the next timeout of a daemon that knows no other, in milliseconds; drawn at random, so that daemons that start
+   * together don't renew at the same time.
+   */
+  drawLoneTimeoutMs(): number {
+    return Math.ceil(MAX_LONE_TIMEOUT_MS * (1 - this.random() / 2));
+  }
 }
