Read what has arrived before a request is cancelled at its deadline

What callers saw: 504 ("may have run") for a request whose response lay in the socket of the daemon that they had asked, when that daemon had not been run by its host until the deadline had passed.

Cause: after a stall the event loop runs timers before it reads sockets, so the timer of the deadline cancels first.

Change: the timer cancels in the check phase of the same turn, after one read of the sockets. A process that is not late cancels within the same turn as before. It holds for callers' requests and for those that other daemons forward.

--- a/packages/router/src/cancellation.ts
+++ b/packages/router/src/cancellation.ts
@@ -25,7 +25,7 @@
   /** Creates one that is cancelled with `deadline` after a time in milliseconds. */
   static createWithTimeout(milliseconds: number): Cancellation {
     const cancellation = new Cancellation();
-    setTimeout(() => cancellation.cancel("deadline"), milliseconds).unref();
+    cancellation.cancelAfter(milliseconds).unref();
     return cancellation;
   }
 
@@ -50,6 +50,17 @@
     listeners.forEach((listener) => listener());
   }
 
+  /**
+   * Cancels with `deadline` after a time in milliseconds. Timers run before sockets are read, so after a stall of the
+   * process a response that has arrived would lose to the deadline; the cancellation waits for one read of the sockets.
+   */
+  cancelAfter(milliseconds: number): NodeJS.Timeout {
+    return setTimeout(
+      () => setImmediate(() => this.cancel("deadline")),
+      milliseconds,
+    );
+  }
+
   /** Adds a listener for a future cancellation, called at most once. */
   onCancel(listener: () => void): void {
     this.listeners.push(listener);
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress.ts
@@ -621,8 +621,7 @@
     route: TrafficRoute,
   ): Promise<FinalOutcome> {
     const cancellation = Cancellation.create();
-    const timer = setTimeout(
-      () => cancellation.cancel("deadline"),
+    const timer = cancellation.cancelAfter(
       Math.max(0, routed.deadlineAtMs - monotonicMs()),
     );
     const cancelOnClose = () => cancellation.cancel("cancelled");
