--- a/packages/router/src/earlier_report_query.ts
+++ b/packages/router/src/earlier_report_query.ts
@@ -1,5 +1,6 @@
 /**
- * Asks other daemons, when this one starts, for the last report of an earlier process at its address.
+ * Asks other daemons, when this one starts, for the last report of an earlier process at its address. Their answers
+ * also hold their own reports, and with them the newest version of the configuration that they know.
  *
  * @module
  */
