--- a/packages/daemon/src/event_loop_delay.ts
+++ b/packages/daemon/src/event_loop_delay.ts
@@ -1,5 +1,5 @@
 /**
- * How late this process runs, measured by its control loop.
+ * How late the event loop of this process runs.
  *
  * @module
  */
--- a/packages/router/src/configuration_checker_test.ts
+++ b/packages/router/src/configuration_checker_test.ts
@@ -59,7 +59,7 @@
   /** Daemons whose datagrams are lost. */
   readonly cutDaemons = new Set<string>();
   readonly refusedStoreDaemons = new Set<string>();
-  /** Resolves when daemons have been told what earlier processes had reported. */
+  /** Resolves when daemons know what earlier processes had reported. */
   earlierReport: Promise<void> = Promise.resolve();
   /** Daemons from which no configuration can be fetched. */
   readonly cutPeers = new Set<string>();
@@ -242,7 +242,7 @@
       expect(checker.isConfirmed).to.equal(false);
     });
 
-    // Guards against the same 404 if the reading daemon has told of the newer one.
+    // Guards against the same 404 if the reading daemon has reported the newer one.
     it("does not confirm the older one after the reading daemon named the newer one", async () => {
       const reader = fleet.add(READER);
       const { checker } = fleet.add("daemon");
@@ -266,7 +266,7 @@
     });
   });
 
-  describe("right after the start, before others have told what they know", () => {
+  describe("right after the start, before others have reported what they know", () => {
     // Guards against 404 by an older version that a restored store holds, while others have the newest one.
     it("does not confirm what the store holds", async () => {
       fleet.earlierReport = new Promise(() => {});
