--- a/packages/router/src/backend_load_tracker.ts
+++ b/packages/router/src/attempts/backend_load_tracker.ts
@@ -8,7 +8,7 @@
   type PlacementCandidate,
   RouteServiceTimes,
 } from "@bamboolink/placement";
-import type { LoadReport } from "./link_codec.ts";
+import type { LoadReport } from "../links/link_codec.ts";
 
 /** A daemon that could not be reached is avoided for this long, in milliseconds, if others are available. */
 const AVOID_DURATION_MS = 500;
--- a/packages/router/src/forwarder.ts
+++ b/packages/router/src/attempts/forwarder.ts
@@ -5,11 +5,11 @@
  */
 import type { BamboolinkError } from "@bamboolink/errors";
 import type { Logger } from "@bamboolink/logger";
-import { AcknowledgementTimes } from "./acknowledgement_times.ts";
+import { AcknowledgementTimes } from "../links/acknowledgement_times.ts";
 import type { Cancellation } from "./cancellation.ts";
-import { monotonicMs } from "./clock.ts";
-import { LinkClient, type LinkRequest } from "./link_client.ts";
-import type { LoadReport } from "./link_codec.ts";
+import { monotonicMs } from "../clock.ts";
+import { LinkClient, type LinkRequest } from "../links/link_client.ts";
+import type { LoadReport } from "../links/link_codec.ts";
 import {
   notRun,
   type Outcome,
--- a/packages/router/src/request_runner.ts
+++ b/packages/router/src/attempts/request_runner.ts
@@ -16,11 +16,11 @@
 import { AttemptHistory, type FinalOutcome } from "./attempt_history.ts";
 import type { BackendLoadTracker } from "./backend_load_tracker.ts";
 import type { Cancellation } from "./cancellation.ts";
-import { monotonicMs } from "./clock.ts";
+import { monotonicMs } from "../clock.ts";
 import type { Forwarder } from "./forwarder.ts";
-import type { LocalBackend } from "./local_backend.ts";
-import type { OwnershipDirectory } from "./ownership_directory.ts";
-import type { RequestQuarantine } from "./request_quarantine.ts";
+import type { LocalBackend } from "../backend/local_backend.ts";
+import type { OwnershipDirectory } from "../keys/ownership_directory.ts";
+import type { RequestQuarantine } from "../backend/request_quarantine.ts";
 import {
   notRun,
   type Outcome,
--- a/packages/router/src/routed_request.ts
+++ b/packages/router/src/attempts/routed_request.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Cancellation } from "./cancellation.ts";
-import type { ResponseHeaders } from "./exchange.ts";
+import type { ResponseHeaders } from "../backend/exchange.ts";
 
 /**
  * A request to be sent to a backend server. Times are in milliseconds on the monotonic clock of the daemon that
--- a/packages/router/src/backend_manager.ts
+++ b/packages/router/src/backend/backend_manager.ts
@@ -16,12 +16,12 @@
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { MemberPhase, StatedStatus } from "@bamboolink/membership";
-import { bootMs, monotonicMs } from "./clock.ts";
+import { bootMs, monotonicMs } from "../clock.ts";
 import type { BackendSuspicion, LocalBackend } from "./local_backend.ts";
 import type {
   BackendDeparture,
   BackendHeartbeat,
-} from "./ports/backend_protocol.ts";
+} from "../ports/backend_protocol.ts";
 
 /** An incarnation without heartbeats for this long, in milliseconds, no longer takes precedence over another one. */
 const INCARNATION_TIMEOUT_MS = 2_500;
--- a/packages/router/src/backend_manager_test.ts
+++ b/packages/router/src/backend/backend_manager_test.ts
@@ -16,12 +16,12 @@
   type HeartbeatResponse,
   type LocalEvacuation,
 } from "./backend_manager.ts";
-import { bootMs } from "./clock.ts";
+import { bootMs } from "../clock.ts";
 import { LocalBackend } from "./local_backend.ts";
 import type {
   BackendHeartbeat,
   BackendProtocol,
-} from "./ports/backend_protocol.ts";
+} from "../ports/backend_protocol.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
 
 const ADDRESS = "127.0.0.1:9";
--- a/packages/router/src/backend_status_monitor.ts
+++ b/packages/router/src/backend/backend_status_monitor.ts
@@ -7,7 +7,7 @@
 import { type Incarnation, isSameIncarnation } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { StatedStatus } from "@bamboolink/membership";
-import type { BackendStatus } from "./ports/backend_protocol.ts";
+import type { BackendStatus } from "../ports/backend_protocol.ts";
 
 /** The request whose response states a status. */
 export interface StatusSource {
--- a/packages/router/src/backend_status_monitor_test.ts
+++ b/packages/router/src/backend/backend_status_monitor_test.ts
@@ -10,7 +10,7 @@
 import type {
   BackendStatus,
   RateLimitHeader,
-} from "./ports/backend_protocol.ts";
+} from "../ports/backend_protocol.ts";
 
 const FIRST = { instance: "i-1", born: 1_000 };
 const RESTARTED = { instance: "i-1", born: 2_000 };
--- a/packages/router/src/exchange.ts
+++ b/packages/router/src/backend/exchange.ts
@@ -5,7 +5,7 @@
  */
 import { BamboolinkError } from "@bamboolink/errors";
 import { buildConnector, Client, type Dispatcher } from "undici";
-import type { Cancellation } from "./cancellation.ts";
+import type { Cancellation } from "../attempts/cancellation.ts";
 
 /** How long connecting may take, in milliseconds. All peers are a few milliseconds away. */
 const CONNECT_TIMEOUT_MS = 400;
--- a/packages/router/src/exchange_test.ts
+++ b/packages/router/src/backend/exchange_test.ts
@@ -5,7 +5,7 @@
  */
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { expect } from "chai";
-import { Cancellation } from "./cancellation.ts";
+import { Cancellation } from "../attempts/cancellation.ts";
 import { Connection, type ExchangeResult } from "./exchange.ts";
 
 const STATUS_LINE = "HTTP/1.1 200 OK\r\n";
--- a/packages/router/src/heartbeat_server.ts
+++ b/packages/router/src/backend/heartbeat_server.ts
@@ -11,11 +11,11 @@
 } from "node:http";
 import type { Logger } from "@bamboolink/logger";
 import type { BackendManager, HeartbeatResponse } from "./backend_manager.ts";
-import { readBody } from "./http_body.ts";
+import { readBody } from "../ingress/http_body.ts";
 import type {
   BackendNotification,
   BackendProtocol,
-} from "./ports/backend_protocol.ts";
+} from "../ports/backend_protocol.ts";
 
 const MAX_BODY_BYTES = 4_194_304;
 /** Keep-alive timeout in milliseconds; longer than the interval between two heartbeats. */
--- a/packages/router/src/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -17,14 +17,14 @@
   BackendStatusMonitor,
   type StatedLeavingListener,
 } from "./backend_status_monitor.ts";
-import type { Cancellation } from "./cancellation.ts";
-import { bootMs, monotonicMs } from "./clock.ts";
+import type { Cancellation } from "../attempts/cancellation.ts";
+import { bootMs, monotonicMs } from "../clock.ts";
 import { ConnectionPool } from "./connection_pool.ts";
 import type { Connection, ExchangeResult } from "./exchange.ts";
-import { selectResponseHeaders } from "./http_headers.ts";
-import type { LoadReport } from "./link_codec.ts";
+import { selectResponseHeaders } from "../ingress/http_headers.ts";
+import type { LoadReport } from "../links/link_codec.ts";
 import { LoadMeter } from "./load_meter.ts";
-import type { BackendProtocol } from "./ports/backend_protocol.ts";
+import type { BackendProtocol } from "../ports/backend_protocol.ts";
 import { Probation } from "./probation.ts";
 import { type ServerLimits, SlotAdmission } from "./slot_admission.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
@@ -35,7 +35,7 @@
   type RefusalReason,
   type RoutedRequest,
   unknown,
-} from "./routed_request.ts";
+} from "../attempts/routed_request.ts";
 
 /**
  * Maximum idle time of a connection that is reused for idempotent requests, in milliseconds. These are retried
--- a/packages/router/src/probation.ts
+++ b/packages/router/src/backend/probation.ts
@@ -4,9 +4,13 @@
  * @module
  */
 import { ProbationQueue } from "@bamboolink/quarantine";
-import type { Cancellation } from "./cancellation.ts";
-import { monotonicMs } from "./clock.ts";
-import { notRun, type Outcome, type RoutedRequest } from "./routed_request.ts";
+import type { Cancellation } from "../attempts/cancellation.ts";
+import { monotonicMs } from "../clock.ts";
+import {
+  notRun,
+  type Outcome,
+  type RoutedRequest,
+} from "../attempts/routed_request.ts";
 
 /** How a suspect request is run. */
 export interface ProbationOptions {
--- a/packages/router/src/probe_backend.ts
+++ b/packages/router/src/backend/probe_backend.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import type { ProbeResult } from "@bamboolink/keyspace";
-import { Cancellation } from "./cancellation.ts";
-import { monotonicMs } from "./clock.ts";
+import { Cancellation } from "../attempts/cancellation.ts";
+import { monotonicMs } from "../clock.ts";
 import { Connection } from "./exchange.ts";
-import type { BackendProtocol } from "./ports/backend_protocol.ts";
+import type { BackendProtocol } from "../ports/backend_protocol.ts";
 
 /** How long the backend server may take to respond to the health check, in milliseconds. */
 const PROBE_TIMEOUT_MS = 400;
--- a/packages/router/src/request_quarantine.ts
+++ b/packages/router/src/backend/request_quarantine.ts
@@ -15,8 +15,8 @@
   type RequestClassification,
 } from "@bamboolink/quarantine";
 import type { BackendProcessEnd } from "./backend_manager.ts";
-import type { Datagram } from "./datagram_codec.ts";
-import type { RoutedRequest } from "./routed_request.ts";
+import type { Datagram } from "../members/datagram_codec.ts";
+import type { RoutedRequest } from "../attempts/routed_request.ts";
 
 /** Interval of repeated reports of quarantined requests, in milliseconds, for daemons that have just started. */
 const REPEAT_INTERVAL_MS = 1_000;
--- a/packages/router/src/request_quarantine_failing_servers_test.ts
+++ b/packages/router/src/backend/request_quarantine_failing_servers_test.ts
@@ -10,9 +10,9 @@
   type QuarantineUpdate,
   RequestQuarantine,
 } from "./request_quarantine.ts";
-import { DAEMON_COUNT, LossyFleet, SEEDS } from "./testing/lossy_fleet.ts";
-import { SAMPLE_REQUEST } from "./testing/sample_request.ts";
-import type { RoutedRequest } from "./routed_request.ts";
+import { DAEMON_COUNT, LossyFleet, SEEDS } from "../testing/lossy_fleet.ts";
+import { SAMPLE_REQUEST } from "../testing/sample_request.ts";
+import type { RoutedRequest } from "../attempts/routed_request.ts";
 
 /** HTTP statuses. */
 const OK = 200;
--- a/packages/router/src/request_quarantine_propagation_test.ts
+++ b/packages/router/src/backend/request_quarantine_propagation_test.ts
@@ -17,8 +17,8 @@
   losesFirstBroadcast,
   LossyFleet,
   SEEDS,
-} from "./testing/lossy_fleet.ts";
-import { SAMPLE_REQUEST } from "./testing/sample_request.ts";
+} from "../testing/lossy_fleet.ts";
+import { SAMPLE_REQUEST } from "../testing/sample_request.ts";
 
 /** All daemons know the state of a request within this time, in milliseconds: a fourth server must not crash. */
 const PROPAGATION_MS = 3_000;
--- a/packages/router/src/request_quarantine_test.ts
+++ b/packages/router/src/backend/request_quarantine_test.ts
@@ -5,13 +5,13 @@
  */
 import { expect } from "chai";
 import { Logger } from "@bamboolink/logger";
-import { encodeDatagram } from "./datagram_codec.ts";
+import { encodeDatagram } from "../members/datagram_codec.ts";
 import {
   type QuarantineUpdate,
   RequestQuarantine,
 } from "./request_quarantine.ts";
-import { SAMPLE_REQUEST } from "./testing/sample_request.ts";
-import type { RoutedRequest } from "./routed_request.ts";
+import { SAMPLE_REQUEST } from "../testing/sample_request.ts";
+import type { RoutedRequest } from "../attempts/routed_request.ts";
 
 const DAEMONS = ["10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"];
 /** More requests than one datagram reports. */
--- a/packages/router/src/slot_admission.ts
+++ b/packages/router/src/backend/slot_admission.ts
@@ -9,9 +9,13 @@
   StartRateLimiter,
   WorkQueue,
 } from "@bamboolink/admission";
-import type { Cancellation } from "./cancellation.ts";
-import { monotonicMs } from "./clock.ts";
-import { notRun, type Outcome, type RoutedRequest } from "./routed_request.ts";
+import type { Cancellation } from "../attempts/cancellation.ts";
+import { monotonicMs } from "../clock.ts";
+import {
+  notRun,
+  type Outcome,
+  type RoutedRequest,
+} from "../attempts/routed_request.ts";
 
 /**
  * For how long a computed queue wait is reported unchanged, in milliseconds. Every response carries it, and computing
--- a/packages/router/src/configuration_checker.ts
+++ b/packages/router/src/configuration/configuration_checker.ts
@@ -15,7 +15,7 @@
   MAX_EVIDENCE_AGE_MS,
 } from "@bamboolink/traffic";
 import type { ConfigurationManager } from "./configuration_manager.ts";
-import type { Datagram } from "./datagram_codec.ts";
+import type { Datagram } from "../members/datagram_codec.ts";
 
 /** Maximum time for which a request waits for a check, in milliseconds. */
 const MAX_WAIT_MS = 600;
--- a/packages/router/src/configuration_checker_test.ts
+++ b/packages/router/src/configuration/configuration_checker_test.ts
@@ -13,9 +13,9 @@
 import { errAsync, ok, okAsync, ResultAsync } from "neverthrow";
 import { ConfigurationChecker } from "./configuration_checker.ts";
 import { ConfigurationManager } from "./configuration_manager.ts";
-import type { Datagram } from "./datagram_codec.ts";
-import type { PeerClient } from "./peer_client.ts";
-import type { ConfigurationDocument } from "./ports/configuration_document.ts";
+import type { Datagram } from "../members/datagram_codec.ts";
+import type { PeerClient } from "../members/peer_client.ts";
+import type { ConfigurationDocument } from "../ports/configuration_document.ts";
 
 const READER = "reader";
 const CALLER_WAIT_MS = 60_000;
--- a/packages/router/src/configuration_manager.ts
+++ b/packages/router/src/configuration/configuration_manager.ts
@@ -12,9 +12,9 @@
   UnreadableRows,
 } from "@bamboolink/traffic";
 import type { TrafficConfiguration, TrafficService } from "@bamboolink/types";
-import { monotonicMs } from "./clock.ts";
-import type { PeerClient } from "./peer_client.ts";
-import type { ConfigurationDocument } from "./ports/configuration_document.ts";
+import { monotonicMs } from "../clock.ts";
+import type { PeerClient } from "../members/peer_client.ts";
+import type { ConfigurationDocument } from "../ports/configuration_document.ts";
 
 /** The configuration in force, with lookups derived from it. */
 export interface ConfigurationInForce {
--- a/packages/router/src/evacuation_manager.ts
+++ b/packages/router/src/configuration/evacuation_manager.ts
@@ -10,7 +10,7 @@
   type EvacuationState,
   ZoneEvacuations,
 } from "@bamboolink/traffic";
-import type { Datagram } from "./datagram_codec.ts";
+import type { Datagram } from "../members/datagram_codec.ts";
 
 /** Interval between requests to other daemons while the evacuated zones are unknown, in milliseconds. */
 const UPDATE_REQUEST_INTERVAL_MS = 200;
--- a/packages/router/src/evacuation_propagation_test.ts
+++ b/packages/router/src/configuration/evacuation_propagation_test.ts
@@ -14,7 +14,7 @@
   losesFirstBroadcast,
   LossyFleet,
   SEEDS,
-} from "./testing/lossy_fleet.ts";
+} from "../testing/lossy_fleet.ts";
 
 /** Requests may be sent to an evacuated zone for this long, in milliseconds. */
 const EVACUATE_MS = 2_000;
--- a/packages/router/src/decoders_test.ts
+++ b/packages/router/src/decoders_test.ts
@@ -13,14 +13,14 @@
   encodeGossip,
   type MemberReport,
 } from "@bamboolink/membership";
-import { decodeDatagram, encodeDatagram } from "./datagram_codec.ts";
+import { decodeDatagram, encodeDatagram } from "./members/datagram_codec.ts";
 import {
   decodeOutcome,
   decodeRequest,
   encodeFrame,
   FRAME_KINDS,
   FrameReader,
-} from "./link_codec.ts";
+} from "./links/link_codec.ts";
 
 const SEED = 20_261_203;
 const RUNS = 2_000;
--- a/packages/router/src/http_headers.ts
+++ b/packages/router/src/ingress/http_headers.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { ResponseHeaders } from "./exchange.ts";
+import type { ResponseHeaders } from "../backend/exchange.ts";
 
 /** Hop-by-hop headers (RFC 9110, section 7.6.1), and those that frame the body. */
 const HOP_BY_HOP_HEADERS = new Set([
--- a/packages/router/src/ingress.ts
+++ b/packages/router/src/ingress/ingress.ts
@@ -27,17 +27,17 @@
   TrafficSplit,
 } from "@bamboolink/traffic";
 import type { CallerLimits, TrafficRoute } from "@bamboolink/types";
-import type { FinalOutcome } from "./attempt_history.ts";
-import { Cancellation } from "./cancellation.ts";
-import { monotonicMs } from "./clock.ts";
+import type { FinalOutcome } from "../attempts/attempt_history.ts";
+import { Cancellation } from "../attempts/cancellation.ts";
+import { monotonicMs } from "../clock.ts";
 import {
   type ConfigurationChecker,
   toLoggedAge,
-} from "./configuration_checker.ts";
+} from "../configuration/configuration_checker.ts";
 import type {
   ConfigurationInForce,
   ConfigurationManager,
-} from "./configuration_manager.ts";
+} from "../configuration/configuration_manager.ts";
 import { declaredLength, hasDisconnected, readBody } from "./http_body.ts";
 import {
   measureHeaderBytes,
@@ -49,15 +49,15 @@
   CallerRequest,
   RouterOutcome,
   RouterRejection,
-} from "./ports/caller_protocol.ts";
-import type { LoopLag } from "./loop_lag.ts";
-import type { RequestRunner } from "./request_runner.ts";
+} from "../ports/caller_protocol.ts";
+import type { LoopLag } from "../loop_lag.ts";
+import type { RequestRunner } from "../attempts/request_runner.ts";
 import {
   notRun,
   type Outcome,
   type RefusalReason,
   type RoutedRequest,
-} from "./routed_request.ts";
+} from "../attempts/routed_request.ts";
 
 /** Time reserved for delivering the response, in milliseconds: the deadline applies at the caller. */
 const RESPONSE_DELIVERY_MS = 8;
--- a/packages/router/src/ingress_header_size_test.ts
+++ b/packages/router/src/ingress/ingress_header_size_test.ts
@@ -8,17 +8,17 @@
 import { Logger } from "@bamboolink/logger";
 import { Metrics } from "@bamboolink/metrics";
 import { expect } from "chai";
-import type { ConfigurationChecker } from "./configuration_checker.ts";
-import type { ConfigurationManager } from "./configuration_manager.ts";
+import type { ConfigurationChecker } from "../configuration/configuration_checker.ts";
+import type { ConfigurationManager } from "../configuration/configuration_manager.ts";
 import { Ingress } from "./ingress.ts";
-import { LoopLag } from "./loop_lag.ts";
+import { LoopLag } from "../loop_lag.ts";
 import {
   CallerProtocol,
   type CallerRequest,
   type RouterOutcome,
   type RouterResponse,
-} from "./ports/caller_protocol.ts";
-import type { RequestRunner } from "./request_runner.ts";
+} from "../ports/caller_protocol.ts";
+import type { RequestRunner } from "../attempts/request_runner.ts";
 
 /** Larger than the limit of 64 KiB that the server once had. */
 const LONG_HEAD_BYTES = 100_000;
--- a/packages/router/src/ingress_test.ts
+++ b/packages/router/src/ingress/ingress_test.ts
@@ -15,13 +15,13 @@
 import { Metrics } from "@bamboolink/metrics";
 import { PrefixRouter } from "@bamboolink/traffic";
 import type { CallerLimits, TrafficRoute } from "@bamboolink/types";
-import type { ConfigurationChecker } from "./configuration_checker.ts";
-import type { ConfigurationManager } from "./configuration_manager.ts";
+import type { ConfigurationChecker } from "../configuration/configuration_checker.ts";
+import type { ConfigurationManager } from "../configuration/configuration_manager.ts";
 import { Ingress } from "./ingress.ts";
-import { LoopLag } from "./loop_lag.ts";
-import type { CallerProtocol } from "./ports/caller_protocol.ts";
-import type { RequestRunner } from "./request_runner.ts";
-import type { RoutedRequest } from "./routed_request.ts";
+import { LoopLag } from "../loop_lag.ts";
+import type { CallerProtocol } from "../ports/caller_protocol.ts";
+import type { RequestRunner } from "../attempts/request_runner.ts";
+import type { RoutedRequest } from "../attempts/routed_request.ts";
 
 /** A program that sends a request and leaves. */
 const LEAVING_CALLER = `
--- a/packages/router/src/readiness_server.ts
+++ b/packages/router/src/ingress/readiness_server.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createServer, type Server } from "node:http";
-import type { CallerProtocol } from "./ports/caller_protocol.ts";
+import type { CallerProtocol } from "../ports/caller_protocol.ts";
 
 /** Creates the server for readiness checks, which responds with 200, or 503 if not ready; it is not listening yet. */
 export function createReadinessServer(context: {
--- a/packages/router/src/assignment_manager.ts
+++ b/packages/router/src/keys/assignment_manager.ts
@@ -16,9 +16,9 @@
   TakeoverTimers,
 } from "@bamboolink/keyspace";
 import type { MemberView } from "@bamboolink/membership";
-import type { BackendManager } from "./backend_manager.ts";
-import { bootMs, monotonicMs } from "./clock.ts";
-import type { LocalBackend } from "./local_backend.ts";
+import type { BackendManager } from "../backend/backend_manager.ts";
+import { bootMs, monotonicMs } from "../clock.ts";
+import type { LocalBackend } from "../backend/local_backend.ts";
 import type { OwnershipDirectory } from "./ownership_directory.ts";
 import type { RecordInspector } from "./record_inspector.ts";
 import type { RecordWriter } from "./record_writer.ts";
--- a/packages/router/src/key_rebalancer.ts
+++ b/packages/router/src/keys/key_rebalancer.ts
@@ -11,10 +11,10 @@
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { MemberReport, MemberView } from "@bamboolink/membership";
-import type { BackendManager } from "./backend_manager.ts";
-import { monotonicMs } from "./clock.ts";
+import type { BackendManager } from "../backend/backend_manager.ts";
+import { monotonicMs } from "../clock.ts";
 import type { HandoverCoordinator } from "./handover_coordinator.ts";
-import type { LocalBackend } from "./local_backend.ts";
+import type { LocalBackend } from "../backend/local_backend.ts";
 import type { OwnershipDirectory } from "./ownership_directory.ts";
 import type { OwnershipLeaseManager } from "./ownership_lease_manager.ts";
 
--- a/packages/router/src/ownership_lease_manager.ts
+++ b/packages/router/src/keys/ownership_lease_manager.ts
@@ -14,7 +14,7 @@
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { Store } from "@bamboolink/store";
-import { bootMs } from "./clock.ts";
+import { bootMs } from "../clock.ts";
 import type { RecordInspector } from "./record_inspector.ts";
 import type { SharedReadRequest, SharedReadResponse } from "./shared_reader.ts";
 import {
--- a/packages/router/src/ownership_lease_manager_test.ts
+++ b/packages/router/src/keys/ownership_lease_manager_test.ts
@@ -13,7 +13,7 @@
 import { Logger } from "@bamboolink/logger";
 import type { Store } from "@bamboolink/store";
 import { okAsync } from "neverthrow";
-import { bootMs } from "./clock.ts";
+import { bootMs } from "../clock.ts";
 import { OwnershipDirectory } from "./ownership_directory.ts";
 import { RecordInspector } from "./record_inspector.ts";
 import { OwnershipLeaseManager } from "./ownership_lease_manager.ts";
--- a/packages/router/src/ownership_manager.ts
+++ b/packages/router/src/keys/ownership_manager.ts
@@ -19,11 +19,11 @@
 import type { Logger } from "@bamboolink/logger";
 import type { MemberView } from "@bamboolink/membership";
 import type { Store } from "@bamboolink/store";
-import type { BackendManager } from "./backend_manager.ts";
-import { bootMs, monotonicMs } from "./clock.ts";
+import type { BackendManager } from "../backend/backend_manager.ts";
+import { bootMs, monotonicMs } from "../clock.ts";
 import type { HandoverCoordinator } from "./handover_coordinator.ts";
 import { KeyRebalancer } from "./key_rebalancer.ts";
-import type { LocalBackend } from "./local_backend.ts";
+import type { LocalBackend } from "../backend/local_backend.ts";
 import type { OwnershipDirectory } from "./ownership_directory.ts";
 import { AssignmentManager, findCandidates } from "./assignment_manager.ts";
 import type { RecordInspector } from "./record_inspector.ts";
--- a/packages/router/src/record_inspector.ts
+++ b/packages/router/src/keys/record_inspector.ts
@@ -10,7 +10,7 @@
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { StoredRecord } from "@bamboolink/store";
-import { bootMs } from "./clock.ts";
+import { bootMs } from "../clock.ts";
 import type { OwnershipDirectory } from "./ownership_directory.ts";
 
 /** Dependencies of the record inspector. */
--- a/packages/router/src/record_writer.ts
+++ b/packages/router/src/keys/record_writer.ts
@@ -9,7 +9,7 @@
 import type { Logger } from "@bamboolink/logger";
 import { type Store, writeAndVerify } from "@bamboolink/store";
 import { err, ok } from "neverthrow";
-import { monotonicMs } from "./clock.ts";
+import { monotonicMs } from "../clock.ts";
 import {
   OWNERSHIP_PREFIX,
   type OwnershipDirectory,
--- a/packages/router/src/shared_reader.ts
+++ b/packages/router/src/keys/shared_reader.ts
@@ -11,7 +11,7 @@
 import { batchDelayMs } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { Store } from "@bamboolink/store";
-import { monotonicMs } from "./clock.ts";
+import { monotonicMs } from "../clock.ts";
 import { OWNERSHIP_PREFIX } from "./ownership_directory.ts";
 import type { RecordInspector } from "./record_inspector.ts";
 
--- a/packages/router/src/link_client.ts
+++ b/packages/router/src/links/link_client.ts
@@ -14,7 +14,7 @@
   FRAME_KINDS,
   type LoadReport,
 } from "./link_codec.ts";
-import type { Outcome, RoutedRequest } from "./routed_request.ts";
+import type { Outcome, RoutedRequest } from "../attempts/routed_request.ts";
 
 /** How long connecting may take, in milliseconds. All peers are a few milliseconds away. */
 const CONNECT_TIMEOUT_MS = 400;
--- a/packages/router/src/link_codec.ts
+++ b/packages/router/src/links/link_codec.ts
@@ -9,13 +9,13 @@
  */
 import { BamboolinkError } from "@bamboolink/errors";
 import { z } from "zod";
-import type { ResponseHeaders } from "./exchange.ts";
+import type { ResponseHeaders } from "../backend/exchange.ts";
 import type {
   Outcome,
   RefusalReason,
   RoutedRequest,
   UnknownReason,
-} from "./routed_request.ts";
+} from "../attempts/routed_request.ts";
 
 /** Values of the kind field of a frame. */
 export const FRAME_KINDS = {
--- a/packages/router/src/link_server.ts
+++ b/packages/router/src/links/link_server.ts
@@ -7,7 +7,7 @@
 import type { TransmissionDelay } from "@bamboolink/admission";
 import type { Logger } from "@bamboolink/logger";
 import type { ResponseSender } from "./response_sender.ts";
-import { Cancellation } from "./cancellation.ts";
+import { Cancellation } from "../attempts/cancellation.ts";
 import { FrameSocket } from "./frame_socket.ts";
 import {
   decodeRequest,
@@ -15,9 +15,13 @@
   type Frame,
   FRAME_KINDS,
 } from "./link_codec.ts";
-import type { LocalBackend } from "./local_backend.ts";
-import type { LoopLag } from "./loop_lag.ts";
-import { notRun, type Outcome, type RoutedRequest } from "./routed_request.ts";
+import type { LocalBackend } from "../backend/local_backend.ts";
+import type { LoopLag } from "../loop_lag.ts";
+import {
+  notRun,
+  type Outcome,
+  type RoutedRequest,
+} from "../attempts/routed_request.ts";
 
 /**
  * Delay after which an unfinished request is acknowledged, in milliseconds. Many requests are answered sooner, and
--- a/packages/router/src/link_server_test.ts
+++ b/packages/router/src/links/link_server_test.ts
@@ -15,9 +15,9 @@
   LINK_FORMAT,
 } from "./link_codec.ts";
 import { LinkServer } from "./link_server.ts";
-import { LoopLag } from "./loop_lag.ts";
-import { SAMPLE_REQUEST } from "./testing/sample_request.ts";
-import type { Outcome } from "./routed_request.ts";
+import { LoopLag } from "../loop_lag.ts";
+import { SAMPLE_REQUEST } from "../testing/sample_request.ts";
+import type { Outcome } from "../attempts/routed_request.ts";
 
 const LOAD = { waitMs: 0, utilization: 0, serviceMs: 1, failureShare: 0 };
 /** More than the buffers at both ends of a loopback connection hold, in bytes. */
--- a/packages/router/src/link_test.ts
+++ b/packages/router/src/links/link_test.ts
@@ -9,8 +9,8 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { Logger } from "@bamboolink/logger";
-import { Cancellation } from "./cancellation.ts";
-import { Forwarder } from "./forwarder.ts";
+import { Cancellation } from "../attempts/cancellation.ts";
+import { Forwarder } from "../attempts/forwarder.ts";
 import {
   decodeOutcome,
   decodeRequest,
@@ -25,13 +25,13 @@
   RequestHead,
 } from "./link_codec.ts";
 import { LinkClient } from "./link_client.ts";
-import { SAMPLE_REQUEST } from "./testing/sample_request.ts";
+import { SAMPLE_REQUEST } from "../testing/sample_request.ts";
 import {
   notRun,
   type Outcome,
   type RoutedRequest,
   unknown,
-} from "./routed_request.ts";
+} from "../attempts/routed_request.ts";
 
 const LOAD = {
   waitMs: 12,
--- a/packages/router/src/response_sender.ts
+++ b/packages/router/src/links/response_sender.ts
@@ -15,7 +15,7 @@
   FRAME_KINDS,
   type LoadReport,
 } from "./link_codec.ts";
-import type { Outcome } from "./routed_request.ts";
+import type { Outcome } from "../attempts/routed_request.ts";
 
 /** Responses up to this size are sent at once, in bytes: about 12 ms of a network link of 10 Mbit/s. */
 const MAX_SMALL_BYTES = 16_384;
--- a/packages/router/src/response_sender_test.ts
+++ b/packages/router/src/links/response_sender_test.ts
@@ -9,8 +9,8 @@
 import { FrameSocket } from "./frame_socket.ts";
 import { LinkClient } from "./link_client.ts";
 import { encodeFrame, type Frame, FRAME_KINDS } from "./link_codec.ts";
-import { SAMPLE_REQUEST } from "./testing/sample_request.ts";
-import { notRun, type Outcome } from "./routed_request.ts";
+import { SAMPLE_REQUEST } from "../testing/sample_request.ts";
+import { notRun, type Outcome } from "../attempts/routed_request.ts";
 
 const LOAD = { waitMs: 0, utilization: 0, serviceMs: 1, failureShare: 0 };
 /** Bandwidth of the network link, so low that a large response takes several turns of the event loop. */
--- a/packages/router/src/loop_lag_test.ts
+++ b/packages/router/src/loop_lag_test.ts
@@ -6,7 +6,7 @@
 import { createServer, type IncomingMessage } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { expect } from "chai";
-import { hasDisconnected } from "./http_body.ts";
+import { hasDisconnected } from "./ingress/http_body.ts";
 import { LoopLag } from "./loop_lag.ts";
 
 /** Creates a lag meter with a timer period of 50 ms, on a manual clock. */
--- a/packages/router/src/gossip_node.ts
+++ b/packages/router/src/members/gossip_node.ts
@@ -16,7 +16,7 @@
   type MemberView,
   sampleWithoutReplacement,
 } from "@bamboolink/membership";
-import { monotonicMs } from "./clock.ts";
+import { monotonicMs } from "../clock.ts";
 import {
   type Datagram,
   decodeDatagram,
--- a/packages/router/src/gossip_node_test.ts
+++ b/packages/router/src/members/gossip_node_test.ts
@@ -13,7 +13,7 @@
   type MemberReport,
   MemberView,
 } from "@bamboolink/membership";
-import { monotonicMs } from "./clock.ts";
+import { monotonicMs } from "../clock.ts";
 import { isGossip } from "./datagram_codec.ts";
 import { GossipNode, isAddress } from "./gossip_node.ts";
 
--- a/packages/router/src/peer_client.ts
+++ b/packages/router/src/members/peer_client.ts
@@ -8,9 +8,9 @@
 import type { CasRequest, StoredRecord } from "@bamboolink/store";
 import { err, errAsync, ok, okAsync, Result, ResultAsync } from "neverthrow";
 import { z } from "zod";
-import { Cancellation } from "./cancellation.ts";
-import { monotonicMs } from "./clock.ts";
-import { Connection } from "./exchange.ts";
+import { Cancellation } from "../attempts/cancellation.ts";
+import { monotonicMs } from "../clock.ts";
+import { Connection } from "../backend/exchange.ts";
 
 /** Path that returns the configuration document. */
 export const CONFIGURATION_PATH = "/bamboolink/configuration";
--- a/packages/router/src/peer_server.ts
+++ b/packages/router/src/members/peer_server.ts
@@ -11,9 +11,9 @@
 } from "node:http";
 import type { Logger } from "@bamboolink/logger";
 import type { Store } from "@bamboolink/store";
-import type { ConfigurationManager } from "./configuration_manager.ts";
-import { readBody } from "./http_body.ts";
-import type { OwnershipDirectory } from "./ownership_directory.ts";
+import type { ConfigurationManager } from "../configuration/configuration_manager.ts";
+import { readBody } from "../ingress/http_body.ts";
+import type { OwnershipDirectory } from "../keys/ownership_directory.ts";
 import {
   CONFIGURATION_PATH,
   OWNERSHIP_PATH,
--- a/packages/router/src/relayed_store.ts
+++ b/packages/router/src/members/relayed_store.ts
@@ -15,7 +15,7 @@
   type WatchOptions,
 } from "@bamboolink/store";
 import { errAsync, type ResultAsync } from "neverthrow";
-import { bootMs } from "./clock.ts";
+import { bootMs } from "../clock.ts";
 import type { PeerClient } from "./peer_client.ts";
 
 /** After a failure, the store is considered unreachable until a call succeeds, for at most this long, in ms. */
--- a/packages/router/src/metrics_server.ts
+++ b/packages/router/src/metrics_server.ts
@@ -6,7 +6,7 @@
 import { createServer } from "node:http";
 import type { Logger } from "@bamboolink/logger";
 import type { Metrics } from "@bamboolink/metrics";
-import { splitAddress } from "./gossip_node.ts";
+import { splitAddress } from "./members/gossip_node.ts";
 
 /** Starts the metrics server if an address is set. The server does not keep the process running. */
 export function startMetricsServer(context: {
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -22,6 +22,9 @@
   type RateLimitHeader,
   type ResponseVerdict,
 } from "./ports/backend_protocol.ts";
-export { probeConnection, type ProbeSettings } from "./connection_probes.ts";
+export {
+  probeConnection,
+  type ProbeSettings,
+} from "./backend/connection_probes.ts";
 export { ConfigurationDocument } from "./ports/configuration_document.ts";
 export type { Incarnation } from "@bamboolink/keyspace";
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -25,29 +25,33 @@
 import { Metrics } from "@bamboolink/metrics";
 import type { Store } from "@bamboolink/store";
 import { ConfigurationEvidence } from "@bamboolink/traffic";
-import { ResponseSender } from "./response_sender.ts";
-import { BackendLoadTracker } from "./backend_load_tracker.ts";
-import { BackendManager } from "./backend_manager.ts";
+import { ResponseSender } from "./links/response_sender.ts";
+import { BackendLoadTracker } from "./attempts/backend_load_tracker.ts";
+import { BackendManager } from "./backend/backend_manager.ts";
 import { bootMs, monotonicMs } from "./clock.ts";
-import { ConfigurationChecker } from "./configuration_checker.ts";
-import { ConfigurationManager } from "./configuration_manager.ts";
-import type { Datagram } from "./datagram_codec.ts";
-import { EarlierReportQuery } from "./earlier_report_query.ts";
-import { EvacuationManager } from "./evacuation_manager.ts";
-import { Forwarder } from "./forwarder.ts";
-import { GOSSIP_INTERVAL_MS, GossipNode, splitAddress } from "./gossip_node.ts";
-import { createHeartbeatServer } from "./heartbeat_server.ts";
-import { HandoverCoordinator } from "./handover_coordinator.ts";
-import { Ingress } from "./ingress.ts";
-import { LinkServer } from "./link_server.ts";
-import { LocalBackend } from "./local_backend.ts";
+import { ConfigurationChecker } from "./configuration/configuration_checker.ts";
+import { ConfigurationManager } from "./configuration/configuration_manager.ts";
+import type { Datagram } from "./members/datagram_codec.ts";
+import { EarlierReportQuery } from "./members/earlier_report_query.ts";
+import { EvacuationManager } from "./configuration/evacuation_manager.ts";
+import { Forwarder } from "./attempts/forwarder.ts";
+import {
+  GOSSIP_INTERVAL_MS,
+  GossipNode,
+  splitAddress,
+} from "./members/gossip_node.ts";
+import { createHeartbeatServer } from "./backend/heartbeat_server.ts";
+import { HandoverCoordinator } from "./keys/handover_coordinator.ts";
+import { Ingress } from "./ingress/ingress.ts";
+import { LinkServer } from "./links/link_server.ts";
+import { LocalBackend } from "./backend/local_backend.ts";
 import { LoopLag } from "./loop_lag.ts";
 import { startMetricsServer } from "./metrics_server.ts";
-import { MemberDirectory } from "./member_directory.ts";
-import { OwnershipDirectory } from "./ownership_directory.ts";
-import { OwnershipManager } from "./ownership_manager.ts";
-import { PeerClient } from "./peer_client.ts";
-import { PeerServer } from "./peer_server.ts";
+import { MemberDirectory } from "./members/member_directory.ts";
+import { OwnershipDirectory } from "./keys/ownership_directory.ts";
+import { OwnershipManager } from "./keys/ownership_manager.ts";
+import { PeerClient } from "./members/peer_client.ts";
+import { PeerServer } from "./members/peer_server.ts";
 import type { BackendProtocol } from "./ports/backend_protocol.ts";
 import type { CallerProtocol } from "./ports/caller_protocol.ts";
 import type { ConfigurationDocument } from "./ports/configuration_document.ts";
@@ -55,18 +59,18 @@
   RouterSettings,
   SettingsSource,
 } from "./ports/router_settings.ts";
-import { probeBackend } from "./probe_backend.ts";
-import { createReadinessServer } from "./readiness_server.ts";
-import { RelayedStore } from "./relayed_store.ts";
-import { RecordInspector } from "./record_inspector.ts";
-import { RequestQuarantine } from "./request_quarantine.ts";
-import { RequestRunner } from "./request_runner.ts";
+import { probeBackend } from "./backend/probe_backend.ts";
+import { createReadinessServer } from "./ingress/readiness_server.ts";
+import { RelayedStore } from "./members/relayed_store.ts";
+import { RecordInspector } from "./keys/record_inspector.ts";
+import { RequestQuarantine } from "./backend/request_quarantine.ts";
+import { RequestRunner } from "./attempts/request_runner.ts";
 import {
   SharedReader,
   type SharedReadRequest,
   type SharedReadResponse,
-} from "./shared_reader.ts";
-import { StoreWatcher } from "./store_watcher.ts";
+} from "./keys/shared_reader.ts";
+import { StoreWatcher } from "./configuration/store_watcher.ts";
 
 /** Interval of the control loop, in milliseconds. */
 const TICK_INTERVAL_MS = 50;
--- a/packages/router/src/testing/sample_request.ts
+++ b/packages/router/src/testing/sample_request.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { RoutedRequest } from "../routed_request.ts";
+import type { RoutedRequest } from "../attempts/routed_request.ts";
 
 /** A request without a key and without a body. */
 export const SAMPLE_REQUEST: RoutedRequest = {
