Retry a key's owner whose backend server rejects a request without running it

Cause: a key's owner counts as tried after the first attempt, so after a rejection the daemon looked for another owner for up to 0.7 s, and the caller was refused with its latency objective missed, although no other server could ever run the request. Ruled out: refusing at once without a second attempt, which leaves the caller's one retry as the only other chance. Change: the owner may be tried again, within the attempts of the route and the retry budget; without an allowance the request is refused at once.

--- a/packages/router/src/attempts/attempt_history.ts
+++ b/packages/router/src/attempts/attempt_history.ts
@@ -36,6 +36,14 @@
     return this.triedDaemons;
   }
 
+  /** The daemon whose backend server rejected the latest attempt without running it; `undefined` otherwise. */
+  get rejectedBy(): string | undefined {
+    const { lastOutcome, peer } = this;
+    return lastOutcome.kind === "not_run" && lastOutcome.hasArrived
+      ? peer
+      : undefined;
+  }
+
   /** Number of attempts that reached a backend server, or may have. */
   get sentAttempts(): number {
     return this.sentCount;
--- a/packages/router/src/attempts/request_runner.ts
+++ b/packages/router/src/attempts/request_runner.ts
@@ -107,11 +107,7 @@
       const current = history.brokenConnections === 0
         ? request
         : { ...request, brokenConnections: history.brokenConnections };
-      const target = await this.findTarget(
-        current,
-        history.tried,
-        cancellation,
-      );
+      const target = await this.findTarget(current, history, cancellation);
       if (target === undefined) {
         return history.toFinalOutcome();
       }
@@ -268,13 +264,13 @@
 
   private findTarget(
     request: RoutedRequest,
-    tried: ReadonlySet<string>,
+    history: AttemptHistory,
     cancellation: Cancellation,
   ): Promise<MemberReport | undefined> {
     const { directory } = this.context;
     return directory.isKeyed(request.service)
-      ? this.findOwner(request, tried, cancellation)
-      : Promise.resolve(this.choose(request, tried));
+      ? this.findOwner(request, history, cancellation)
+      : Promise.resolve(this.choose(request, history.tried));
   }
 
   private choose(
@@ -348,10 +344,14 @@
     return monotonicMs() + expectedLatencyMs(candidate) < request.objectiveAtMs;
   }
 
-  /** Finds a key's owner, and waits for one if the key has just lost it: most keys get another within milliseconds. */
+  /**
+   * Finds a key's owner, and waits for one if the key has just lost it: most keys get another within milliseconds. An
+   * owner whose backend server rejected the request without running it may be tried again: no other server can run it,
+   * and a server that sheds part of its load may accept the next attempt.
+   */
   private async findOwner(
     request: RoutedRequest,
-    tried: ReadonlySet<string>,
+    { tried, rejectedBy }: AttemptHistory,
     cancellation: Cancellation,
   ): Promise<MemberReport | undefined> {
     const { directory, view } = this.context;
@@ -368,7 +368,10 @@
         // A takeover takes seconds, so waiting here would only delay the caller's refusal.
         return undefined;
       }
-      if (owner !== undefined && !tried.has(owner.address)) {
+      if (
+        owner !== undefined &&
+        (!tried.has(owner.address) || owner.address === rejectedBy)
+      ) {
         return owner;
       }
       if (monotonicMs() >= waitUntilMs) {
