Admit requests at cold servers by what they take there

Cause: the daemon knew for how long its server is cold, and used that only for the limit of starts. It did not know which keys are cold.

Change: GrantTracker records which ranges the running server was granted without a handover, and when. ColdStart gives the queue estimates by these times, counts what became of requests meanwhile (BL2031) and logs a learned cold time of keys (BL2030). The load of a key counts its warm service time, and a server plans no moves while it or most of its keys are cold: after a loss of power 31 moves were planned within 6 s between owners that were all cold. Completed requests are recorded before the next one is chosen. Refusals of waiting requests state the time until such a request could start.

--- a/packages/admission/src/service_times.ts
+++ b/packages/admission/src/service_times.ts
@@ -132,7 +132,7 @@
       .find((key) => this.measuredMs(route, key) !== undefined);
     const maxAssumedMs = coldness === "warm"
       ? Infinity
-      : remaining.deadlineMs * MAX_ASSUMED_DEADLINE_SHARE;
+      : Math.max(0, remaining.deadlineMs * MAX_ASSUMED_DEADLINE_SHARE);
     if (other === undefined) {
       return Math.min(defaultMs, maxAssumedMs);
     }
--- a/packages/keyspace/src/grant_tracker.ts
+++ b/packages/keyspace/src/grant_tracker.ts
@@ -53,6 +53,13 @@
   readonly handover: string;
 }
 
+/** When the backend server was first granted a range under a token, without a handover from an earlier owner. */
+interface Acquisition {
+  readonly token: number;
+  /** `undefined` if the range was handed over, or was granted by an earlier process of this daemon. */
+  readonly acquiredAtMs: number | undefined;
+}
+
 /** The keys of one backend server, as tracked by the daemon on its host. */
 export class GrantTracker {
   /** Ranges that the store assigns to the backend server, with the token of each. */
@@ -65,6 +72,11 @@
   private readonly holdsUntil = RangeMap.create<number>();
   /** Ranges that are being released; they are not granted until the store assigns them again. */
   private readonly releasing = RangeMap.create<true>();
+  /** The ranges that the current incarnation has been granted. It is slow for a while on those not handed over. */
+  private readonly acquisitions = RangeMap.create<Acquisition>((left, right) =>
+    left.token === right.token && left.acquiredAtMs === right.acquiredAtMs
+  );
+  private lastAcquiredAtMs = -Infinity;
   /** Whether the current incarnation has been granted any range. */
   private hasGranted = false;
   private incarnations = 0;
@@ -183,7 +195,7 @@
     held.forEach((range) => {
       this.extend(range, nowMs + MAX_HOLD_MS * (1 + CLOCK_DRIFT));
       this.tokens.within(range).forEach((own) =>
-        this.tokens.set(own, { token: range.token, handover: "" })
+        this.adoptToken(own, range.token)
       );
     });
   }
@@ -197,12 +209,15 @@
     held.forEach((range) =>
       this.tokens.within(range)
         .filter(({ value }) => value.token < range.token)
-        .forEach((own) =>
-          this.tokens.set(own, { token: range.token, handover: "" })
-        )
+        .forEach((own) => this.adoptToken(own, range.token))
     );
   }
 
+  private adoptToken({ from, to }: KeyRange, token: number): void {
+    this.tokens.set({ from, to }, { token, handover: "" });
+    this.acquisitions.set({ from, to }, { token, acquiredAtMs: undefined });
+  }
+
   /**
    * Creates the grant for the response to a heartbeat.
    *
@@ -218,6 +233,7 @@
     ranges.forEach((range) => {
       this.extend(range, nowMs + holdMs * (1 + CLOCK_DRIFT));
       this.holdsUntil.set(range, nowMs + holdMs - processingMs);
+      this.recordAcquisition(range, nowMs);
     });
     this.hasGranted ||= ranges.length > 0;
     return { ranges, holdMs };
@@ -278,6 +294,29 @@
     return (this.holdsUntil.get(key) ?? -Infinity) > nowMs;
   }
 
+  /**
+   * When the backend server was granted a key that no earlier owner has handed over to it; `undefined` for other keys.
+   * It is slow on such a key for a while.
+   */
+  acquiredAtMs(key: number): number | undefined {
+    return this.acquisitions.get(key)?.acquiredAtMs;
+  }
+
+  /** Share of the backend server's keys that it was granted without a handover since a time, from 0 to 1. */
+  acquiredShareSince(sinceMs: number): number {
+    if (this.lastAcquiredAtMs <= sinceMs) {
+      return 0;
+    }
+    const { ownRanges, ownKeyCount } = this;
+    const acquiredCount = ownRanges
+      .flatMap((range) => this.acquisitions.within(range))
+      .filter(({ value: { acquiredAtMs = -Infinity } }) =>
+        acquiredAtMs > sinceMs
+      )
+      .reduce((sum, range) => sum + sizeOf(range), 0);
+    return ownKeyCount === 0 ? 0 : acquiredCount / ownKeyCount;
+  }
+
   /**
    * How long the backend server will certainly hold at least one key, in milliseconds; 0 if it does not certainly hold
    * one. It may still hold some then: see `findExpired`.
@@ -314,6 +353,23 @@
     );
   }
 
+  private recordAcquisition(granted: GrantedRange, nowMs: number): void {
+    const { from, to, token, handover } = granted;
+    const first = this.acquisitions.find(from);
+    if (first !== undefined && first.to >= to && first.value.token === token) {
+      return;
+    }
+    const known = RangeMap.create<true>();
+    this.acquisitions.within({ from, to })
+      .filter(({ value }) => value.token === token)
+      .forEach((segment) => known.set(segment, true));
+    const acquiredAtMs = handover === "" ? nowMs : undefined;
+    known.gaps({ from, to }).forEach((range) => {
+      this.acquisitions.set(range, { token, acquiredAtMs });
+      this.lastAcquiredAtMs = acquiredAtMs ?? this.lastAcquiredAtMs;
+    });
+  }
+
   private unheldParts(range: KeyRange, nowMs: number): KeyRange[] {
     const held = RangeMap.create<true>();
     this.mayHoldUntil.within(range)
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -280,6 +280,21 @@
     action:
       "With 0: configure the request rate that a cold server of `service` can handle.",
   },
+  cold_key_time_learned: {
+    number: 2030,
+    severity: "info",
+    meaning:
+      "Requests have shown that the backend server is slow on keys without a handover for another time than assumed: `to_ms` instead of `from_ms`.",
+    action: NOTHING,
+  },
+  cold_start_ended: {
+    number: 2031,
+    severity: "info",
+    meaning:
+      "The backend server and most of its keys are no longer cold. Meanwhile `served` requests were completed, `missed` were started without a response before their deadline, and `refused` were not run.",
+    action:
+      "If `missed` is more than a tenth of `served`: requests on the cold server take longer than estimated; compare `service_ms` of `backend_load`.",
+  },
   evacuation_of_unknown_zone: {
     number: 1847,
     severity: "warn",
--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -4,7 +4,11 @@
  *
  * @module
  */
-import { ServiceTimes } from "@bamboolink/admission";
+import {
+  type RunningColdRequest,
+  type ServiceEstimate,
+  ServiceTimes,
+} from "@bamboolink/admission";
 import {
   type GrantTracker,
   type Incarnation,
@@ -19,6 +23,7 @@
 } from "./backend_status_monitor.ts";
 import type { Cancellation } from "../attempts/cancellation.ts";
 import { bootMs, monotonicMs } from "../clock.ts";
+import { ColdStart } from "./cold_start.ts";
 import { ConnectionPool } from "./connection_pool.ts";
 import type { Connection, ExchangeResult } from "./exchange.ts";
 import { selectResponseHeaders } from "../ingress/http_headers.ts";
@@ -94,6 +99,7 @@
   readonly profile = LoadProfile.create();
   private readonly admission = SlotAdmission.create();
   private readonly times = ServiceTimes.create();
+  private readonly coldStart: ColdStart;
   private readonly meter = LoadMeter.create();
   private readonly grantWaits = new Set<() => void>();
   private readonly probation = Probation.create();
@@ -106,6 +112,7 @@
     super();
     this.connections = ConnectionPool.create(context.address);
     this.statusMonitor = BackendStatusMonitor.create(context);
+    this.coldStart = ColdStart.create({ ...context, times: this.times });
   }
 
   /** Creates an instance without a backend server; requests are refused until {@link updateIdentity} is called. */
@@ -126,9 +133,15 @@
       this.statusMonitor.setIncarnation(identity);
       this.admission.setAdvertisedLimit(this.statusMonitor.limitPerSecond);
     }
+    this.coldStart.setServerColdUntil(identity?.coldUntilMs ?? -Infinity);
     this.admission.setServerLimits(identity);
   }
 
+  /** Whether the backend server or most of its keys are cold. */
+  get isCold(): boolean {
+    return this.coldStart.isCold;
+  }
+
   /** Applies what the backend server had stated in responses to an earlier process of this daemon. */
   restoreStatus(status: StatedStatus): void {
     this.statusMonitor.restore(status);
@@ -238,6 +251,7 @@
    */
   tick(): void {
     const nowMs = monotonicMs();
+    this.coldStart.tick();
     this.admission.advance();
     this.meter.decay(nowMs);
     this.profile.decay(nowMs);
@@ -266,20 +280,20 @@
     if (refused !== undefined) {
       return refused;
     }
-    const estimateMs = this.estimateServiceMs(request);
+    const estimate = this.coldStart.estimate(request);
     if (quarantine.classify(request).kind !== "suspect") {
-      return await this.runAdmitted(request, { cancellation, estimateMs });
+      return await this.runAdmitted(request, { cancellation, estimate });
     }
     return await this.probation.run(
       request,
-      { cancellation, estimateMs },
+      { cancellation, estimateMs: estimate.estimateMs },
       () => {
         const changed = this.checkService(request);
         const isOnProbation = true;
         return changed === undefined
           ? this.runAdmitted(request, {
             cancellation,
-            estimateMs,
+            estimate,
             isOnProbation,
           })
           : Promise.resolve(changed);
@@ -287,40 +301,36 @@
     );
   }
 
-  private estimateServiceMs(request: RoutedRequest): number {
-    const nowMs = monotonicMs();
-    return this.times.estimate(request.route, {
-      objectiveMs: request.objectiveAtMs - nowMs,
-      deadlineMs: request.deadlineAtMs - nowMs,
-    });
-  }
-
   /** Queues a request for a slot and runs it there. */
   private async runAdmitted(
     request: RoutedRequest,
     entry: {
       cancellation: Cancellation;
-      estimateMs: number;
+      estimate: ServiceEstimate;
       isOnProbation?: boolean;
     },
   ): Promise<Outcome> {
-    const { cancellation, estimateMs, isOnProbation = false } = entry;
-    this.meter.recordOffered(estimateMs);
+    const { cancellation, estimate, isOnProbation = false } = entry;
+    this.meter.recordOffered(estimate.estimateMs);
     this.totals.offered += 1;
     if (request.key !== undefined) {
-      this.profile.record(request.key, estimateMs);
+      // What a key needs while it is cold is no reason to move it.
+      this.profile.record(request.key, this.coldStart.estimateWarmMs(request));
     }
     const admitted = await this.admission.admit(request, {
-      estimateMs,
+      estimate,
       cancellation,
     });
-    return admitted.kind === "admitted"
-      ? await this.exchange(request, {
-        release: admitted.release,
-        cancellation,
-        isOnProbation,
-      })
-      : admitted;
+    if (admitted.kind !== "admitted") {
+      this.coldStart.count("refused");
+      return admitted;
+    }
+    const { release } = admitted;
+    return await this.exchange(request, {
+      release,
+      cancellation,
+      isOnProbation,
+    });
   }
 
   private checkService(request: RoutedRequest): Outcome | undefined {
@@ -414,6 +424,7 @@
       return refused;
     }
     const sent = { incarnation: this.identity!, sentAtMs: startedAtMs };
+    const running = this.coldStart.begin(request);
     const connection = this.connections.acquire({
       nowMs: startedAtMs,
       maxIdleMs: request.isIdempotent
@@ -425,15 +436,13 @@
       { cancellation: slot.cancellation, nowMs: monotonicMs },
     );
     const outcome = this.toOutcome(request, { result, connection, sent });
+    // The next request is chosen by what this one has shown.
+    this.recordStatistics(running, outcome);
     this.releaseSlot(slot.release);
     this.updateQuarantine(request, {
       outcome,
       isOnProbation: slot.isOnProbation,
     });
-    this.recordStatistics(request, {
-      outcome,
-      durationMs: monotonicMs() - startedAtMs,
-    });
     return outcome;
   }
 
@@ -561,15 +570,13 @@
   }
 
   private recordStatistics(
-    request: RoutedRequest,
-    completed: { outcome: Outcome; durationMs: number },
+    running: RunningColdRequest,
+    outcome: Outcome,
   ): void {
-    const { outcome, durationMs } = completed;
-    if (outcome.kind === "answer" && outcome.status < 500) {
-      this.times.record(request.route, {
-        tookMs: durationMs,
-        endedAtMs: monotonicMs(),
-      });
+    const isServed = outcome.kind === "answer" && outcome.status < 500;
+    this.coldStart.end(running, isServed);
+    if (outcome.kind !== "not_run") {
+      this.coldStart.count(isServed ? "served" : "missed");
     }
     const isFailure = outcome.kind === "unknown" ||
       outcome.kind === "answer" && outcome.status >= 500 ||
--- a/packages/router/src/backend/slot_admission.ts
+++ b/packages/router/src/backend/slot_admission.ts
@@ -6,6 +6,7 @@
  */
 import {
   type QueueChanges,
+  type ServiceEstimate,
   StartRateLimiter,
   WorkQueue,
 } from "@bamboolink/admission";
@@ -84,7 +85,7 @@
   /** Waits for a slot; resolves with a refusal if the request should not, or can't, be served. */
   async admit(
     request: RoutedRequest,
-    entry: { estimateMs: number; cancellation: Cancellation },
+    entry: { estimate: ServiceEstimate; cancellation: Cancellation },
   ): Promise<AdmittedRequest | Outcome> {
     this.lastId += 1;
     const id = this.lastId;
@@ -147,15 +148,19 @@
 
   private awaitStart(
     request: RoutedRequest,
-    entry: { id: number; estimateMs: number; cancellation: Cancellation },
+    entry: {
+      id: number;
+      estimate: ServiceEstimate;
+      cancellation: Cancellation;
+    },
   ): Promise<"run" | Outcome> {
-    const { id, estimateMs, cancellation } = entry;
+    const { id, estimate, cancellation } = entry;
     if (cancellation.isCancelled) {
       return Promise.resolve(notRun("cancelled"));
     }
     const { rank, objectiveAtMs, deadlineAtMs, mayEndLate } = request;
     const decision = this.queue.offer(
-      { id, rank, objectiveAtMs, deadlineAtMs, estimateMs, mayEndLate },
+      { id, rank, objectiveAtMs, deadlineAtMs, mayEndLate, ...estimate },
       monotonicMs(),
     );
     if (decision.kind === "run") {
@@ -194,8 +199,11 @@
 
   private applyChanges(changes: QueueChanges): void {
     changes.run.forEach((id) => this.resolveWaiting(id, "run"));
-    changes.refuse.forEach(({ id, reason }) =>
-      this.resolveWaiting(id, notRun(reason, { waitMs: this.waitMs }))
+    changes.refuse.forEach(({ id, reason, waitMs }) =>
+      this.resolveWaiting(
+        id,
+        notRun(reason, { waitMs: this.slots > 0 ? waitMs : 0 }),
+      )
     );
     this.scheduleNextStart();
   }
@@ -206,7 +214,7 @@
     resolve?.(outcome);
   }
 
-  /** Sets a timer for the next request that only the rate limit holds back. */
+  /** Sets a timer for the next request that only the rate limit or the cold server holds back. */
   private scheduleNextStart(): void {
     clearTimeout(this.startTimer);
     const delayMs = this.queue.nextStartDelayMs(monotonicMs());
--- a/packages/router/src/keys/key_rebalancer.ts
+++ b/packages/router/src/keys/key_rebalancer.ts
@@ -73,7 +73,7 @@
     this.lastPlannedAtMs = nowMs;
     const isMoving = grants.isReleasing || this.plannedMoves.length > 0;
     if (
-      backendManager().phase !== "ready" || isMoving ||
+      backendManager().phase !== "ready" || isMoving || backend.isCold ||
       !leaseManager.canMoveKeys()
     ) {
       return;
