Refuse requests for event-loop lag by the time that they have left

Cause: while a starting process decodes a document with 1,300 routes, its event loop lags by more than the fixed limits of 120 and 240 ms, and it refused 214 requests with deadlines of 1.4 to 3.2 s within a second.

Change: the limit is a quarter of the time that the sender gives the request, 40 % for urgent ones, counting at most 4 s. It is halved, and halved again, by the decayed sum of lags, which a start does not raise that far.

--- a/packages/router/src/ingress/ingress.ts
+++ b/packages/router/src/ingress/ingress.ts
@@ -301,7 +301,8 @@
       return undefined;
     }
     const { route } = match;
-    if (lag.isOverloaded(route.rank)) {
+    const timeMs = request.deadlineMs ?? route.timeoutMs;
+    if (lag.isOverloaded({ rank: route.rank, timeMs })) {
       this.refuseOverloaded(response, { request, route });
       return undefined;
     }
--- a/packages/router/src/links/link_server.ts
+++ b/packages/router/src/links/link_server.ts
@@ -221,7 +221,9 @@
     if (this.isStopping) {
       return Promise.resolve(notRun("stopping"));
     }
-    if (lag.isOverloaded(request.rank)) {
+    // The deadline counts from when the request was sent, before the lag.
+    const timeMs = request.deadlineAtMs - this.context.nowMs() + lag.currentMs;
+    if (lag.isOverloaded({ rank: request.rank, timeMs })) {
       return Promise.resolve(notRun("overloaded", { waitMs: lag.currentMs }));
     }
     return backend.attempt(request, cancellation);
--- a/packages/router/src/loop_lag.ts
+++ b/packages/router/src/loop_lag.ts
@@ -7,10 +7,24 @@
 
 /** Number of recent ticks whose maximum lag counts. */
 const RECENT_TICKS = 4;
-/** Above this lag requests are refused, in milliseconds: about half of a short latency objective. */
-const MAX_LAG_MS = 120;
-/** The same for urgent requests, in milliseconds. */
-const URGENT_MAX_LAG_MS = 240;
+/**
+ * Maximum lag, as a share of the time that a caller gives its request: further turns on its way and on that of its
+ * response are late by as much.
+ */
+const MAX_LAG_SHARE = 0.25;
+/** The same for urgent requests. */
+const URGENT_MAX_LAG_SHARE = 0.4;
+/** Time of a caller that counts at most, in milliseconds. The lag that long requests allow delays the others, too. */
+const MAX_COUNTED_MS = 4_000;
+/** Half-life of the sum of lags, in milliseconds. */
+const LAG_SUM_HALF_LIFE_MS = 2_000;
+/**
+ * A sum of lags that a start does not exceed, in milliseconds. The maximum share is halved above it, and again above
+ * twice as much: if the processor is too slow for seconds, all requests would be read as late as their time allows.
+ */
+const TRANSIENT_LAG_SUM_MS = 1_200;
+/** How often the maximum share is halved at most; a deadline of 1.6 s then allows 100 ms, or 160 ms if urgent. */
+const MAX_HALVINGS = 2;
 /** Requests up to this rank are urgent; 0 is the most urgent. */
 const MAX_URGENT_RANK = 1;
 /** Minimum lag at which a caller may have disconnected before its request is read, in milliseconds. */
@@ -27,6 +41,8 @@
   private lastTickAtMs: number;
   private maxMs = 0;
   private totalMs = 0;
+  /** Exponentially decayed sum of lags, in milliseconds. */
+  private lagSumMs = 0;
 
   private constructor(
     private readonly tickMs: number,
@@ -51,6 +67,7 @@
     this.maxMs = Math.max(this.maxMs, lagMs);
     this.totalMs += lagMs;
     this.recentLags = [...this.recentLags, lagMs].slice(-RECENT_TICKS);
+    this.lagSumMs = this.currentLagSumMs;
     this.lastTickAtMs = this.now();
   }
 
@@ -76,12 +93,34 @@
   }
 
   /**
-   * Whether the lag is so high that a request of a rank should be refused at once. Otherwise every request is read
-   * late, is still run, and delays the next one further.
+   * Whether the lag leaves a request too little of its time, so that it should be refused at once. Otherwise every
+   * request is read late, is still run, and delays the next one further.
+   *
+   * @param request.timeMs how long its sender waits for the response, from when it was sent, in milliseconds.
    */
-  isOverloaded(rank: number): boolean {
-    const maxLagMs = rank <= MAX_URGENT_RANK ? URGENT_MAX_LAG_MS : MAX_LAG_MS;
-    return this.currentMs > maxLagMs;
+  isOverloaded(request: { rank: number; timeMs: number }): boolean {
+    const { rank, timeMs } = request;
+    const maxShare = rank <= MAX_URGENT_RANK
+      ? URGENT_MAX_LAG_SHARE
+      : MAX_LAG_SHARE;
+    const lagMs = this.currentMs;
+    return lagMs > 0 &&
+      lagMs >
+        Math.min(timeMs, MAX_COUNTED_MS) * maxShare * 0.5 ** this.halvings;
+  }
+
+  /** How often the maximum lag is halved because the lag lasts. */
+  private get halvings(): number {
+    return Math.min(
+      MAX_HALVINGS,
+      Math.floor(this.currentLagSumMs / TRANSIENT_LAG_SUM_MS),
+    );
+  }
+
+  private get currentLagSumMs(): number {
+    const elapsedMs = this.now() - this.lastTickAtMs;
+    return this.lagSumMs * 0.5 ** (elapsedMs / LAG_SUM_HALF_LIFE_MS) +
+      this.overdueLagMs();
   }
 
   /**
