Compare ownership records at each field's limits with the schema

The random records seldom had a row with one value too many: a decoder that doesn't check the length of rows passed. Each value of a record is now replaced by each value at or beyond a limit, and decoders with that and two similar faults fail the test.

--- a/packages/keyspace/src/ownership_record_codec_test.ts
+++ b/packages/keyspace/src/ownership_record_codec_test.ts
@@ -33,26 +33,30 @@
 );
 
 /** Values at the limits of what fields accept, and of types that they don't accept. */
-const anyValue = fc.oneof(
-  fc.constantFrom<unknown>(
-    0,
-    1,
-    -1,
-    0.5,
-    KEY_COUNT - 1,
-    KEY_COUNT,
-    2 ** 53 - 1,
-    2 ** 53,
-    1e300,
-    "",
-    "a",
-    true,
-    null,
-    [],
-    {},
-  ),
-  fc.jsonValue(),
-);
+const LIMIT_VALUES: readonly unknown[] = [
+  0,
+  1,
+  -1,
+  0.5,
+  KEY_COUNT - 1,
+  KEY_COUNT,
+  2 ** 53 - 1,
+  2 ** 53,
+  1e300,
+  "",
+  "a",
+  true,
+  null,
+  [],
+  {},
+  ["a"],
+  ["a", 1],
+  ["a", 1, 1],
+  [0, 1, 0, ""],
+  [0, 1, 0, "", 0],
+  [0, 1, 0, "", 0, 0],
+];
+const anyValue = fc.oneof(fc.constantFrom(...LIMIT_VALUES), fc.jsonValue());
 
 const DAEMONS = ["a", "b", "c"];
 
@@ -92,7 +96,8 @@
   const container = value as Record<string, unknown>;
   return Object.keys(container).flatMap((key) => [
     (replacement: unknown) => {
-      container[key] = replacement;
+      // Copied, since a later replacement may be inside this one.
+      container[key] = structuredClone(replacement);
     },
     ...positionsOf(container[key]),
   ]);
@@ -164,6 +169,25 @@
     });
   });
 
+  describe("for a record with one value at or beyond a limit", () => {
+    it("rejects exactly what the schema rejects", () => {
+      const createRecord = () => ({
+        daemons: DAEMONS,
+        ranges: [[0, 5, 0, "", 0], [6, 9, 1, "proof", 65_537]],
+        arbiters: [["a", 1]],
+        era: 1,
+        restored: false,
+      });
+      positionsOf(createRecord()).forEach((_, index) =>
+        LIMIT_VALUES.forEach((value) => {
+          const record = structuredClone(createRecord());
+          positionsOf(record)[index]!(value);
+          checkAgainstSchema(record);
+        })
+      );
+    });
+  });
+
   describe("for any other JSON value", () => {
     it("rejects exactly what the schema rejects", () => {
       fc.assert(fc.property(anyValue, checkAgainstSchema), { numRuns: 500 });
