Use the load that backend servers state in X-Server-Load

Cause: some servers become three times as slow for 400 ms at a time. Averages of service times follow after some ten requests, when the phase has ended, so the queue accepts requests that end late and refuses others for which there is time. Change: BackendProtocol.readStatus returns the load with strict checks; a value out of range is logged once in sequence (BL2020) and ignored. ServerLoadEstimator holds the stated slowness relative to its mean, with a factor that decays to 1 with a half-life of 400 ms. The queue's estimates, reported waits and the service times of routes use it, and service times are learned at the mean speed. For servers that state nothing, all times stay as they were, and the factor of overdue running requests, which the queue had, is computed by the estimator. Ruled out: scaling by the stated slowness itself, which counts the mean slowness twice, since learned service times contain it.

--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -36,6 +36,10 @@
   type LimitChange,
   type LimitObservation,
 } from "./advertised_limit_tracker.ts";
+export {
+  type RunningWork,
+  ServerLoadEstimator,
+} from "./server_load_estimator.ts";
 export { ServiceTimes } from "./service_times.ts";
 export {
   FleetRetryBudget,
--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -15,6 +15,7 @@
  */
 import { StartRateLimiter } from "./start_rate_limiter.ts";
 import { LateRequestQueue, MIN_CAPACITY } from "./late_request_queue.ts";
+import { ServerLoadEstimator } from "./server_load_estimator.ts";
 import type { WorkRequest } from "./work_request.ts";
 
 /** Why a request was refused. A refused request has certainly not run. */
@@ -83,17 +84,22 @@
   /** Moving average of the estimates of offered requests, in milliseconds; 0 before the first. */
   private meanEstimateMs = 0;
 
-  private constructor(private readonly limiter: StartRateLimiter) {}
+  private constructor(
+    private readonly limiter: StartRateLimiter,
+    private readonly load: ServerLoadEstimator,
+  ) {}
 
   /**
    * Creates a queue without slots. Requests can't start until `setSlots` is called.
    *
    * @param limiter limits the rate of starts at the backend server.
+   * @param load how much longer than its estimate work takes there now.
    */
   static create(
     limiter: StartRateLimiter = StartRateLimiter.create(0),
+    load: ServerLoadEstimator = ServerLoadEstimator.create(),
   ): WorkQueue {
-    return new WorkQueue(limiter);
+    return new WorkQueue(limiter, load);
   }
 
   /** Sets how many requests may run concurrently. */
@@ -244,9 +250,11 @@
     if (this.slots === 0) {
       return Infinity;
     }
-    const remaining = [...this.running.values()].map((running) =>
-      remainingMsOf(running, nowMs)
-    );
+    const remaining = [...this.running.values()].map((running) => {
+      const { startedAtMs } = running;
+      const run = { startedAtMs, endedAtMs: nowMs };
+      return remainingMsOf(running, this.load.meanSpeedMs(run));
+    });
     const free = Array.from(
       { length: Math.max(0, this.slots - remaining.length) },
       () => 0,
@@ -256,11 +264,12 @@
       const earliest = indexOfMin(freeInMs);
       freeInMs[earliest] = freeInMs[earliest]! + estimateMs;
     });
-    return freeInMs[indexOfMin(freeInMs)]!;
+    return this.load.durationMs(freeInMs[indexOfMin(freeInMs)]!, nowMs);
   }
 
   /**
-   * The request, with its estimate scaled by how far the running requests exceed theirs. Estimates come from requests
+   * The request, with its estimate at the current speed of the server: as the server states it, and scaled by how far
+   * the running requests exceed their estimates. Estimates come from requests
    * that have ended. When a server has just become slow, for example after a restart, none has ended yet, and without
    * this the queue would admit many more requests than the server can finish before their deadlines.
    */
@@ -268,14 +277,16 @@
     request: WorkRequest,
     nowMs: number,
   ): WorkRequest {
-    const slowdowns = [...this.running.values()].map((running) =>
-      Math.max(1, (nowMs - running.startedAtMs) / maxTypicalMs(running))
-    );
-    const sum = slowdowns.reduce((total, slowdown) => total + slowdown, 0);
-    const slowdown = slowdowns.length === 0 ? 1 : sum / slowdowns.length;
-    return slowdown === 1
+    const running = [...this.running.values()].map((other) => ({
+      startedAtMs: other.startedAtMs,
+      maxTypicalMs: maxTypicalMs(other),
+    }));
+    const workMs = request.estimateMs *
+      this.load.overrunFactor(running, nowMs);
+    const estimateMs = this.load.durationMs(workMs, nowMs);
+    return estimateMs === request.estimateMs
       ? request
-      : { ...request, estimateMs: request.estimateMs * slowdown };
+      : { ...request, estimateMs };
   }
 
   /** Whether a request keeps its place in the main queue even though it is expected to miss its objective. */
@@ -384,10 +395,11 @@
 /**
  * Expected remaining time of a running request, in milliseconds. A request that is far overdue is expected to take as
  * much longer again as it is already overdue.
+ *
+ * @param ranMs for how long it has run, at the mean speed of the server.
  */
-function remainingMsOf(running: RunningRequest, nowMs: number): number {
-  const { startedAtMs, estimateMs } = running;
-  const ranMs = nowMs - startedAtMs;
+function remainingMsOf(running: RunningRequest, ranMs: number): number {
+  const { estimateMs } = running;
   const overdueMs = Math.max(0, ranMs - maxTypicalMs(running));
   return Math.max(
     estimateMs - ranMs,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -397,6 +397,13 @@
       "A response advertised a rate limit that is not a single decimal number. It is ignored; the limit `in_force` stays until a response states another one, or none.",
     action: "Correct the backend server.",
   },
+  backend_load_unreadable: {
+    number: 2020,
+    severity: "warn",
+    meaning:
+      "A response stated a load (`value`) that is not four whole numbers within the accepted limits. It is ignored; what was stated before counts until it is too old. Only the first of several such responses in sequence is logged.",
+    action: "Correct the backend server.",
+  },
   backend_leaving: {
     number: 1854,
     severity: "info",
@@ -569,7 +576,7 @@
     number: 1830,
     severity: "info",
     meaning:
-      "Load of the backend server since the previous such line: running and waiting requests, offered and finished requests, the average service time and the share of failed requests.",
+      "Load of the backend server since the previous such line: running and waiting requests, offered and finished requests, the average service time, the factor by which work takes longer than that now (`slowdown`) and the share of failed requests.",
     action: NOTHING,
   },
   answer_undelivered: {
--- a/packages/router/src/backend/backend_status_monitor.ts
+++ b/packages/router/src/backend/backend_status_monitor.ts
@@ -3,12 +3,18 @@
  *
  * @module
  */
-import { AdvertisedLimitTracker } from "@bamboolink/admission";
+import {
+  AdvertisedLimitTracker,
+  ServerLoadEstimator,
+} from "@bamboolink/admission";
 import { type Incarnation, isSameIncarnation } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { StatedStatus } from "@bamboolink/membership";
 import type { BackendStatus } from "../ports/backend_protocol.ts";
 
+/** Maximum logged length of a value that can't be read, in characters. */
+const MAX_LOGGED_LENGTH = 100;
+
 /** The request whose response states a status. */
 export interface StatusSource {
   readonly requestId: string;
@@ -38,6 +44,10 @@
 
 /** Holds the stated status of the current incarnation, and logs its changes. */
 export class BackendStatusMonitor {
+  /** How much longer than usual work takes now. */
+  readonly load = ServerLoadEstimator.create();
+  /** Whether the newest stated load could not be read; only the first of several in sequence is logged. */
+  private isLoadUnreadable = false;
   private limit = AdvertisedLimitTracker.create();
   private isLeaving = false;
   private hasResponded = false;
@@ -100,6 +110,8 @@
       this.limit = AdvertisedLimitTracker.create();
       this.isLeaving = false;
       this.hasResponded = false;
+      this.load.clear();
+      this.isLoadUnreadable = false;
     }
     this.current = incarnation;
     this.applyRestored();
@@ -143,6 +155,7 @@
       return;
     }
     this.recordLimit(status, source);
+    this.recordLoad(status, source);
     if (status.isLeaving && !this.isLeaving) {
       this.isLeaving = true;
       this.context.logger.log("backend_leaving", {
@@ -154,6 +167,23 @@
     this.hasResponded = true;
   }
 
+  private recordLoad(
+    { load }: BackendStatus,
+    { requestId, incarnation, receivedAtMs }: StatusSource,
+  ): void {
+    if (load.kind === "unreadable" && !this.isLoadUnreadable) {
+      this.context.logger.log("backend_load_unreadable", {
+        instance: incarnation.instance,
+        request_id: requestId,
+        value: load.text.slice(0, MAX_LOGGED_LENGTH),
+      });
+    }
+    this.isLoadUnreadable = load.kind === "unreadable";
+    if (load.kind === "stated") {
+      this.load.record(load.slowness, receivedAtMs);
+    }
+  }
+
   private recordLimit(
     { rateLimit }: BackendStatus,
     { requestId, incarnation, sentAtMs, receivedAtMs }: StatusSource,
--- a/packages/router/src/backend/backend_status_monitor_test.ts
+++ b/packages/router/src/backend/backend_status_monitor_test.ts
@@ -34,6 +34,7 @@
   ) =>
     monitor.record({
       rateLimit: { kind: "absent" },
+      load: { kind: "absent" },
       isLeaving: false,
       ...status,
     }, {
@@ -88,6 +89,40 @@
     });
   });
 
+  describe("when the server states its load", () => {
+    const slow = {
+      kind: "stated",
+      running: 6,
+      waiting: 2,
+      slots: 6,
+      slowness: 3,
+    } as const;
+
+    it("follows the slowness, and forgets it when the server has restarted", () => {
+      const { monitor, record } = createMonitor();
+      record({ load: slow }, { sentAtMs: 0 });
+      expect(monitor.load.factor(10)).to.equal(3);
+      monitor.setIncarnation(RESTARTED);
+      expect(monitor.load.factor(10)).to.equal(1);
+    });
+
+    // Guards against a log that is filled by a server whose every response has a header that can't be read.
+    it("keeps the earlier load if one can't be read, and logs the first of several", () => {
+      const { monitor, record, entries } = createMonitor();
+      const unreadable = { kind: "unreadable", text: "x".repeat(500) } as const;
+      record({ load: slow }, { sentAtMs: 0 });
+      record({ load: unreadable }, { sentAtMs: 20 });
+      record({ load: unreadable }, { sentAtMs: 40 });
+      expect(monitor.load.stated(50)).to.deep.equal({ slowness: 3, ageMs: 40 });
+      expect(entries.map(({ event }) => event))
+        .to.deep.equal(["backend_load_unreadable"]);
+      expect(String(entries[0]!.fields["value"])).to.have.length(100);
+      record({ load: slow }, { sentAtMs: 60 });
+      record({ load: unreadable }, { sentAtMs: 80 });
+      expect(entries).to.have.length(2);
+    });
+  });
+
   describe("when the server has restarted", () => {
     // Guards against a new process that is limited, or drained, because of what the earlier one stated.
     it("forgets what the earlier process stated, and ignores its late responses", () => {
--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -92,7 +92,7 @@
 export class LocalBackend extends Destination {
   /** Load of each key. */
   readonly profile = LoadProfile.create();
-  private readonly admission = SlotAdmission.create();
+  private readonly admission: SlotAdmission;
   private readonly times = ServiceTimes.create();
   private readonly meter = LoadMeter.create();
   private readonly grantWaits = new Set<() => void>();
@@ -106,6 +106,7 @@
     super();
     this.connections = ConnectionPool.create(context.address);
     this.statusMonitor = BackendStatusMonitor.create(context);
+    this.admission = SlotAdmission.create(this.statusMonitor.load);
   }
 
   /** Creates an instance without a backend server; requests are refused until {@link updateIdentity} is called. */
@@ -150,7 +151,10 @@
     return {
       waitMs: this.waitMs,
       utilization: this.utilization,
-      serviceMs: this.times.averageOf(route),
+      serviceMs: this.statusMonitor.load.durationMs(
+        this.times.averageOf(route),
+        monotonicMs(),
+      ),
       failureShare: this.failureShare,
     };
   }
@@ -192,6 +196,11 @@
     );
   }
 
+  /** Factor by which work takes longer now than its mean, as the server states it. */
+  get slowdown(): number {
+    return this.statusMonitor.load.factor(monotonicMs());
+  }
+
   /** Requests per second that the server states it takes (infinite without a limit), and those started last second. */
   get startRate(): { limitPerSecond: number; startedPerSecond: number } {
     return {
@@ -217,6 +226,7 @@
       slots: this.identity?.slots ?? 0,
       is_cold: this.admission.isCold ? 1 : 0,
       ...this.describeLimit(),
+      slowdown: Math.round(this.slowdown * 100) / 100,
       wait_ms: Math.round(this.waitMs),
       service_ms: Math.round(this.times.averageMs),
       utilization: Math.round(this.utilization * 100) / 100,
@@ -432,7 +442,10 @@
     });
     this.recordStatistics(request, {
       outcome,
-      durationMs: monotonicMs() - startedAtMs,
+      meanSpeedMs: this.statusMonitor.load.meanSpeedMs({
+        startedAtMs,
+        endedAtMs: monotonicMs(),
+      }),
     });
     return outcome;
   }
@@ -562,12 +575,12 @@
 
   private recordStatistics(
     request: RoutedRequest,
-    completed: { outcome: Outcome; durationMs: number },
+    completed: { outcome: Outcome; meanSpeedMs: number },
   ): void {
-    const { outcome, durationMs } = completed;
+    const { outcome, meanSpeedMs } = completed;
     if (outcome.kind === "answer" && outcome.status < 500) {
       this.times.record(request.route, {
-        tookMs: durationMs,
+        tookMs: meanSpeedMs,
         endedAtMs: monotonicMs(),
       });
     }
--- a/packages/router/src/backend/slot_admission.ts
+++ b/packages/router/src/backend/slot_admission.ts
@@ -6,6 +6,7 @@
  */
 import {
   type QueueChanges,
+  type ServerLoadEstimator,
   StartRateLimiter,
   WorkQueue,
 } from "@bamboolink/admission";
@@ -49,7 +50,7 @@
 /** The queue of one backend server, with the requests that wait in it. */
 export class SlotAdmission {
   private readonly limiter = StartRateLimiter.create(PROCESS_START_MS);
-  private readonly queue = WorkQueue.create(this.limiter);
+  private readonly queue: WorkQueue;
   private readonly waiting = new Map<
     number,
     (outcome: "run" | Outcome) => void
@@ -59,11 +60,17 @@
   private startTimer: NodeJS.Timeout | undefined;
   private wait = { waitMs: 0, computedAtMs: -Infinity };
 
-  private constructor() {}
+  private constructor(load: ServerLoadEstimator) {
+    this.queue = WorkQueue.create(this.limiter, load);
+  }
 
-  /** Creates an instance without slots. */
-  static create(): SlotAdmission {
-    return new SlotAdmission();
+  /**
+   * Creates an instance without slots.
+   *
+   * @param load how much longer than usual work takes at the backend server now.
+   */
+  static create(load: ServerLoadEstimator): SlotAdmission {
+    return new SlotAdmission(load);
   }
 
   /** Applies what heartbeats report; `undefined` while there is no backend server. */
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -21,6 +21,7 @@
   type DispatchDetails,
   type RateLimitHeader,
   type ResponseVerdict,
+  type ServerLoadHeader,
 } from "./ports/backend_protocol.ts";
 export {
   probeConnection,
--- a/packages/router/src/ports/backend_protocol.ts
+++ b/packages/router/src/ports/backend_protocol.ts
@@ -38,9 +38,23 @@
   | { readonly kind: "stated"; readonly perSecond: number }
   | { readonly kind: "unreadable"; readonly text: string };
 
+/** The load that a backend server states in a response. */
+export type ServerLoadHeader =
+  | { readonly kind: "absent" }
+  | {
+    readonly kind: "stated";
+    readonly running: number;
+    readonly waiting: number;
+    readonly slots: number;
+    /** How much longer than usual work takes: 1 is usual, 3 three times as long. */
+    readonly slowness: number;
+  }
+  | { readonly kind: "unreadable"; readonly text: string };
+
 /** What a backend server states about itself in a response. */
 export interface BackendStatus {
   readonly rateLimit: RateLimitHeader;
+  readonly load: ServerLoadHeader;
   /** Whether it is about to shut down. */
   readonly isLeaving: boolean;
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -819,6 +819,7 @@
         this.backend.startRate.limitPerSecond,
       bamboolink_backend_starts_per_second: () =>
         this.backend.startRate.startedPerSecond,
+      bamboolink_backend_slowdown: () => this.backend.slowdown,
       bamboolink_configuration_version: () => this.configuration.version,
       bamboolink_members_alive: () => this.view.alive(monotonicMs()).length,
       bamboolink_requests_quarantined: () => this.quarantine.count,
