Relate the stated slowness to the mean speed

Cause: the estimator related a statement to the arithmetic mean of the slowness. Work that runs through several phases takes as long as the mean of the speeds allows, so service times were learned too high, by a fifth for a server that is three times as slow for a fifth of the time. Change: the mean is that of the reciprocal of the slowness, and statements decay with a half-life of 300 ms. In the replay of the test the mean error of the expected duration relative to that of averages falls from 0.57 to 0.51 with work of 100 ms, and from 1.06 to 0.87 with work of 250 ms. The bounds of the two tests are tighter by that.

--- a/packages/admission/src/server_load_estimator.ts
+++ b/packages/admission/src/server_load_estimator.ts
@@ -10,15 +10,15 @@
  */
 
 /**
- * Half-life of a statement, in milliseconds: the length of a slow phase. In the replay of the test with work of 100 ms,
- * the mean error of the expected duration relative to that of plain averages is 0.82 with 100 ms, 0.65 with 200 ms,
- * 0.57 with 400 ms and 0.53 with 1,000 ms; with work of 250 ms it is 1.30, 1.13, 1.06 and 1.06.
+ * Half-life of a statement, in milliseconds: most of a slow phase. In the replay of the test with work of 100 ms, the
+ * mean error of the expected duration relative to that of plain averages is 0.59 with 100 ms, 0.53 with 200 ms, 0.51
+ * with 300 ms and 0.51 with 1,000 ms; with work of 250 ms it is 0.86, 0.84, 0.87 and 0.99.
  */
-const STATEMENT_HALF_LIFE_MS = 400;
+const STATEMENT_HALF_LIFE_MS = 300;
 /** A statement describes the time up to this long before and after it, in milliseconds: the length of a slow phase. */
 const MAX_DISTANCE_MS = 400;
 /**
- * Half-life of the mean slowness, in milliseconds: a dozen slow phases, so that one of them hardly changes the mean,
+ * Half-life of the mean speed, in milliseconds: a dozen slow phases, so that one of them hardly changes the mean,
  * but short against the time for which a server keeps a speed.
  */
 const MEAN_HALF_LIFE_MS = 10_000;
@@ -46,7 +46,8 @@
  */
 export class ServerLoadEstimator {
   private statements: Statement[] = [];
-  private meanSlowness = 1;
+  /** Mean of the reciprocal of the slowness: the work that is done in a long time is that at the mean speed. */
+  private meanSpeed = 1;
 
   private constructor() {}
 
@@ -78,7 +79,7 @@
     }
     const elapsedMs = nowMs - (newest?.atMs ?? nowMs);
     const weight = 1 - 0.5 ** (elapsedMs / MEAN_HALF_LIFE_MS);
-    this.meanSlowness += weight * (slowness - this.meanSlowness);
+    this.meanSpeed += weight * (1 / slowness - this.meanSpeed);
     statements.push({ atMs: nowMs, slowness });
     if (statements.length > 2 * MAX_STATEMENTS) {
       this.statements = statements.slice(-MAX_STATEMENTS);
@@ -88,7 +89,7 @@
   /** Forgets all statements, because a new incarnation of the server may be slower or faster. */
   clear(): void {
     this.statements = [];
-    this.meanSlowness = 1;
+    this.meanSpeed = 1;
   }
 
   /** The factor by which work takes longer now than its mean; it decays to 1 as the newest statement ages. */
@@ -116,7 +117,7 @@
   /** How long a run would have taken at the mean speed, in milliseconds. */
   meanSpeedMs(run: { startedAtMs: number; endedAtMs: number }): number {
     const { startedAtMs, endedAtMs } = run;
-    const { statements, meanSlowness } = this;
+    const { statements, meanSpeed } = this;
     let adjustedMs = endedAtMs - startedAtMs;
     let laterAtMs = Infinity;
     for (let index = statements.length - 1; index >= 0; index -= 1) {
@@ -137,7 +138,7 @@
         (atMs + earlierAtMs) / 2,
       );
       const describedMs = Math.max(0, untilMs - fromMs);
-      adjustedMs += describedMs * (meanSlowness / slowness - 1);
+      adjustedMs += describedMs * (1 / (slowness * meanSpeed) - 1);
       laterAtMs = atMs;
     }
     return Math.max(0, adjustedMs);
@@ -168,7 +169,7 @@
       return 0;
     }
     const ageMs = Math.max(0, nowMs - newest.atMs);
-    return (newest.slowness / this.meanSlowness - 1) *
+    return (newest.slowness * this.meanSpeed - 1) *
       0.5 ** (ageMs / STATEMENT_HALF_LIFE_MS);
   }
 }
--- a/packages/admission/src/server_load_estimator_test.ts
+++ b/packages/admission/src/server_load_estimator_test.ts
@@ -54,7 +54,7 @@
       const load = ServerLoadEstimator.create();
       load.record(SLOW, 1_000);
       expect(load.factor(1_000)).to.equal(3);
-      expect(load.factor(1_400)).to.be.closeTo(2, 0.001);
+      expect(load.factor(1_300)).to.be.closeTo(2, 0.001);
       expect(load.factor(9_000)).to.be.closeTo(1, 0.001);
       expect(load.stated(1_200)).to.deep.equal({ slowness: SLOW, ageMs: 200 });
     });
@@ -120,15 +120,15 @@
     };
 
     // Guards against requests that are accepted as on time within a slow phase and are late, and the reverse after it.
-    it("estimates durations with less than two thirds of the error of their average", () => {
+    it("estimates durations with less than 0.6 of the error of their average", () => {
       const { errors } = run();
-      expect(errors.withLoad).to.be.below(errors.plain * 2 / 3);
+      expect(errors.withLoad).to.be.below(errors.plain * 0.6);
     });
 
     it("keeps the learned times at the mean speed during a slow phase", () => {
       const { times } = run();
-      const meanMs = WORK_MS * (4 + SLOW) / 5;
-      expect(times.averageOf("r")).to.be.within(0.7 * meanMs, 1.3 * meanMs);
+      const meanMs = WORK_MS * 5 / (4 + 1 / SLOW);
+      expect(times.averageOf("r")).to.be.within(0.85 * meanMs, 1.15 * meanMs);
     });
   });
 
