Merge the load that servers state into the estimates of a server's queue

Remaining times and scaled estimates now use the stated load, and completed requests of cold servers are recorded at the server's mean speed.

--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -15,6 +15,7 @@
  */
 import { StartRateLimiter } from "./start_rate_limiter.ts";
 import { LateRequestQueue, MIN_CAPACITY } from "./late_request_queue.ts";
+import { ServerLoadEstimator } from "./server_load_estimator.ts";
 import {
   type RunningRequest,
   scaledBySlowdown,
@@ -89,17 +90,22 @@
   /** Moving average of the estimates of offered requests, in milliseconds; 0 before the first. */
   private meanEstimateMs = 0;
 
-  private constructor(private readonly limiter: StartRateLimiter) {}
+  private constructor(
+    private readonly limiter: StartRateLimiter,
+    private readonly load: ServerLoadEstimator,
+  ) {}
 
   /**
    * Creates a queue without slots. Requests can't start until `setSlots` is called.
    *
    * @param limiter limits the rate of starts at the backend server.
+   * @param load how much longer than its estimate work takes there now.
    */
   static create(
     limiter: StartRateLimiter = StartRateLimiter.create(0),
+    load: ServerLoadEstimator = ServerLoadEstimator.create(),
   ): WorkQueue {
-    return new WorkQueue(limiter);
+    return new WorkQueue(limiter, load);
   }
 
   /** Sets how many requests may run concurrently. */
@@ -130,7 +136,9 @@
   /** Starts, queues or refuses a request that has just arrived. */
   offer(arrived: WorkRequest, nowMs: number): AdmissionDecision {
     this.recordEstimate(arrived.estimateMs);
-    const request = scaledBySlowdown(arrived, this.running.values(), nowMs);
+    const { load } = this;
+    const running = this.running.values();
+    const request = scaledBySlowdown(arrived, { running, load, nowMs });
     if (
       this.canStart(nowMs) && shouldStart(request, nowMs) &&
       this.findNext(nowMs) === undefined
@@ -268,8 +276,9 @@
   }
 
   private slotWaitMs(ahead: readonly WorkRequest[], nowMs: number): number {
-    const { slots } = this;
-    return slotWaitMs(ahead, { running: this.running.values(), slots, nowMs });
+    const { slots, load } = this;
+    const running = this.running.values();
+    return slotWaitMs(ahead, { running, slots, load, nowMs });
   }
 
   /** Whether a request keeps its place in the main queue even though it is expected to miss its objective. */
--- a/packages/router/src/backend/cold_start.ts
+++ b/packages/router/src/backend/cold_start.ts
@@ -81,9 +81,16 @@
     return this.estimator.begin(this.toColdRequest(request), monotonicMs());
   }
 
-  /** Records that a request that was sent to the server has ended; `isServed` is false if it didn't respond to it. */
-  end(running: RunningColdRequest, isServed: boolean): void {
-    this.estimator.end(running, { nowMs: monotonicMs(), isServed });
+  /**
+   * Records that a request that was sent to the server has ended.
+   *
+   * @param result `isServed`: whether the server responded to it; `tookMs`: its duration at the server's mean speed.
+   */
+  end(
+    running: RunningColdRequest,
+    result: { isServed: boolean; tookMs: number },
+  ): void {
+    this.estimator.end(running, { nowMs: monotonicMs(), ...result });
   }
 
   /** Counts a request by its end while the server is cold. */
--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -97,7 +97,7 @@
 export class LocalBackend extends Destination {
   /** Load of each key. */
   readonly profile = LoadProfile.create();
-  private readonly admission = SlotAdmission.create();
+  private readonly admission: SlotAdmission;
   private readonly times = ServiceTimes.create();
   private readonly coldStart: ColdStart;
   private readonly meter = LoadMeter.create();
@@ -113,6 +113,7 @@
     this.connections = ConnectionPool.create(context.address);
     this.statusMonitor = BackendStatusMonitor.create(context);
     this.coldStart = ColdStart.create({ ...context, times: this.times });
+    this.admission = SlotAdmission.create(this.statusMonitor.load);
   }
 
   /** Creates an instance without a backend server; requests are refused until {@link updateIdentity} is called. */
@@ -163,7 +164,10 @@
     return {
       waitMs: this.waitMs,
       utilization: this.utilization,
-      serviceMs: this.times.averageOf(route),
+      serviceMs: this.statusMonitor.load.durationMs(
+        this.times.averageOf(route),
+        monotonicMs(),
+      ),
       failureShare: this.failureShare,
     };
   }
@@ -205,6 +209,11 @@
     );
   }
 
+  /** Factor by which work takes longer now than its mean, as the server states it. */
+  get slowdown(): number {
+    return this.statusMonitor.load.factor(monotonicMs());
+  }
+
   /** Requests per second that the server states it takes (infinite without a limit), and those started last second. */
   get startRate(): { limitPerSecond: number; startedPerSecond: number } {
     return {
@@ -230,6 +239,7 @@
       slots: this.identity?.slots ?? 0,
       is_cold: this.admission.isCold ? 1 : 0,
       ...this.describeLimit(),
+      slowdown: Math.round(this.slowdown * 100) / 100,
       wait_ms: Math.round(this.waitMs),
       service_ms: Math.round(this.times.averageMs),
       utilization: Math.round(this.utilization * 100) / 100,
@@ -574,7 +584,11 @@
     outcome: Outcome,
   ): void {
     const isServed = outcome.kind === "answer" && outcome.status < 500;
-    this.coldStart.end(running, isServed);
+    const tookMs = this.statusMonitor.load.meanSpeedMs({
+      startedAtMs: running.startedAtMs,
+      endedAtMs: monotonicMs(),
+    });
+    this.coldStart.end(running, { isServed, tookMs });
     if (outcome.kind !== "not_run") {
       this.coldStart.count(isServed ? "served" : "missed");
     }
