Keep requests without a key in their zone while a server there is in time

Two thirds of the requests without a key cross zones, because a server was chosen by the lowest score of five, of which one is of the own zone, with a penalty of 20 ms and 2 ms a kilobyte for another zone. A response that is earlier than its caller needs it was paid for in bytes.

A request now stays in its zone while one of four servers there is expected to finish it with a margin before its latency objective; only then are servers of other zones described and compared. Requests with few bytes must keep a larger margin, so they leave a full zone first and uploads last. The size of the body is taken from the request, and only that of responses is learned by route. An upload isn't sent to another zone where it would be refused as too late.

Ruled out: the expected latency of the score for this decision. The wait is now bounded by how fast a queue grows.

--- a/packages/placement/src/choose_backend.ts
+++ b/packages/placement/src/choose_backend.ts
@@ -24,7 +24,7 @@
   readonly serviceMs: number;
   /** Typical service time there over all routes, in milliseconds; 0 if unknown. */
   readonly meanServiceMs: number;
-  /** Typical size of a request of this route and its response together, in bytes. */
+  /** Size of the request's body and typical size of the route's responses together, in bytes. */
   readonly transferBytes: number;
   /** Share of its recent requests that failed. */
   readonly failureShare: number;
@@ -42,11 +42,11 @@
  */
 const CROSS_ZONE_PENALTY_MS = 20;
 /**
- * Penalty per kilobyte transferred between availability zones in the score, in milliseconds. Traffic between zones is
- * billed: a small response may come from anywhere, while a download of 90 KB, which costs 180 ms in addition to the
- * fixed penalty, stays in its zone unless it would wait there for about 200 ms longer.
+ * Penalty per kilobyte transferred between availability zones in the score, in milliseconds, unless the operator sets
+ * another. Traffic between zones is billed: a small response may come from anywhere, while a download of 90 KB, which
+ * costs 180 ms in addition to the fixed penalty, stays in its zone unless it would wait there for about 200 ms longer.
  */
-const CROSS_ZONE_MS_PER_KILOBYTE = 2;
+export const DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE = 2;
 /**
  * Cost of forwarding to another daemon in the same zone, in milliseconds; includes 1 ms of CPU time at each of the two
  * daemons.
@@ -66,6 +66,11 @@
  * and 0.1 s later it would have the longest queue of all.
  */
 const REPORTED_WAIT_HALF_LIFE_MS = 150;
+/**
+ * Upper limit of the growth of a queue at a utilization of 1, in milliseconds of wait per millisecond: chance and waves
+ * bring up to a third more than a server finishes.
+ */
+const MIN_QUEUE_GROWTH = 0.3;
 /** Upper limit of the utilization in the estimate of the wait, which grows without bound towards 1. */
 const MAX_UTILIZATION = 0.97;
 /**
@@ -82,11 +87,13 @@
  * Chooses the candidate with the lowest cost.
  *
  * @param random returns numbers from 0 up to 1.
+ * @param crossZoneMsPerKilobyte penalty per kilobyte transferred between availability zones, in milliseconds.
  * @returns `undefined` where there is no candidate.
  */
 export function chooseBackend(
   candidates: readonly PlacementCandidate[],
   random: () => number,
+  crossZoneMsPerKilobyte = DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE,
 ): PlacementCandidate | undefined {
   const minFailureShare = Math.min(
     ...candidates.map(({ failureShare }) => failureShare),
@@ -94,7 +101,7 @@
   return withServiceTimes(candidates)
     .map((candidate) => ({
       candidate,
-      score: costMs(candidate, minFailureShare) *
+      score: costMs(candidate, { minFailureShare, crossZoneMsPerKilobyte }) *
         (1 + SCORE_JITTER * random()),
     }))
     .reduce<{ candidate: PlacementCandidate; score: number } | undefined>(
@@ -121,13 +128,31 @@
 
 /** Expected latency of a request at a candidate, including wait and network, in milliseconds. */
 export function expectedLatencyMs(candidate: PlacementCandidate): number {
-  const { serviceMs, reportAgeMs } = candidate;
+  return withoutWaitMs(candidate) + expectedWaitMs(candidate);
+}
+
+/**
+ * The same, with a wait that has not grown faster since the report than a queue grows. The typical wait of a server that
+ * is used to capacity is that of minutes, and no queue reaches it within the age of a report.
+ */
+export function boundedLatencyMs(candidate: PlacementCandidate): number {
+  const { waitMs, reportAgeMs, utilization } = candidate;
+  const growth = MIN_QUEUE_GROWTH + Math.max(0, utilization - 1);
+  return withoutWaitMs(candidate) +
+    Math.min(expectedWaitMs(candidate), waitMs + reportAgeMs * growth);
+}
+
+/** Expected latency without the wait that the report states, in milliseconds. */
+function withoutWaitMs(candidate: PlacementCandidate): number {
+  const { serviceMs, sentSinceReport } = candidate;
+  const unreportedMs = sentSinceReport * serviceMs / usableCapacity(candidate);
+  return serviceMs + unreportedMs + networkMs(candidate);
+}
+
+function expectedWaitMs(candidate: PlacementCandidate): number {
+  const { waitMs, reportAgeMs } = candidate;
   const freshness = 0.5 ** (reportAgeMs / REPORTED_WAIT_HALF_LIFE_MS);
-  const waitMs = candidate.waitMs * freshness +
-    typicalWaitMs(candidate) * (1 - freshness);
-  const unreportedMs = candidate.sentSinceReport * serviceMs /
-    usableCapacity(candidate);
-  return serviceMs + waitMs + unreportedMs + networkMs(candidate);
+  return waitMs * freshness + typicalWaitMs(candidate) * (1 - freshness);
 }
 
 /**
@@ -150,11 +175,12 @@
 /** Expected latency plus the penalties for other zones and for failures, in milliseconds. */
 function costMs(
   candidate: PlacementCandidate,
-  minFailureShare: number,
+  weights: { minFailureShare: number; crossZoneMsPerKilobyte: number },
 ): number {
+  const { minFailureShare, crossZoneMsPerKilobyte } = weights;
   const { serviceMs, failureShare, isSameZone, transferBytes } = candidate;
   const zoneMs = isSameZone ? 0 : CROSS_ZONE_PENALTY_MS +
-    transferBytes / 1_000 * CROSS_ZONE_MS_PER_KILOBYTE;
+    transferBytes / 1_000 * crossZoneMsPerKilobyte;
   const failureMs = (failureShare - minFailureShare) * FAILURE_WEIGHT *
     serviceMs;
   return expectedLatencyMs(candidate) + zoneMs + failureMs;
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -5,9 +5,10 @@
  */
 export {
   chooseBackend,
+  DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE,
   expectedLatencyMs,
   type PlacementCandidate,
 } from "./choose_backend.ts";
 export { isServerFault } from "./server_fault.ts";
 export { RouteServiceTimes } from "./route_service_times.ts";
-export { sampleBackends } from "./sample_backends.ts";
+export { chooseWithAffinity, type PlacementRequest } from "./zone_affinity.ts";
--- a/packages/placement/src/sample_backends_test.ts
+++ b/packages/placement/src/sample_backends_test.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { expect } from "chai";
-import { sampleBackends } from "./sample_backends.ts";
+import { sampleBackends, sampleByZone } from "./sample_backends.ts";
 
 describe("sampleBackends", () => {
   const random = () => 0.999;
@@ -28,3 +28,40 @@
     expect(drawn).to.deep.equal([29, 29, 29, 29]);
   });
 });
+
+describe("sampleByZone", () => {
+  const many = Array.from({ length: 30 }, (_, index) => index);
+  const isOwnZone = (backend: number) => backend % 4 === 0;
+
+  // Guards against requests that leave their zone while a server there is free, because too few of it were compared.
+  it("returns several distinct servers of the own zone", () => {
+    const { own } = sampleByZone(many, { isOwnZone, random: () => 0.5 });
+    expect(own).to.have.length(4);
+    expect(new Set(own).size).to.equal(4);
+    expect(own.every(isOwnZone)).to.equal(true);
+  });
+
+  it("returns distinct servers of other zones", () => {
+    const { others } = sampleByZone(many, { isOwnZone, random: () => 0 });
+    expect(new Set(others).size).to.equal(4);
+    expect(others.some(isOwnZone)).to.equal(false);
+  });
+
+  it("draws each server of the own zone equally often", () => {
+    let state = 3;
+    const random = () => {
+      state = (state * 16_807) % 2_147_483_647;
+      return state / 2_147_483_647;
+    };
+    const counts = new Map<number, number>();
+    Array.from(
+      { length: 2_000 },
+      () =>
+        sampleByZone(many, { isOwnZone, random }).own.forEach((server) =>
+          counts.set(server, (counts.get(server) ?? 0) + 1)
+        ),
+    );
+    expect(counts.size).to.equal(8);
+    expect(Math.min(...counts.values())).to.be.above(900);
+  });
+});
--- a/packages/placement/src/testing/zone_policies.ts
+++ b/packages/placement/src/testing/zone_policies.ts
@@ -3,8 +3,13 @@
  *
  * @module
  */
-import { chooseBackend, expectedLatencyMs } from "../choose_backend.ts";
+import {
+  chooseBackend,
+  DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE,
+  expectedLatencyMs,
+} from "../choose_backend.ts";
 import { sampleBackends } from "../sample_backends.ts";
+import { chooseWithAffinity } from "../zone_affinity.ts";
 import type { SimulatedServer } from "./simulated_server.ts";
 import type { SimulatedRequest, ZonePolicy } from "./zone_simulation.ts";
 
@@ -27,6 +32,28 @@
   return chosen === undefined ? undefined : Number(chosen.daemon);
 };
 
+/** The choice with zone affinity. */
+export function createAffinityChoice(
+  crossZoneMsPerKilobyte = DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE,
+): ZonePolicy {
+  return (request, { candidates, nowMs, isRetry, random }) => {
+    const chosen = chooseWithAffinity(candidates, {
+      objectiveRemainingMs: request.objectiveAtMs - nowMs,
+      remainingMs: request.deadlineAtMs - nowMs,
+      bodyBytes: request.kind.requestBytes,
+      crossZoneMsPerKilobyte,
+    }, {
+      isOwnZone: ({ isSameZone }) => isSameZone,
+      describe: (candidate) =>
+        isRetry && nowMs + expectedLatencyMs(candidate) >= request.objectiveAtMs
+          ? undefined
+          : candidate,
+      random,
+    });
+    return chosen === undefined ? undefined : Number(chosen.daemon);
+  };
+}
+
 /**
  * A reference with full knowledge of the queues and of the work of the request, but not of later requests: the server in
  * the zone that leaves the least time before the objective, and another zone only if none there is on time. A zone
--- a/packages/placement/src/testing/zone_scenarios.ts
+++ b/packages/placement/src/testing/zone_scenarios.ts
@@ -73,7 +73,9 @@
     periodMs: 17_000,
     phases: [0.1, 0.18, 0.26, 0.34],
     durationMs: 37_000,
-    random: createRandom(seed),
+    // Arrivals don't depend on how many numbers a choice draws, so that choices are compared on the same requests.
+    arrivalRandom: createRandom(seed),
+    random: createRandom(seed + 1),
   };
 }
 
--- a/packages/placement/src/testing/zone_simulation.ts
+++ b/packages/placement/src/testing/zone_simulation.ts
@@ -52,6 +52,8 @@
   /** Phase of the wave of each zone, as a share of the period. */
   readonly phases: readonly number[];
   readonly durationMs: number;
+  /** Random numbers for the arrivals, and for choices and reports. */
+  readonly arrivalRandom: () => number;
   readonly random: () => number;
 }
 
@@ -198,8 +200,8 @@
   }
 
   private scheduleArrival(zone: number): void {
-    const { random, durationMs } = this.scenario;
-    const delayMs = -Math.log(1 - random()) / this.arrivalsPerMs(zone);
+    const { arrivalRandom, durationMs } = this.scenario;
+    const delayMs = -Math.log(1 - arrivalRandom()) / this.arrivalsPerMs(zone);
     if (this.nowMs + delayMs < durationMs) {
       this.schedule(this.nowMs + delayMs, () => {
         this.handleArrival(zone);
@@ -226,7 +228,7 @@
   }
 
   private handleArrival(zone: number): void {
-    const { random, kinds, daemonsPerZone } = this.scenario;
+    const { arrivalRandom: random, kinds, daemonsPerZone } = this.scenario;
     const kind = pickKind(kinds, random());
     const request: SimulatedRequest = {
       kind,
--- a/packages/placement/src/zone_replay_test.ts
+++ b/packages/placement/src/zone_replay_test.ts
@@ -6,16 +6,29 @@
 import { expect } from "chai";
 import {
   chooseByScore,
+  createAffinityChoice,
   createInformedChoice,
 } from "./testing/zone_policies.ts";
-import { createScenario, summarize } from "./testing/zone_scenarios.ts";
+import {
+  createScenario,
+  summarize,
+  UNEVEN_SPEEDS,
+} from "./testing/zone_scenarios.ts";
 import { type ZonePolicy, ZoneSimulation } from "./testing/zone_simulation.ts";
 
 /** A replay takes a second; a busy machine takes longer. */
 const REPLAY_TIMEOUT_MS = 60_000;
 
-function replay(policy: ZonePolicy, utilization: number) {
-  const scenario = createScenario({ utilization, seed: 7 });
+function replay(
+  policy: ZonePolicy,
+  utilization: number,
+  speeds?: readonly (readonly number[])[],
+) {
+  const scenario = createScenario({
+    utilization,
+    seed: 7,
+    ...(speeds === undefined ? {} : { speeds }),
+  });
   return summarize(ZoneSimulation.run(scenario, policy));
 }
 
@@ -41,4 +54,39 @@
     expect(worstZoneOnTime).to.be.above(0.99);
     expect(crossedRequests / requests).to.be.above(0.25);
   });
+
+  describe("with zone affinity", () => {
+    it("keeps nearly all requests in their zones while these have capacity", () => {
+      const { worstZoneOnTime, crossZoneMegabytes } = replay(
+        createAffinityChoice(),
+        0.6,
+      );
+      expect(worstZoneOnTime).to.be.above(0.99);
+      expect(crossZoneMegabytes).to.be.below(1);
+    });
+
+    // Guards against a zone with a third of the capacity of the others that keeps its requests although they are late,
+    // or that sends out its uploads while it could send out small requests.
+    it("serves the callers of a zone with few servers as well as others, and keeps their uploads", () => {
+      const { worstZoneOnTime, crossedUploads, crossedRequests } = replay(
+        createAffinityChoice(),
+        0.6,
+        UNEVEN_SPEEDS,
+      );
+      expect(worstZoneOnTime).to.be.above(0.99);
+      expect(crossedUploads / crossedRequests).to.be.below(0.05);
+    });
+
+    // Guards against more late responses than the choice by score gives when waves need more than all capacity.
+    it("serves no zone worse than the score alone when all zones are full", () => {
+      const byScore = replay(chooseByScore, 0.8);
+      const byAffinity = replay(createAffinityChoice(), 0.8);
+      expect(byAffinity.worstZoneOnTime).to.be.above(
+        byScore.worstZoneOnTime - 0.01,
+      );
+      expect(byAffinity.crossZoneMegabytes).to.be.below(
+        byScore.crossZoneMegabytes / 3,
+      );
+    });
+  });
 });
--- a/packages/router/src/attempts/backend_load_tracker.ts
+++ b/packages/router/src/attempts/backend_load_tracker.ts
@@ -13,7 +13,7 @@
 /** A daemon that could not be reached is avoided for this long, in milliseconds, if others are available. */
 const AVOID_DURATION_MS = 500;
 
-/** Weight of the latest request in the moving average (EWMA) of a route's request and response sizes. */
+/** Weight of the latest response in the moving average (EWMA) of the sizes of a route's responses. */
 const SIZE_EWMA_WEIGHT = 0.1;
 
 /** Load of one backend server over all routes. */
@@ -30,7 +30,7 @@
 export class BackendLoadTracker {
   private readonly entries = new Map<string, Entry>();
   private readonly times = RouteServiceTimes.create();
-  private readonly sizes = new Map<string, number>();
+  private readonly responseSizes = new Map<string, number>();
 
   private constructor() {}
 
@@ -69,10 +69,13 @@
     }
   }
 
-  /** Records the bytes of a request of a route and its response together. */
-  recordSize(route: string, bytes: number): void {
-    const average = this.sizes.get(route) ?? bytes;
-    this.sizes.set(route, average + SIZE_EWMA_WEIGHT * (bytes - average));
+  /** Records the size of the body of a route's response, in bytes. */
+  recordResponseSize(route: string, bytes: number): void {
+    const average = this.responseSizes.get(route) ?? bytes;
+    this.responseSizes.set(
+      route,
+      average + SIZE_EWMA_WEIGHT * (bytes - average),
+    );
   }
 
   /** Typical service time of a route, in milliseconds; 0 where that is not known. */
@@ -107,6 +110,8 @@
       daemon: string;
       availabilityZone: string;
       route: string;
+      /** Size of the request's body, in bytes. */
+      bodyBytes: number;
       nowMs: number;
     },
   ): PlacementCandidate {
@@ -125,7 +130,8 @@
         origin.nowMs,
       ),
       meanServiceMs: report.serviceMs,
-      transferBytes: this.sizes.get(origin.route) ?? 0,
+      transferBytes: origin.bodyBytes +
+        (this.responseSizes.get(origin.route) ?? 0),
       reportAgeMs: Math.max(0, origin.nowMs - reportedAtMs),
       sentSinceReport,
     };
--- a/packages/router/src/attempts/backend_load_tracker_test.ts
+++ b/packages/router/src/attempts/backend_load_tracker_test.ts
@@ -105,6 +105,7 @@
         daemon: HOSTS[origin]!,
         availabilityZone: "zone-a",
         route: ROUTE,
+        bodyBytes: 0,
         nowMs,
       })
     );
@@ -154,4 +155,22 @@
       })
     );
   });
+
+  describe("when responses of a route have been received", () => {
+    // Guards against uploads of a route with bodies of different sizes all being placed by their average: the size of a
+    // body is known before it is sent.
+    it("adds their typical size to that of the body", () => {
+      const tracker = BackendLoadTracker.create();
+      tracker.recordResponseSize(ROUTE, 1_000);
+      tracker.recordResponseSize(ROUTE, 2_000);
+      const { transferBytes } = tracker.toCandidate(createReport("b"), {
+        daemon: "a",
+        availabilityZone: "zone-a",
+        route: ROUTE,
+        bodyBytes: 60_000,
+        nowMs: 0,
+      });
+      expect(transferBytes).to.equal(61_100);
+    });
+  });
 });
--- a/packages/router/src/attempts/request_runner.ts
+++ b/packages/router/src/attempts/request_runner.ts
@@ -7,11 +7,11 @@
 import type { Logger } from "@bamboolink/logger";
 import type { MemberReport, MemberView } from "@bamboolink/membership";
 import {
-  chooseBackend,
+  chooseWithAffinity,
+  DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE,
   expectedLatencyMs,
   isServerFault,
   type PlacementCandidate,
-  sampleBackends,
 } from "@bamboolink/placement";
 import { AttemptHistory, type FinalOutcome } from "./attempt_history.ts";
 import type { BackendLoadTracker } from "./backend_load_tracker.ts";
@@ -196,8 +196,10 @@
 
   private recordSize(request: RoutedRequest, outcome: Outcome): void {
     if (outcome.kind === "answer") {
-      const bytes = (request.body?.length ?? 0) + outcome.body.length;
-      this.context.loadTracker.recordSize(request.route, bytes);
+      this.context.loadTracker.recordResponseSize(
+        request.route,
+        outcome.body.length,
+      );
     }
   }
 
@@ -289,22 +291,31 @@
     if (this.context.quarantine.classify(request).kind === "suspect") {
       return this.chooseProbation(request, eligible);
     }
+    const bodyBytes = request.body?.length ?? 0;
     const origin = {
       daemon: own.address,
       availabilityZone: own.availabilityZone,
       route: request.route,
+      bodyBytes,
       nowMs,
     };
     this.recordLocalLoad(request.route, nowMs);
-    const isNear = ({ availabilityZone }: MemberReport) =>
-      availabilityZone === own.availabilityZone;
-    const described = sampleBackends(eligible, { isNear, random }).map((
-      report,
-    ) => loadTracker.toCandidate(report, origin));
-    const candidates = tried.size === 0
-      ? described
-      : described.filter((candidate) => this.hasCapacity(candidate, request));
-    const chosen = chooseBackend(candidates, random);
+    const chosen = chooseWithAffinity(eligible, {
+      objectiveRemainingMs: request.objectiveAtMs - nowMs,
+      remainingMs: request.deadlineAtMs - nowMs,
+      bodyBytes,
+      crossZoneMsPerKilobyte: DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE,
+    }, {
+      isOwnZone: ({ availabilityZone }) =>
+        availabilityZone === own.availabilityZone,
+      describe: (report) => {
+        const candidate = loadTracker.toCandidate(report, origin);
+        return tried.size === 0 || this.hasCapacity(candidate, request)
+          ? candidate
+          : undefined;
+      },
+      random,
+    });
     return chosen === undefined ? undefined : view.find(chosen.daemon);
   }
 
