Have a few daemons of each zone follow the operators' records

Cause: each daemon of a fleet polls the store, and a change of the operators' records ends the polls of all of them: of 622 store calls of 23 daemons in 33 s, 288 were polls. Ruled out: leaving out only the polls that follow a change, since a daemon that is cut off from its peers and not from the store would then learn of no further change for up to 0.65 s times the number of daemons. Daemons of earlier versions ignore the added fields, and their plans carry none.

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -572,6 +572,13 @@
       "Load of the backend server since the previous such line: running and waiting requests, offered and finished requests, the average service time and the share of failed requests.",
     action: NOTHING,
   },
+  watch_role_changed: {
+    number: 2050,
+    severity: "info",
+    meaning:
+      "This daemon has begun (`follows`: true) or ceased to follow the operators' records in the store for the daemons of its zone. Those that don't follow them learn of changes from those that do.",
+    action: NOTHING,
+  },
   answer_undelivered: {
     number: 1837,
     severity: "warn",
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -16,5 +16,6 @@
 export { chooseGossipTargets } from "./gossip_targets.ts";
 export { RepeatSchedule } from "./repeat_schedule.ts";
 export { sampleWithoutReplacement } from "./sample_without_replacement.ts";
+export { type FollowerCandidate, WatchFollowers } from "./watch_followers.ts";
 export { WatchPollCoordinator } from "./watch_poll_coordinator.ts";
 export { WatchPollSchedule } from "./watch_poll_schedule.ts";
--- a/packages/router/src/configuration/store_watcher.ts
+++ b/packages/router/src/configuration/store_watcher.ts
@@ -26,6 +26,8 @@
   readonly random: () => number;
   /** Chooses the poll timeout, in milliseconds; `endedUnchanged` is whether the last poll ended without a change. */
   readonly choosePollTimeoutMs: (endedUnchanged: boolean) => number;
+  /** Called after each response, before the next poll, which is sent once the promise resolves. */
+  readonly awaitPoll: () => Promise<void>;
   /** Called with each listing of all records. */
   readonly onListing: (listing: Listing) => void;
   /** Called with each change after a listing; `value` is `undefined` for deletions. */
@@ -59,8 +61,8 @@
   }
 
   private async listAndWatch(): Promise<void> {
-    const { store, logger, prefix, onListing, onChange, choosePollTimeoutMs } =
-      this.context;
+    const { store, logger, prefix, onListing, onChange } = this.context;
+    const { choosePollTimeoutMs, awaitPoll } = this.context;
     const listing = await store.list(prefix);
     if (this.isStopped) {
       return;
@@ -79,6 +81,7 @@
     this.watch = store.watch(prefix, {
       fromRevision: listing.value.revision + 1,
       choosePollTimeoutMs,
+      awaitPoll,
       handler: {
         onChanges: (changes) => changes.forEach(onChange),
         onEnd: (cause) => {
--- a/packages/router/src/members/datagram_codec.ts
+++ b/packages/router/src/members/datagram_codec.ts
@@ -108,6 +108,10 @@
   sender: z.string(),
   /** Time until the renewal, in milliseconds. */
   remainingMs: z.number().min(0).max(60_000),
+  /** Age of the store's last response to the sender, in milliseconds; absent in plans of earlier versions. */
+  observationAgeMs: z.number().min(0).optional(),
+  /** Version of the configuration that the sender has in force; absent in plans of earlier versions. */
+  configurationVersion: z.number().min(0).optional(),
 });
 
 /** Identifies a request by its content. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -16,12 +16,7 @@
   type PlannedMove,
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
-import {
-  type MemberReport,
-  MemberView,
-  WatchPollCoordinator,
-  WatchPollSchedule,
-} from "@bamboolink/membership";
+import { type MemberReport, MemberView } from "@bamboolink/membership";
 import { Metrics } from "@bamboolink/metrics";
 import type { Store } from "@bamboolink/store";
 import { ConfigurationEvidence } from "@bamboolink/traffic";
@@ -71,6 +66,7 @@
   type SharedReadResponse,
 } from "./keys/shared_reader.ts";
 import { StoreWatcher } from "./configuration/store_watcher.ts";
+import { WatchPollPlanner } from "./configuration/watch_poll_planner.ts";
 
 /** Interval of the control loop, in milliseconds. */
 const TICK_INTERVAL_MS = 50;
@@ -137,7 +133,7 @@
   private readonly peerConnections: CallerConnections;
   private readonly heartbeatServer: Server;
   private readonly readinessServer: Server;
-  private readonly watchPolls: WatchPollCoordinator;
+  private readonly watchPolls: WatchPollPlanner;
   private readonly watcher: StoreWatcher;
   private readonly timers: NodeJS.Timeout[] = [];
   private settingsVersion: string;
@@ -380,10 +376,16 @@
       isReady: () =>
         !this.isStopRequested && this.configuration.inForce !== undefined,
     });
-    this.watchPolls = WatchPollCoordinator.create(
-      settings.gossipAddress,
-      WatchPollSchedule.create(random),
-    );
+    this.watchPolls = WatchPollPlanner.create({
+      view: this.view,
+      logger,
+      random,
+      nowMs: monotonicMs,
+      reachesStore: () => this.store.isReachable,
+      configurationVersion: () => this.configuration.version,
+      fetchConfiguration: (peer) => this.configuration.fetch(peer.peerAddress),
+      broadcast: (plan) => this.gossip.broadcast(plan),
+    });
     this.watcher = this.createWatcher();
     this.createGauges();
   }
@@ -587,10 +589,7 @@
         void this.configurationChecker.handleResponse(datagram);
         return;
       case "watch_plan":
-        this.watchPolls.recordPlan(
-          datagram.sender,
-          monotonicMs() + datagram.remainingMs,
-        );
+        void this.watchPolls.handlePlan(datagram);
         return;
       case "crash_reports":
       case "cleared":
@@ -741,7 +740,8 @@
       random,
       prefix: document.prefix,
       choosePollTimeoutMs: (endedUnchanged) =>
-        this.planWatchPoll(endedUnchanged),
+        this.watchPolls.nextTimeoutMs(endedUnchanged),
+      awaitPoll: () => this.watchPolls.awaitDue(),
       onListing: ({ records, revision }) => {
         const zones = records.flatMap(({ key }) =>
           document.readEvacuatedZone(key) ?? []
@@ -761,22 +761,6 @@
     });
   }
 
-  /** Chooses the timeout of the next poll of the watch, and announces it to the daemons that plan theirs behind it. */
-  private planWatchPoll(endedUnchanged: boolean): number {
-    const nowMs = monotonicMs();
-    const others = this.view.alive(nowMs).map(({ address }) => address);
-    const remainingMs = this.watchPolls.nextTimeoutMs({
-      nowMs,
-      others,
-      endedUnchanged,
-    });
-    if (WatchPollCoordinator.coordinates(others.length + 1)) {
-      const sender = this.view.ownReport.address;
-      this.gossip.broadcast({ kind: "watch_plan", sender, remainingMs });
-    }
-    return remainingMs;
-  }
-
   private handleOperatorRecord(
     { key, value }: { key: string; value: string | undefined },
   ): void {
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -60,6 +60,11 @@
    * timeout without a change. Ignored by stores that send keep-alives.
    */
   readonly choosePollTimeoutMs?: (endedUnchanged: boolean) => number;
+  /**
+   * Called after each response, before the next poll; the poll is sent once the promise resolves. Ignored by stores that
+   * send keep-alives.
+   */
+  readonly awaitPoll?: () => Promise<void>;
 }
 
 /** A running watch. */
