--- a/packages/admission/src/cold_start_estimator.ts
+++ b/packages/admission/src/cold_start_estimator.ts
@@ -107,14 +107,15 @@
   /**
    * Records the end of a request.
    *
-   * @param isServed whether it was completed by the server, so that its duration counts.
+   * @param result `isServed`: whether it was completed by the server, so that its duration counts; `tookMs`: its
+   *   duration at the mean speed of the server, if that differs from the elapsed time.
    */
   end(
     running: RunningColdRequest,
-    { nowMs, isServed }: { nowMs: number; isServed: boolean },
+    result: { nowMs: number; isServed: boolean; tookMs?: number },
   ): void {
     this.runningOnWarmKeys.delete(running);
-    const tookMs = nowMs - running.startedAtMs;
+    const { nowMs, isServed, tookMs = nowMs - running.startedAtMs } = result;
     if (!isServed) {
       return;
     }
--- a/packages/admission/src/slot_forecast.ts
+++ b/packages/admission/src/slot_forecast.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { ServerLoadEstimator } from "./server_load_estimator.ts";
 import {
   bestStartMs,
   type ColdEstimate,
@@ -24,18 +25,27 @@
   readonly estimateMs: number;
 }
 
+/** Requests that hold slots of one backend server, and how much longer than their estimates they take there now. */
+interface ServerState {
+  readonly running: Iterable<RunningRequest>;
+  readonly load: ServerLoadEstimator;
+  readonly nowMs: number;
+}
+
 /** Simulates the slots: each request ahead takes the slot that becomes free first. Returns the wait behind them. */
 export function slotWaitMs(
   ahead: readonly WorkRequest[],
-  at: { running: Iterable<RunningRequest>; slots: number; nowMs: number },
+  at: ServerState & { slots: number },
 ): number {
-  const { running, slots, nowMs } = at;
+  const { running, load, slots, nowMs } = at;
   if (slots === 0) {
     return Infinity;
   }
-  const remaining = [...running].map((request) =>
-    remainingMsOf(request, nowMs)
-  );
+  const remaining = [...running].map((request) => {
+    const { startedAtMs } = request;
+    const run = { startedAtMs, endedAtMs: nowMs };
+    return remainingMsOf(request, load.meanSpeedMs(run));
+  });
   const free = Array.from(
     { length: Math.max(0, slots - remaining.length) },
     () => 0,
@@ -46,25 +56,28 @@
     const startMs = bestStartMs(request, nowMs + freeInMs[earliest]!);
     freeInMs[earliest] = startMs - nowMs + serviceMsAt(request, startMs);
   });
-  return freeInMs[indexOfMin(freeInMs)]!;
+  return load.durationMs(freeInMs[indexOfMin(freeInMs)]!, nowMs);
 }
 
 /**
- * The request, with its estimate scaled by how far the running requests exceed theirs. Estimates come from requests
- * that have ended. When a server has just become slow, for example after a restart, none has ended yet, and without
+ * The request, with its estimate at the current speed of the server: as the server states it, and scaled by how far the
+ * running requests exceed their estimates. Estimates come from requests that have ended. When a server has just become slow, for example after a restart, none has ended yet, and without
  * this the queue would admit many more requests than the server can finish before their deadlines.
  */
 export function scaledBySlowdown(
   request: WorkRequest,
-  running: Iterable<RunningRequest>,
-  nowMs: number,
+  { running, load, nowMs }: ServerState,
 ): WorkRequest {
-  const slowdown = meanSlowdown(running, nowMs);
-  if (slowdown === 1) {
+  const work = [...running].map((other) => ({
+    startedAtMs: other.startedAtMs,
+    maxTypicalMs: maxTypicalMs(other),
+  }));
+  const slowdown = load.overrunFactor(work, nowMs);
+  const { coldEstimate } = request;
+  const estimateMs = load.durationMs(request.estimateMs * slowdown, nowMs);
+  if (estimateMs === request.estimateMs) {
     return request;
   }
-  const { coldEstimate } = request;
-  const estimateMs = request.estimateMs * slowdown;
   return coldEstimate === undefined ? { ...request, estimateMs } : {
     ...request,
     estimateMs,
@@ -72,18 +85,6 @@
   };
 }
 
-/** Mean factor by which running requests exceed the typical spread of their estimates; at least 1. */
-function meanSlowdown(
-  running: Iterable<RunningRequest>,
-  nowMs: number,
-): number {
-  const slowdowns = [...running].map((request) =>
-    Math.max(1, (nowMs - request.startedAtMs) / maxTypicalMs(request))
-  );
-  const sum = slowdowns.reduce((total, slowdown) => total + slowdown, 0);
-  return slowdowns.length === 0 ? 1 : sum / slowdowns.length;
-}
-
 /** The estimate, scaled for starts before the server or the key becomes warm. */
 function scaledUntilWarm(
   estimate: ColdEstimate,
@@ -102,10 +103,11 @@
 /**
  * Expected remaining time of a running request, in milliseconds. A request that is far overdue is expected to take as
  * much longer again as it is already overdue.
+ *
+ * @param ranMs for how long it has run, at the mean speed of the server.
  */
-function remainingMsOf(running: RunningRequest, nowMs: number): number {
-  const { startedAtMs, estimateMs } = running;
-  const ranMs = nowMs - startedAtMs;
+function remainingMsOf(running: RunningRequest, ranMs: number): number {
+  const { estimateMs } = running;
   const overdueMs = Math.max(0, ranMs - maxTypicalMs(running));
   return Math.max(
     estimateMs - ranMs,
