Register and list at a start in one store call each

Cause: a restart takes four store calls. The first write conflicts with the record of the earlier process, a listing finds its revision, a second write replaces it, and the operators' records are listed separately. The three calls of a registration follow each other, and no key is granted before it.

The watch of the operators' records starts from the shared listing, or lists itself if that is not there within 400 ms, or the registration fails.

Only a daemon writes its own record, and the revision of an unconditional write is as high as that of a conditional one, so the fencing tokens stay above those of earlier processes.

--- a/packages/router/src/configuration/store_watcher.ts
+++ b/packages/router/src/configuration/store_watcher.ts
@@ -6,6 +6,7 @@
  */
 import type { Logger } from "@bamboolink/logger";
 import type { Listing, Store, Watch } from "@bamboolink/store";
+import { ok } from "neverthrow";
 
 /** Delay after a first failure; it doubles with each further one. */
 const INITIAL_RETRY_DELAY_MS = 100;
@@ -23,6 +24,8 @@
   readonly store: Store;
   readonly logger: Logger;
   readonly prefix: string;
+  /** A listing of the prefix that is made for other purposes at the start; `undefined` if there is none. */
+  readonly firstListing: Promise<Listing | undefined>;
   readonly random: () => number;
   /** Chooses the poll timeout, in milliseconds; `endedUnchanged` is whether the last poll ended without a change. */
   readonly choosePollTimeoutMs: (endedUnchanged: boolean) => number;
@@ -40,6 +43,7 @@
   private timer: NodeJS.Timeout | undefined;
   private failures = 0;
   private isStopped = false;
+  private isStarting = true;
 
   private constructor(private readonly context: StoreWatcherContext) {}
 
@@ -63,7 +67,10 @@
   private async listAndWatch(): Promise<void> {
     const { store, logger, prefix, onListing, onChange } = this.context;
     const { choosePollTimeoutMs, awaitPoll } = this.context;
-    const listing = await store.list(prefix);
+    const firstListing = await this.takeFirstListing();
+    const listing = firstListing === undefined
+      ? await store.list(prefix)
+      : ok(firstListing);
     if (this.isStopped) {
       return;
     }
@@ -92,6 +99,12 @@
     });
   }
 
+  private takeFirstListing(): Promise<Listing | undefined> {
+    const { isStarting } = this;
+    this.isStarting = false;
+    return isStarting ? this.context.firstListing : Promise.resolve(undefined);
+  }
+
   private scheduleRetry(): void {
     if (this.isStopped) {
       return;
--- a/packages/router/src/members/member_directory.ts
+++ b/packages/router/src/members/member_directory.ts
@@ -6,8 +6,8 @@
 import type { BamboolinkError } from "@bamboolink/errors";
 import type { Logger } from "@bamboolink/logger";
 import type { MemberReport, MemberView } from "@bamboolink/membership";
-import type { Store, StoredRecord } from "@bamboolink/store";
-import type { Result, ResultAsync } from "neverthrow";
+import type { Listing, Store, StoredRecord } from "@bamboolink/store";
+import type { ResultAsync } from "neverthrow";
 import { isAddress } from "./gossip_node.ts";
 
 /** Prefix of all records of bamboolink. */
@@ -15,12 +15,19 @@
 /** Prefix of the records that hold the daemons' addresses. */
 const MEMBER_PREFIX = "bamboolink/members/";
 const RETRY_DELAY_MS = 500;
+/**
+ * Time from the start after which the operators' records are listed separately, in milliseconds: a listing together
+ * with those of bamboolink follows the registration, which may be slow or fail.
+ */
+const SHARED_LISTING_TIMEOUT_MS = 400;
 
 /** Dependencies of the directory. */
 export interface MemberDirectoryContext {
   readonly store: Store;
   readonly view: MemberView;
   readonly logger: Logger;
+  /** Prefix of the operators' records, which are listed together with those of bamboolink at the start. */
+  readonly operatorPrefix: string;
   /** Called with the store revision of the registration. */
   readonly onRegistered: (revision: number) => void;
   /** Called with each record of bamboolink that is not a daemon's address. */
@@ -29,10 +36,19 @@
 
 /** Registers this daemon and reads the addresses of the others. */
 export class MemberDirectory {
+  /** The operators' records as of the start; `undefined` if they have to be listed separately. */
+  readonly operatorListing: Promise<Listing | undefined>;
+  private resolveOperatorListing: (listing: Listing | undefined) => void = () =>
+    undefined;
   private timer: NodeJS.Timeout | undefined;
+  private sharedListingTimer: NodeJS.Timeout | undefined;
   private isStopped = false;
 
-  private constructor(private readonly context: MemberDirectoryContext) {}
+  private constructor(private readonly context: MemberDirectoryContext) {
+    this.operatorListing = new Promise((resolve) => {
+      this.resolveOperatorListing = resolve;
+    });
+  }
 
   /** Creates a directory that has not registered yet. */
   static create(context: MemberDirectoryContext): MemberDirectory {
@@ -41,6 +57,10 @@
 
   /** Starts to register this daemon, with retries until it succeeds. */
   start(): void {
+    this.sharedListingTimer = setTimeout(
+      () => this.resolveOperatorListing(undefined),
+      SHARED_LISTING_TIMEOUT_MS,
+    );
     void this.register();
   }
 
@@ -48,6 +68,8 @@
   stop(): void {
     this.isStopped = true;
     clearTimeout(this.timer);
+    clearTimeout(this.sharedListingTimer);
+    this.resolveOperatorListing(undefined);
   }
 
   /**
@@ -68,7 +90,7 @@
       .filter(({ address }) => !present.has(MEMBER_PREFIX + address));
     const written = await Promise.all(
       missing.map((report) =>
-        this.writeAddress(0, report).mapErr((cause) =>
+        this.writeAddress(report).mapErr((cause) =>
           this.logFailure("members.restore", cause)
         )
       ),
@@ -79,15 +101,21 @@
   }
 
   /**
-   * Lists all records of bamboolink. Daemons register before they list, so of two that start together at least one
-   * finds the other. Later they learn of each other by gossip, so the store is not watched.
+   * Lists all records of bamboolink, and those of the operators with them. Daemons register before they list, so of two
+   * that start together at least one finds the other. Later they learn of each other by gossip, so the store is not
+   * watched.
    */
   private async listRecords(): Promise<void> {
-    const listing = await this.context.store.list(ROOT_PREFIX);
-    listing.match(
-      ({ records }) => this.handleRecords(records),
+    const { store, operatorPrefix } = this.context;
+    const listings = await store.listAll([ROOT_PREFIX, operatorPrefix]);
+    listings.match(
+      ([own, operators]) => {
+        this.resolveOperatorListing(operators);
+        this.handleRecords(own?.records ?? []);
+      },
       (cause) => {
         this.logFailure("members.list", cause);
+        this.resolveOperatorListing(undefined);
         this.retryLater(() => this.listRecords());
       },
     );
@@ -120,72 +148,41 @@
   /**
    * Writes this daemon's address. This is done at each start, even if the record exists, because the revision of the
    * write is higher than any that an earlier process of this daemon has read.
-   *
-   * Most starts in a fleet are first starts, so the record is assumed not to exist, which saves a read for each of
-   * them.
    */
   private async register(): Promise<void> {
-    const written = await this.writeAddress(0);
-    if (written.isErr() && written.error.code === "conflict") {
-      await this.reregister();
-      return;
-    }
-    this.finishRegistration(written, { hasListed: false });
-  }
-
-  /**
-   * Rewrites the address that an earlier process has registered. Others can find this daemon already, and the
-   * listing that returns the current revision also returns their addresses. While this daemon can't
-   * reach the store, it can't list, but another daemon can read a single record for it.
-   */
-  private async reregister(): Promise<void> {
-    const { store } = this.context;
-    const listing = await store.list(ROOT_PREFIX);
-    if (listing.isErr()) {
-      const written = await store.get(this.ownKey)
-        .andThen((found) => this.writeAddress(found?.revision ?? 0));
-      this.finishRegistration(written, { hasListed: false });
+    const { logger, view, onRegistered } = this.context;
+    const { address } = view.ownReport;
+    const written = await this.context.store.overwrite(
+      this.toRecord(view.ownReport),
+    );
+    if (written.isErr()) {
+      this.logFailure("register", written.error);
+      this.resolveOperatorListing(undefined);
+      this.retryLater(() => this.register());
       return;
     }
-    const { records } = listing.value;
-    this.handleRecords(records);
-    const ownRecord = records.find(({ key }) => key === this.ownKey);
-    this.finishRegistration(await this.writeAddress(ownRecord?.revision ?? 0), {
-      hasListed: true,
-    });
-  }
-
-  private get ownKey(): string {
-    return MEMBER_PREFIX + this.context.view.ownReport.address;
+    logger.log("member_registered", { address, revision: written.value });
+    onRegistered(written.value);
+    await this.listRecords();
   }
 
   private writeAddress(
-    expectedRevision: number,
-    { address, availabilityZone }: MemberReport = this.context.view.ownReport,
+    report: MemberReport,
   ): ResultAsync<number, BamboolinkError> {
+    const expectedRevision = 0;
     return this.context.store.compareAndSwap({
-      key: MEMBER_PREFIX + address,
-      value: JSON.stringify({ availability_zone: availabilityZone }),
+      ...this.toRecord(report),
       expectedRevision,
     });
   }
 
-  private finishRegistration(
-    written: Result<number, BamboolinkError>,
-    { hasListed }: { hasListed: boolean },
-  ): void {
-    const { logger, view, onRegistered } = this.context;
-    const { address } = view.ownReport;
-    if (written.isErr()) {
-      this.logFailure("register", written.error);
-      this.retryLater(() => this.register());
-      return;
-    }
-    logger.log("member_registered", { address, revision: written.value });
-    onRegistered(written.value);
-    if (!hasListed) {
-      void this.listRecords();
-    }
+  private toRecord(
+    { address, availabilityZone }: MemberReport,
+  ): { key: string; value: string } {
+    return {
+      key: MEMBER_PREFIX + address,
+      value: JSON.stringify({ availability_zone: availabilityZone }),
+    };
   }
 
   private logFailure(step: string, cause: BamboolinkError): void {
--- a/packages/router/src/members/relayed_store.ts
+++ b/packages/router/src/members/relayed_store.ts
@@ -95,6 +95,21 @@
     );
   }
 
+  override overwrite(
+    request: { key: string; value: string },
+  ): ResultAsync<number, BamboolinkError> {
+    const writeViaRelay = () => super.overwrite(request);
+    if (this.findPreferredRelay() !== undefined) {
+      return writeViaRelay();
+    }
+    const { direct, findRelay } = this.context;
+    return this.trackReachability(direct.overwrite(request)).orElse((error) =>
+      findRelay() === undefined || !hasCertainlyNoEffect(error)
+        ? errAsync(error)
+        : writeViaRelay()
+    );
+  }
+
   override get era(): number {
     return Math.max(this.context.direct.era, this.relayedEra);
   }
@@ -125,6 +140,12 @@
     return this.trackReachability(this.context.direct.list(prefix));
   }
 
+  override listAll(
+    prefixes: readonly string[],
+  ): ResultAsync<Listing[], BamboolinkError> {
+    return this.trackReachability(this.context.direct.listAll(prefixes));
+  }
+
   override grantLease(
     ttlSeconds: number,
   ): ResultAsync<string, BamboolinkError> {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -286,6 +286,7 @@
       store: this.store,
       view: this.view,
       logger,
+      operatorPrefix: ports.document.prefix,
       onRegistered: (revision) => this.ownership.onRegistered(revision),
       onRecord: (record) => this.directory.updateFromStore(record.key, record),
     });
@@ -739,6 +740,7 @@
       logger,
       random,
       prefix: document.prefix,
+      firstListing: this.members.operatorListing,
       choosePollTimeoutMs: (endedUnchanged) =>
         this.watchPolls.nextTimeoutMs(endedUnchanged),
       awaitPoll: () => this.watchPolls.awaitDue(),
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { BamboolinkError } from "@bamboolink/errors";
-import type { ResultAsync } from "neverthrow";
+import { ResultAsync } from "neverthrow";
 
 /** A record as read from the store. */
 export interface StoredRecord {
@@ -90,6 +90,13 @@
   /** Lists the records below a prefix. */
   abstract list(prefix: string): ResultAsync<Listing, BamboolinkError>;
 
+  /** Lists the records below each of several prefixes, in one call where the store allows it. */
+  listAll(
+    prefixes: readonly string[],
+  ): ResultAsync<Listing[], BamboolinkError> {
+    return ResultAsync.combine(prefixes.map((prefix) => this.list(prefix)));
+  }
+
   /** Reads one record. */
   abstract get(
     key: string,
@@ -100,6 +107,21 @@
     request: CasRequest,
   ): ResultAsync<number, BamboolinkError>;
 
+  /**
+   * Writes a record at whatever revision it is, and returns the revision of the write; in one call where the store
+   * allows it. Only for records that a single process writes, since it replaces what others have written.
+   */
+  overwrite(
+    request: { key: string; value: string },
+  ): ResultAsync<number, BamboolinkError> {
+    return this.get(request.key).andThen((found) =>
+      this.compareAndSwap({
+        ...request,
+        expectedRevision: found?.revision ?? 0,
+      })
+    );
+  }
+
   /** Grants a store lease and returns its id. */
   abstract grantLease(ttlSeconds: number): ResultAsync<string, BamboolinkError>;
 
