Grant the keys of a starting server with its first heartbeat

Cause: the lease of a starting daemon is confirmed by a read that is requested once the service of its backend server is known, by the first heartbeat.

Change: the listing that a daemon makes after its registration is a read of all ownership records, so it confirms the lease as the response of the shared reader does, by the same checks and from the time before it was sent. The response to the first heartbeat waits up to 700 ms for the configuration, the listing and the lease, within 4 s of the start of the process. BL2032 states each wait from the first heartbeat to the first grant.

Kept, because they keep requests and keys from where they may not go: the waits for the evacuated zones and for what others know of an earlier process.

--- a/packages/keyspace/src/grant_tracker.ts
+++ b/packages/keyspace/src/grant_tracker.ts
@@ -328,6 +328,11 @@
     return Math.max(0, ...remainingMs);
   }
 
+  /** Whether the running incarnation has been granted any range by this process. */
+  get hasGrantedKeys(): boolean {
+    return this.hasGranted;
+  }
+
   /** Whether any range is being released. */
   get isReleasing(): boolean {
     return this.releasing.segments.length > 0;
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -295,6 +295,14 @@
     action:
       "If `missed` is more than a tenth of `served`: requests on the cold server take longer than estimated; compare `service_ms` of `backend_load`.",
   },
+  first_keys_granted: {
+    number: 2032,
+    severity: "info",
+    meaning:
+      "A process of the backend server was granted its first keys, `after_ms` after its first heartbeat. The responses to its heartbeats waited for the evacuated zones (`evacuation_ms`), for what others know of an earlier process of this daemon (`earlier_report_ms`), and for the ownership lease (`lease_ms`).",
+    action:
+      "If `after_ms` is more than a second without such waits, the keys had no assigned owner, or the server sends heartbeats late.",
+  },
   evacuation_of_unknown_zone: {
     number: 1847,
     severity: "warn",
--- a/packages/router/src/backend/backend_manager.ts
+++ b/packages/router/src/backend/backend_manager.ts
@@ -17,6 +17,7 @@
 import type { Logger } from "@bamboolink/logger";
 import type { MemberPhase, StatedStatus } from "@bamboolink/membership";
 import { bootMs, monotonicMs } from "../clock.ts";
+import { FirstGrantTimer } from "./first_grant_timer.ts";
 import type { BackendSuspicion, LocalBackend } from "./local_backend.ts";
 import type {
   BackendDeparture,
@@ -87,6 +88,8 @@
   readonly onProcessEnded: (end: BackendProcessEnd) => void;
   /** Called before a grant is decided; it may delay the heartbeat response for a handover. */
   readonly beforeGrant: () => Promise<void>;
+  /** Waits before the first grant to a process, for a bounded time, until keys of a service may be granted. */
+  readonly awaitGrantable: (service: string) => Promise<void>;
 }
 
 /** The end of a backend server's process, proved or assumed. */
@@ -112,6 +115,7 @@
   private lastHeartbeat: BackendHeartbeat | undefined;
   private currentPhase: MemberPhase = "absent";
   private readonly drain = DrainTracker.create();
+  private readonly firstGrant = FirstGrantTimer.create();
   /** End of the cold time that the backend server has reported, on the monotonic clock. */
   private coldEndsAtMs = -Infinity;
   /**
@@ -173,11 +177,15 @@
     heartbeat: BackendHeartbeat,
   ): Promise<HeartbeatResponse> {
     const { instance, service } = heartbeat;
-    if (!await this.context.evacuation.awaitKnown()) {
+    const { evacuation, awaitEarlierReport } = this.context;
+    this.firstGrant.recordHeartbeat(heartbeat);
+    if (
+      !await this.firstGrant.measure("evacuation", evacuation.awaitKnown())
+    ) {
       // A daemon that has just started must not accept requests for an evacuated backend server.
       return { kind: "unacknowledged" };
     }
-    await this.context.awaitEarlierReport();
+    await this.firstGrant.measure("earlier_report", awaitEarlierReport());
     if (this.context.isConfigured(service) === false) {
       this.context.logger.log("heartbeat_of_unknown_service", {
         instance,
@@ -373,7 +381,6 @@
     }
     this.lastHeartbeat = heartbeat;
     this.updateColdTime(heartbeat);
-    const keyed = isKeyed(heartbeat.service);
     if (succession === undefined) {
       grants.adoptTokens(heartbeat.holds, nowMs);
     } else {
@@ -404,7 +411,13 @@
     const isDraining = heartbeat.isDraining || this.isLeaving(heartbeat);
     const phase = isDraining ? "draining" : this.undrainedPhase;
     this.setPhase(phase, "heartbeat");
-    if (!keyed || !this.context.mayGrant(heartbeat.service)) {
+    if (!isDraining && !grants.hasGrantedKeys) {
+      const grantable = this.context.awaitGrantable(heartbeat.service);
+      await this.firstGrant.measure("lease", grantable);
+    }
+    if (
+      !isKeyed(heartbeat.service) || !this.context.mayGrant(heartbeat.service)
+    ) {
       return undefined;
     }
     if (!isDraining) {
@@ -424,9 +437,19 @@
       processingMs,
     });
     backend.onKeysGranted();
+    this.logFirstGrant(grant);
     return grant.holdMs > 0 ? grant : undefined;
   }
 
+  private logFirstGrant({ ranges }: Grant): void {
+    const waits = ranges.length === 0 ? undefined : this.firstGrant.finish();
+    if (waits !== undefined) {
+      const { instance, service } = this.lastHeartbeat ?? {};
+      const { logger } = this.context;
+      logger.log("first_keys_granted", { instance, service, ...waits });
+    }
+  }
+
   private updateColdTime(
     { instance, service, coldMs }: BackendHeartbeat,
   ): void {
--- a/packages/router/src/backend/backend_manager_test.ts
+++ b/packages/router/src/backend/backend_manager_test.ts
@@ -48,6 +48,7 @@
     onChange?: () => void;
     onProcessEnded?: () => void;
     awaitEarlierReport?: () => Promise<void>;
+    awaitGrantable?: () => Promise<void>;
   } = {},
 ): BackendManager {
   const releaseAll = () => {
@@ -92,6 +93,7 @@
     beforeDrain: () => Promise.resolve((options.beforeDrain ?? releaseAll)()),
     onProcessEnded: options.onProcessEnded ?? (() => undefined),
     beforeGrant: () => Promise.resolve(),
+    awaitGrantable: options.awaitGrantable ?? (() => Promise.resolve()),
   });
 }
 
@@ -125,6 +127,27 @@
     freed: [],
   };
 
+  describe("before the first grant to a process", () => {
+    // Guards against keys without a holder for a heartbeat's interval after a start, because the lease is confirmed just
+    // after the first response.
+    it("delays the response until keys may be granted, and no later one", async () => {
+      const { grants, lease } = createOwner();
+      lease.reset();
+      let waits = 0;
+      const manager = createManager(grants, lease, {
+        awaitGrantable: () => {
+          waits += 1;
+          lease.confirm(bootMs(), { arbiters: [], revision: 1 });
+          return Promise.resolve();
+        },
+      });
+      const granted = await manager.handleHeartbeat(heartbeat);
+      expect(rangesIn(granted)).to.have.length(1);
+      await manager.handleHeartbeat({ ...heartbeat, sequence: 2 });
+      expect(waits).to.equal(1);
+    });
+  });
+
   describe("when a backend server that owns keys drains", () => {
     // Guards against keys of a draining backend server without an owner for more than a second: if they are released a
     // tick after the response that acknowledges the drain, only the response to the next heartbeat omits them.
--- a/packages/router/src/keys/ownership_directory.ts
+++ b/packages/router/src/keys/ownership_directory.ts
@@ -18,6 +18,7 @@
   private readonly records = new Map<string, OwnershipRecord>();
   private listener: RecordListener = () => undefined;
   private keyedServiceNames: ReadonlySet<string> = new Set();
+  private hasConfiguration = false;
 
   private constructor(private readonly logger: Logger) {}
 
@@ -34,9 +35,15 @@
   /** Applies the configuration, which states the services whose keys have owners. */
   configure(configuration: TrafficConfiguration): void {
     const services = configuration.services.filter(({ keyed }) => keyed);
+    this.hasConfiguration = true;
     this.keyedServiceNames = new Set(services.map(({ name }) => name));
   }
 
+  /** Whether a configuration was applied, so that it is known which services have keys with owners. */
+  get isConfigured(): boolean {
+    return this.hasConfiguration;
+  }
+
   /** Whether the keys of a service have owners. */
   isKeyed(service: string): boolean {
     return this.keyedServiceNames.has(service);
--- a/packages/router/src/keys/ownership_lease_manager.ts
+++ b/packages/router/src/keys/ownership_lease_manager.ts
@@ -48,6 +48,17 @@
  */
 const SHARED_READ_TIMEOUT_MS = 800;
 
+/** An older listing of the start, in milliseconds, no longer confirms the lease: it would expire soon. */
+const MAX_START_READ_AGE_MS = 2_500;
+
+/** The listing of a daemon that starts. */
+export interface StartRead {
+  /** The daemon's clock before the listing was sent, in milliseconds. */
+  readonly sentAtMs: number;
+  /** Revisions of the ownership records, by service. */
+  readonly revisions: ReadonlyMap<string, number>;
+}
+
 /** A request to an arbiter for its promise. */
 export interface LeasePromiseRequest {
   readonly service: string;
@@ -98,6 +109,7 @@
   private promisesRequestedAtMs = -Infinity;
   private isReadingDirectly = false;
   private dependsOnPromises = false;
+  private startRead: StartRead | undefined;
 
   private constructor(private readonly context: OwnershipLeaseManagerContext) {
     this.confirmationSchedule = ConfirmationSchedule.create(context.random);
@@ -139,6 +151,32 @@
     this.confirmByRecord(service, record, askedAtMs);
   }
 
+  /**
+   * Records the listing that a daemon makes when it starts. It is a read of all records, sent after the registration,
+   * so it confirms the lease as any other read does.
+   */
+  recordStartRead(read: StartRead): void {
+    this.startRead = read;
+  }
+
+  /**
+   * Confirms the lease by the listing at the start, as soon as the service of the backend server is known. Without it,
+   * the first heartbeat gets no grant, since the service is known only by then, and keys have no holder for another
+   * heartbeat's interval.
+   */
+  applyStartRead(service: string): void {
+    const { startRead } = this;
+    const revision = startRead?.revisions.get(service);
+    if (startRead === undefined || service !== this.context.ownService()) {
+      return;
+    }
+    this.startRead = undefined;
+    const isRecent = bootMs() - startRead.sentAtMs < MAX_START_READ_AGE_MS;
+    if (isRecent && revision !== undefined) {
+      this.onSharedRead({ service, askedAtMs: startRead.sentAtMs, revision });
+    }
+  }
+
   /** Whether a move of keys that begins now can probably be written to the store, and the record allows it. */
   canMoveKeys(): boolean {
     return this.context.lease.confirmationAgeMs(bootMs()) <
--- a/packages/router/src/keys/ownership_lease_manager_test.ts
+++ b/packages/router/src/keys/ownership_lease_manager_test.ts
@@ -49,7 +49,7 @@
     onSealed: () => undefined,
     onPromiseNeeded: () => undefined,
   });
-  return { manager, lease };
+  return { manager, lease, directory };
 }
 
 async function isConfirmed(
@@ -96,4 +96,48 @@
       expect(lease.confirmationAgeMs(askedAtMs)).to.equal(0);
     });
   });
+
+  describe("when the daemon has listed all records at its start", () => {
+    const readAt = (ageMs: number, revision: number) => ({
+      sentAtMs: bootMs() - ageMs,
+      revisions: new Map([[SERVICE, revision]]),
+    });
+
+    // Guards against keys without a holder for a heartbeat's interval after each start: the service of the backend
+    // server is known by its first heartbeat only, and a read for it ends after the response.
+    it("confirms from the time before the listing, once", () => {
+      const { manager, lease } = createManager(undefined);
+      const read = readAt(200, 7);
+      manager.recordStartRead(read);
+      expect(lease.remainingMs(bootMs())).to.equal(0);
+      manager.applyStartRead(SERVICE);
+      expect(lease.confirmationAgeMs(read.sentAtMs)).to.equal(0);
+      lease.reset();
+      manager.applyStartRead(SERVICE);
+      expect(lease.remainingMs(bootMs())).to.equal(0);
+    });
+
+    it("confirms nothing by an old listing, a newer record or that of another service", () => {
+      [
+        { read: readAt(3_000, 7), service: SERVICE },
+        { read: readAt(200, 8), service: SERVICE },
+        { read: readAt(200, 7), service: "other" },
+        { read: { ...readAt(200, 7), revisions: new Map() }, service: SERVICE },
+      ].forEach(({ read, service }) => {
+        const { manager, lease } = createManager(undefined);
+        manager.recordStartRead(read);
+        manager.applyStartRead(service);
+        expect(lease.remainingMs(bootMs())).to.equal(0);
+      });
+    });
+
+    // Guards against a daemon that grants its keys again after others have taken them over.
+    it("confirms nothing if the record shows a seal on the daemon", () => {
+      const { manager, lease, directory } = createManager(undefined);
+      directory.updateRecord(SERVICE, RECORD.seal(["own"]).withRevision(9));
+      manager.recordStartRead(readAt(200, 9));
+      manager.applyStartRead(SERVICE);
+      expect(lease.remainingMs(bootMs())).to.equal(0);
+    });
+  });
 });
--- a/packages/router/src/keys/ownership_manager.ts
+++ b/packages/router/src/keys/ownership_manager.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   assignUnowned,
   type Candidate,
@@ -18,13 +19,16 @@
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { MemberView } from "@bamboolink/membership";
-import type { Store } from "@bamboolink/store";
+import type { Store, StoredRecord } from "@bamboolink/store";
 import type { BackendManager } from "../backend/backend_manager.ts";
 import { bootMs, monotonicMs } from "../clock.ts";
 import type { HandoverCoordinator } from "./handover_coordinator.ts";
 import { KeyRebalancer } from "./key_rebalancer.ts";
 import type { LocalBackend } from "../backend/local_backend.ts";
-import type { OwnershipDirectory } from "./ownership_directory.ts";
+import {
+  OWNERSHIP_PREFIX,
+  type OwnershipDirectory,
+} from "./ownership_directory.ts";
 import { AssignmentManager, findCandidates } from "./assignment_manager.ts";
 import type { RecordInspector } from "./record_inspector.ts";
 import { RecordWriter } from "./record_writer.ts";
@@ -37,6 +41,16 @@
 /** After this time without a heartbeat, in milliseconds, keys whose grants have expired are released. */
 const HEARTBEAT_TIMEOUT_MS = 3_000;
 
+/**
+ * Maximum delay of a heartbeat response for the first grant, in milliseconds; a backend server considers it lost after
+ * a second.
+ */
+const MAX_FIRST_GRANT_DELAY_MS = 700;
+/** Time after the start of the process in which responses are delayed for the first grant, in milliseconds. */
+const FIRST_GRANT_PERIOD_MS = 4_000;
+/** Interval of the checks whether keys may be granted, in milliseconds. */
+const GRANT_CHECK_INTERVAL_MS = 20;
+
 /** Dependencies of the ownership manager. */
 export interface OwnershipManagerContext {
   readonly store: Store;
@@ -77,6 +91,7 @@
   private readonly assignmentManager: AssignmentManager;
   private readonly releasedRanges: ReleasedRange[] = [];
   private registrationRevision = 0;
+  private hasStartListing = false;
 
   private constructor(private readonly context: OwnershipManagerContext) {
     const ownService = () => this.ownService;
@@ -130,6 +145,56 @@
       this.context.directory.record(service) !== undefined;
   }
 
+  /** Handles the listing that this daemon makes when it starts; `sentAtMs` is the boot clock before it was sent. */
+  onStartListing(
+    { sentAtMs, records }: {
+      sentAtMs: number;
+      records: readonly StoredRecord[];
+    },
+  ): void {
+    this.hasStartListing = true;
+    const owned = records.filter(({ key }) => key.startsWith(OWNERSHIP_PREFIX));
+    this.leaseManager.recordStartRead({
+      sentAtMs,
+      revisions: new Map(owned.map(({ key, revision }) => [
+        key.slice(OWNERSHIP_PREFIX.length),
+        revision,
+      ])),
+    });
+  }
+
+  /**
+   * Waits until the daemon may grant its keys of a service, if that is expected to be soon. The response to the next
+   * heartbeat would grant them only a second later.
+   */
+  async awaitGrantable(service: string): Promise<void> {
+    const untilMs = Math.min(
+      FIRST_GRANT_PERIOD_MS,
+      monotonicMs() + MAX_FIRST_GRANT_DELAY_MS,
+    );
+    while (monotonicMs() < untilMs && this.isGrantPending(service)) {
+      await sleep(GRANT_CHECK_INTERVAL_MS);
+    }
+  }
+
+  /** Whether this daemon owns keys of a service that it can't grant yet, or does not know yet whether it does. */
+  private isGrantPending(service: string): boolean {
+    const { directory, lease } = this.context;
+    if (!directory.isConfigured) {
+      return true;
+    }
+    if (!directory.isKeyed(service)) {
+      return false;
+    }
+    this.leaseManager.applyStartRead(service);
+    const record = directory.record(service);
+    if (this.registrationRevision === 0 || record === undefined) {
+      return !this.hasStartListing;
+    }
+    return record.rangesOf(this.ownAddress).length > 0 &&
+      lease.remainingMs(bootMs()) === 0;
+  }
+
   /**
    * Begins the release of all keys of a draining backend server, if the store is reachable, so that the response that
    * acknowledges the drain releases them.
--- a/packages/router/src/members/member_directory.ts
+++ b/packages/router/src/members/member_directory.ts
@@ -8,6 +8,7 @@
 import type { MemberReport, MemberView } from "@bamboolink/membership";
 import type { Listing, Store, StoredRecord } from "@bamboolink/store";
 import type { ResultAsync } from "neverthrow";
+import { bootMs } from "../clock.ts";
 import { isAddress } from "./gossip_node.ts";
 
 /** Prefix of all records of bamboolink. */
@@ -32,6 +33,10 @@
   readonly onRegistered: (revision: number) => void;
   /** Called with each record of bamboolink that is not a daemon's address. */
   readonly onRecord: (record: StoredRecord) => void;
+  /** Called with the records of the listing at the start, and the time before it was sent, on the boot clock. */
+  readonly onListed: (
+    listing: { sentAtMs: number; records: readonly StoredRecord[] },
+  ) => void;
 }
 
 /** Registers this daemon and reads the addresses of the others. */
@@ -106,12 +111,15 @@
    * watched.
    */
   private async listRecords(): Promise<void> {
-    const { store, operatorPrefix } = this.context;
+    const { store, operatorPrefix, onListed } = this.context;
+    const sentAtMs = bootMs();
     const listings = await store.listAll([ROOT_PREFIX, operatorPrefix]);
     listings.match(
       ([own, operators]) => {
+        const records = own?.records ?? [];
         this.resolveOperatorListing(operators);
-        this.handleRecords(own?.records ?? []);
+        this.handleRecords(records);
+        onListed({ sentAtMs, records });
       },
       (cause) => {
         this.logFailure("members.list", cause);
--- a/packages/router/src/members/member_directory_test.ts
+++ b/packages/router/src/members/member_directory_test.ts
@@ -77,6 +77,7 @@
     operatorPrefix: OPERATOR_PREFIX,
     onRegistered: (revision) => registered.push(revision),
     onRecord: () => undefined,
+    onListed: () => undefined,
   });
   directory.start();
   await nextTurn();
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -229,6 +229,7 @@
       beforeDrain: () => this.ownership.releaseAll(),
       onProcessEnded: (end) => this.quarantine.recordBackendEnd(end),
       beforeGrant: () => this.awaitHandovers(),
+      awaitGrantable: (service) => this.ownership.awaitGrantable(service),
     });
     this.ownership = OwnershipManager.create({
       store: this.store,
@@ -289,6 +290,7 @@
       operatorPrefix: ports.document.prefix,
       onRegistered: (revision) => this.ownership.onRegistered(revision),
       onRecord: (record) => this.directory.updateFromStore(record.key, record),
+      onListed: (listing) => this.ownership.onStartListing(listing),
     });
     this.gossip = GossipNode.create({
       address: settings.gossipAddress,
