Learn the cold time of keys only shortly after their grant

Cause: any request that was slow for another reason, seconds or minutes after the grant of its key, extended the assumed cold time of keys to 30 s.

Change: only requests that are started after the assumed time and before 2.5 times that count, those that run for more than 2.5 times their estimate, and more by as much as the whole server is slow. The delay of the first heartbeat's response counts from the arrival of the heartbeat, because other waits come before.

--- a/packages/admission/src/cold_key_time.ts
+++ b/packages/admission/src/cold_key_time.ts
@@ -27,9 +27,18 @@
     return this.assumedMs;
   }
 
+  /**
+   * Whether requests that are started `ageMs` after the grant of their key may show that keys are cold for longer than
+   * assumed. Much later, a request is slow for another reason.
+   */
+  mayBeCold(ageMs: number): boolean {
+    return ageMs >= this.assumedMs &&
+      ageMs < Math.min(MAX_MS, this.assumedMs * GROWTH_FACTOR);
+  }
+
   /** Records that a request, started `ageMs` after the grant of its key, was as slow as one for a cold key. */
   recordCold(ageMs: number): void {
-    while (ageMs >= this.assumedMs && this.assumedMs < MAX_MS) {
+    if (this.mayBeCold(ageMs)) {
       this.assumedMs = Math.min(MAX_MS, this.assumedMs * GROWTH_FACTOR);
     }
   }
--- a/packages/admission/src/cold_start_estimator.ts
+++ b/packages/admission/src/cold_start_estimator.ts
@@ -15,7 +15,7 @@
  * A request for a key that counts as warm shows that it is cold if it takes longer than this multiple of its estimate;
  * requests of one route differ by less.
  */
-const COLD_KEY_FACTOR = 2;
+const COLD_KEY_FACTOR = 2.5;
 /** A request for a key that counts as cold shows that it is warm if it takes less than this share of its estimate. */
 const WARM_KEY_SHARE = 0.4;
 
@@ -98,7 +98,8 @@
       startedAtMs: nowMs,
       coldness: this.coldnessAt(request, nowMs),
     };
-    if (request.keyColdSinceMs !== undefined && !isColdKey(running.coldness)) {
+    const { keyColdSinceMs = -Infinity } = request;
+    if (this.keyTime.mayBeCold(nowMs - keyColdSinceMs)) {
       this.runningOnWarmKeys.add(running);
     }
     return running;
@@ -124,14 +125,19 @@
     this.times.record(running.route, { tookMs, endedAtMs: nowMs, coldness });
   }
 
-  /** Learns from requests that run longer than they would with warm keys; called by a timer. */
-  checkRunning(nowMs: number): void {
+  /**
+   * Learns from requests that run longer than they would with warm keys; called by a timer.
+   *
+   * @param slowness how many times as long as usual all work takes on the server now.
+   */
+  checkRunning(nowMs: number, slowness = 1): void {
     this.runningOnWarmKeys.forEach((running) => {
       const { route, startedAtMs, keyColdSinceMs, coldness } = running;
       const warmMs = this.times.measuredMs(route, coldness) ??
         this.expectedWarmMs(running);
       if (
-        warmMs !== undefined && nowMs - startedAtMs > warmMs * COLD_KEY_FACTOR
+        warmMs !== undefined &&
+        nowMs - startedAtMs > warmMs * COLD_KEY_FACTOR * Math.max(1, slowness)
       ) {
         this.keyTime.recordCold(startedAtMs - keyColdSinceMs!);
         this.runningOnWarmKeys.delete(running);
--- a/packages/router/src/backend/backend_manager.ts
+++ b/packages/router/src/backend/backend_manager.ts
@@ -88,8 +88,14 @@
   readonly onProcessEnded: (end: BackendProcessEnd) => void;
   /** Called before a grant is decided; it may delay the heartbeat response for a handover. */
   readonly beforeGrant: () => Promise<void>;
-  /** Waits before the first grant to a process, for a bounded time, until keys of a service may be granted. */
-  readonly awaitGrantable: (service: string) => Promise<void>;
+  /**
+   * Waits before the first grant to a process, for a bounded time, until keys of a service may be granted; `delayedMs` is
+   * how long the response has been delayed by then.
+   */
+  readonly awaitGrantable: (
+    service: string,
+    delayedMs: number,
+  ) => Promise<void>;
 }
 
 /** The end of a backend server's process, proved or assumed. */
@@ -412,8 +418,12 @@
     const phase = isDraining ? "draining" : this.undrainedPhase;
     this.setPhase(phase, "heartbeat");
     if (!isDraining && !grants.hasGrantedKeys) {
-      const grantable = this.context.awaitGrantable(heartbeat.service);
-      await this.firstGrant.measure("lease", grantable);
+      const { firstGrant } = this;
+      const grantable = this.context.awaitGrantable(
+        heartbeat.service,
+        firstGrant.sinceHeartbeatMs,
+      );
+      await firstGrant.measure("lease", grantable);
     }
     if (
       !isKeyed(heartbeat.service) || !this.context.mayGrant(heartbeat.service)
--- a/packages/router/src/backend/cold_start.ts
+++ b/packages/router/src/backend/cold_start.ts
@@ -60,6 +60,11 @@
       this.context.grants.acquiredShareSince(sinceMs) >= MIN_COLD_KEY_SHARE;
   }
 
+  /** For how long keys are assumed to be cold after a grant without a handover, in milliseconds. */
+  get keyColdMs(): number {
+    return this.estimator.keyColdMs;
+  }
+
   /** Estimates how long a request will hold a slot. */
   estimate(request: RoutedRequest): ServiceEstimate {
     const nowMs = monotonicMs();
@@ -100,9 +105,13 @@
     }
   }
 
-  /** Learns from running requests, and logs what has changed; called by a timer. */
-  tick(): void {
-    this.estimator.checkRunning(monotonicMs());
+  /**
+   * Learns from running requests, and logs what has changed; called by a timer.
+   *
+   * @param slowness how many times as long as usual all work takes on the server now.
+   */
+  tick(slowness: number): void {
+    this.estimator.checkRunning(monotonicMs(), slowness);
     const { logger } = this.context;
     const { keyColdMs } = this.estimator;
     if (keyColdMs !== this.loggedKeyColdMs) {
--- a/packages/router/src/backend/first_grant_timer.ts
+++ b/packages/router/src/backend/first_grant_timer.ts
@@ -20,6 +20,7 @@
 export class FirstGrantTimer {
   private current: Incarnation | undefined;
   private firstHeartbeatAtMs = 0;
+  private lastHeartbeatAtMs = 0;
   private waitsMs: Partial<Record<FirstGrantStep, number>> = {};
   private hasFinished = false;
 
@@ -33,17 +34,23 @@
   /** Records the arrival of a heartbeat. */
   recordHeartbeat({ instance, born }: Incarnation): void {
     const incarnation = { instance, born };
+    this.lastHeartbeatAtMs = bootMs();
     if (
       this.current !== undefined && isSameIncarnation(this.current, incarnation)
     ) {
       return;
     }
     this.current = incarnation;
-    this.firstHeartbeatAtMs = bootMs();
+    this.firstHeartbeatAtMs = this.lastHeartbeatAtMs;
     this.waitsMs = {};
     this.hasFinished = false;
   }
 
+  /** Time since the arrival of the last heartbeat, in milliseconds. */
+  get sinceHeartbeatMs(): number {
+    return bootMs() - this.lastHeartbeatAtMs;
+  }
+
   /** Adds the duration of a wait to that of its step. */
   async measure<T>(step: FirstGrantStep, wait: Promise<T>): Promise<T> {
     const beganAtMs = bootMs();
--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -143,6 +143,11 @@
     return this.coldStart.isCold;
   }
 
+  /** For how long keys are assumed to be cold after a grant without a handover, in milliseconds. */
+  get keyColdMs(): number {
+    return this.coldStart.keyColdMs;
+  }
+
   /** Applies what the backend server had stated in responses to an earlier process of this daemon. */
   restoreStatus(status: StatedStatus): void {
     this.statusMonitor.restore(status);
@@ -261,7 +266,7 @@
    */
   tick(): void {
     const nowMs = monotonicMs();
-    this.coldStart.tick();
+    this.coldStart.tick(this.statusMonitor.load.factor(nowMs));
     this.admission.advance();
     this.meter.decay(nowMs);
     this.profile.decay(nowMs);
--- a/packages/router/src/keys/ownership_manager.ts
+++ b/packages/router/src/keys/ownership_manager.ts
@@ -166,11 +166,13 @@
   /**
    * Waits until the daemon may grant its keys of a service, if that is expected to be soon. The response to the next
    * heartbeat would grant them only a second later.
+   *
+   * @param delayedMs how long the response to the heartbeat has been delayed already, in milliseconds.
    */
-  async awaitGrantable(service: string): Promise<void> {
+  async awaitGrantable(service: string, delayedMs: number): Promise<void> {
     const untilMs = Math.min(
       FIRST_GRANT_PERIOD_MS,
-      monotonicMs() + MAX_FIRST_GRANT_DELAY_MS,
+      monotonicMs() + MAX_FIRST_GRANT_DELAY_MS - delayedMs,
     );
     while (monotonicMs() < untilMs && this.isGrantPending(service)) {
       await sleep(GRANT_CHECK_INTERVAL_MS);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -229,7 +229,8 @@
       beforeDrain: () => this.ownership.releaseAll(),
       onProcessEnded: (end) => this.quarantine.recordBackendEnd(end),
       beforeGrant: () => this.awaitHandovers(),
-      awaitGrantable: (service) => this.ownership.awaitGrantable(service),
+      awaitGrantable: (service, delayedMs) =>
+        this.ownership.awaitGrantable(service, delayedMs),
     });
     this.ownership = OwnershipManager.create({
       store: this.store,
@@ -808,6 +809,8 @@
       bamboolink_backend_starts_per_second: () =>
         this.backend.startRate.startedPerSecond,
       bamboolink_backend_slowdown: () => this.backend.slowdown,
+      bamboolink_backend_cold: () => this.backend.isCold ? 1 : 0,
+      bamboolink_cold_key_ms: () => this.backend.keyColdMs,
       bamboolink_configuration_version: () => this.configuration.version,
       bamboolink_members_alive: () => this.view.alive(monotonicMs()).length,
       bamboolink_requests_quarantined: () => this.quarantine.count,
