--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -813,6 +813,7 @@
       bamboolink_zone_evacuated: () => this.evacuation.isEvacuated ? 1 : 0,
       bamboolink_store_era: () => this.store.era,
       bamboolink_store_reached: () => this.store.isReachable ? 1 : 0,
+      bamboolink_follows_records: () => this.watchPolls.isFollower ? 1 : 0,
     };
     Object.entries(gauges).forEach(([name, read]) =>
       this.metrics.gauge(name, read)
