Let operators set what a kilobyte between zones costs

The penalty of 2 ms a kilobyte was a constant, although what bytes between zones cost differs between deployments. With 0 the choice is that of the score alone, without a price for bytes.

--- a/packages/placement/src/zone_replay_test.ts
+++ b/packages/placement/src/zone_replay_test.ts
@@ -11,6 +11,7 @@
 } from "./testing/zone_policies.ts";
 import {
   createScenario,
+  FEW_SPEEDS,
   summarize,
   UNEVEN_SPEEDS,
 } from "./testing/zone_scenarios.ts";
@@ -88,5 +89,14 @@
         byScore.crossZoneMegabytes / 3,
       );
     });
+
+    // Guards against a price that operators set without effect.
+    it("sends fewer bytes to other zones the more a kilobyte costs", () => {
+      const megabytes = [0, 2, 10].map((price) =>
+        replay(createAffinityChoice(price), 0.7, FEW_SPEEDS).crossZoneMegabytes
+      );
+      expect(megabytes[1]).to.be.below(megabytes[0]! / 2);
+      expect(megabytes[2]).to.be.below(megabytes[1]!);
+    });
   });
 });
--- a/packages/router/src/attempts/request_runner.ts
+++ b/packages/router/src/attempts/request_runner.ts
@@ -8,7 +8,6 @@
 import type { MemberReport, MemberView } from "@bamboolink/membership";
 import {
   chooseWithAffinity,
-  DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE,
   expectedLatencyMs,
   isServerFault,
   type PlacementCandidate,
@@ -73,6 +72,8 @@
   readonly forwarder: Forwarder;
   readonly quarantine: RequestQuarantine;
   readonly budget: FleetRetryBudget;
+  /** Milliseconds of waiting that saving one kilobyte between availability zones is worth. */
+  readonly crossZoneMsPerKilobyte: () => number;
   readonly random: () => number;
 }
 
@@ -304,7 +305,7 @@
       objectiveRemainingMs: request.objectiveAtMs - nowMs,
       remainingMs: request.deadlineAtMs - nowMs,
       bodyBytes,
-      crossZoneMsPerKilobyte: DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE,
+      crossZoneMsPerKilobyte: this.context.crossZoneMsPerKilobyte(),
     }, {
       isOwnZone: ({ availabilityZone }) =>
         availabilityZone === own.availabilityZone,
--- a/packages/router/src/attempts/request_runner_test.ts
+++ b/packages/router/src/attempts/request_runner_test.ts
@@ -87,6 +87,7 @@
       extra: 0,
       windowMs: 10_000,
     }),
+    crossZoneMsPerKilobyte: () => 2,
     random: () => 0.5,
   });
   const startedAtMs = monotonicMs();
--- a/packages/router/src/ports/router_settings.ts
+++ b/packages/router/src/ports/router_settings.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { BamboolinkError } from "@bamboolink/errors";
+import { DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE } from "@bamboolink/placement";
 import type { Result } from "neverthrow";
 import { z } from "zod";
 
@@ -35,6 +36,11 @@
   linkBytesPerSecond: z.number().positive().optional(),
   /** Typical interval between heartbeats of the backend server, in milliseconds. */
   heartbeatMs: z.number().positive(),
+  /**
+   * Milliseconds of waiting that saving one kilobyte between availability zones is worth; 0 if these bytes cost nothing.
+   */
+  crossZoneMsPerKilobyte: z.number().min(0).max(100)
+    .default(DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE),
   bounds: z.object({
     /** From the acknowledgement that a backend server drains until it may receive no more requests, in milliseconds. */
     drainMs: z.number().positive(),
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -340,6 +340,7 @@
       forwarder: this.forwarder,
       quarantine: this.quarantine,
       budget: this.retryBudget,
+      crossZoneMsPerKilobyte: () => this.settings.crossZoneMsPerKilobyte,
       random,
     });
     this.ingress = Ingress.create({
