Decide on the admission of a request by the expected waits of a service's servers

Cause: the queue of each backend server decides alone, so under overload a request is sent to servers that refuse it, and its caller is told when one queue has room, not when the service does. ReturnSchedule reserves the time at which a refused caller comes back. Nothing uses these modules yet.

--- a/packages/admission/src/late_request_queue.ts
+++ b/packages/admission/src/late_request_queue.ts
@@ -70,6 +70,19 @@
     return this.drainTimeMs(ahead, nowMs);
   }
 
+  /** Rank of the least urgent waiting request; 0 without any. */
+  get maxRank(): number {
+    return Math.max(0, ...this.waiting.map(({ rank }) => rank));
+  }
+
+  /** Expected wait behind all late requests of a rank and of more urgent ones, in milliseconds. */
+  waitOfRankMs(rank: number, nowMs: number): number {
+    return this.drainTimeMs(
+      this.waiting.filter((other) => other.rank <= rank),
+      nowMs,
+    );
+  }
+
   /** Queues a request; returns false, without queueing it, if it is not expected to meet its deadline. */
   offer(request: WorkRequest, forecast: StartForecast): boolean {
     if (missesDeadline(request, forecast.startMs)) {
@@ -144,9 +157,14 @@
     request.deadlineAtMs;
 }
 
-/** Orders by rank, then by the latest start with which the deadline can still be met. */
+/**
+ * Orders by rank, then those of returning callers before others, then by the latest start with which the deadline can still be
+ * met.
+ */
 function compareUrgency(left: WorkRequest, right: WorkRequest): number {
-  return left.rank - right.rank || latestStartMs(left) - latestStartMs(right);
+  return left.rank - right.rank ||
+    Number(right.isReturning ?? false) - Number(left.isReturning ?? false) ||
+    latestStartMs(left) - latestStartMs(right);
 }
 
 function latestStartMs({ deadlineAtMs, estimateMs }: WorkRequest): number {
--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -36,6 +36,21 @@
   type LimitChange,
   type LimitObservation,
 } from "./advertised_limit_tracker.ts";
+export {
+  type AdmissionQuery,
+  type AdmissionVerdict,
+  type ServerStatus,
+  ServiceAdmission,
+} from "./service_admission.ts";
+export { MIN_RETURN_MS, ReturnSchedule } from "./return_schedule.ts";
+export {
+  encodeWaits,
+  isWaitList,
+  MAX_RANK_WAITS,
+  MAX_WAIT_MS,
+  type RankWaits,
+  toRankWaits,
+} from "./rank_waits.ts";
 export { ServiceTimes } from "./service_times.ts";
 export {
   FleetRetryBudget,
--- /dev/null
+++ b/packages/admission/src/testing/admission_simulation.ts
@@ -0,0 +1,403 @@
+/**
+ * A discrete-event simulation of callers, the daemons that they reach first, and the backend servers of one service.
+ * It compares rules by which the daemons refuse requests and choose when the callers come back.
+ *
+ * The queues beside the servers and the rules are the real decision code; callers, the network, reports and servers are
+ * simulated. A caller retries a refused request once.
+ *
+ * @module
+ */
+import { DecayingSum } from "../decaying_sum.ts";
+import { type QueueChanges, WorkQueue } from "../work_queue.ts";
+import {
+  type AdmissionFigures,
+  type AdmissionRule,
+  type AdmissionScenario,
+  drawWorkFactor,
+  type RequestKind,
+  type SimulatedArrival,
+  type SimulatedReport,
+} from "./admission_model.ts";
+import { EventQueue } from "./event_queue.ts";
+
+/** One-way delay between two daemons, in milliseconds. */
+const HOP_MS = 1;
+/** Interval and delay of the reports on each server, in milliseconds. */
+const REPORT_INTERVAL_MS = 500;
+const REPORT_DELAY_MS = 100;
+/** Interval at which the queue of each server is advanced, in milliseconds. */
+const ADVANCE_INTERVAL_MS = 50;
+/** Maximum attempts of one request, including refused ones. */
+const MAX_ROUNDS = 4;
+/** Retries with less than this share of the work left to the deadline are not made. */
+const MIN_RETRY_SHARE = 0.8;
+/** Callers ignore a delay of more than this share of their remaining time, and then retry after the default. */
+const MAX_DELAY_SHARE = 1 / 3;
+const DEFAULT_DELAY_MS = 50;
+/** Half-life of the offered work that servers report, in milliseconds. */
+const UTILIZATION_HALF_LIFE_MS = 1_000;
+interface SimulatedRequest {
+  readonly id: number;
+  readonly kind: RequestKind;
+  readonly daemon: number;
+  readonly owner: number | undefined;
+  readonly workFactor: number;
+  readonly firstSentAtMs: number;
+  attempts: number;
+}
+
+interface SimulatedServer {
+  readonly speed: number;
+  readonly queue: WorkQueue;
+  readonly offered: DecayingSum;
+  readonly waiting: Map<
+    number,
+    (outcome: "run" | number, nowMs: number) => void
+  >;
+}
+
+/** What a daemon uses to place requests without keys. */
+interface PlacementInfo {
+  waitMs: number;
+  sentSince: number;
+}
+
+/** The simulated service, its daemons and callers. */
+export class AdmissionSimulation {
+  private readonly events = EventQueue.create();
+  private readonly servers: SimulatedServer[];
+  private readonly placement: PlacementInfo[][];
+  private readonly rules: AdmissionRule[];
+  private readonly figures: AdmissionFigures;
+  private lastId = 0;
+
+  private constructor(
+    private readonly scenario: AdmissionScenario,
+    createRule: () => AdmissionRule,
+  ) {
+    const { speeds, slots, daemons, kinds } = scenario;
+    this.servers = speeds.map((speed) => {
+      const queue = WorkQueue.create();
+      queue.setSlots(slots);
+      return {
+        speed,
+        queue,
+        offered: DecayingSum.create(UTILIZATION_HALF_LIFE_MS),
+        waiting: new Map(),
+      };
+    });
+    this.rules = Array.from({ length: daemons }, createRule);
+    this.placement = this.rules.map(() =>
+      speeds.map(() => ({ waitMs: 0, sentSince: 0 }))
+    );
+    const rankCount = Math.max(...kinds.map(({ rank }) => rank)) + 1;
+    this.figures = {
+      ranks: Array.from(
+        { length: rankCount },
+        () => ({ requests: 0, onTime: 0, late: 0 }),
+      ),
+      requests: 0,
+      onTime: 0,
+      late: 0,
+      wastedAttempts: 0,
+      refusedBesideFreeSlot: 0,
+      worstWaitMs: 0,
+    };
+  }
+
+  /** Runs a scenario with a rule at each daemon. */
+  static run(
+    scenario: AdmissionScenario,
+    createRule: () => AdmissionRule,
+  ): AdmissionFigures {
+    const simulation = new AdmissionSimulation(scenario, createRule);
+    scenario.kinds.forEach((kind) => simulation.scheduleArrival(kind, 0));
+    simulation.servers.forEach((_, index) => {
+      simulation.scheduleReport(index, index * 37 % REPORT_INTERVAL_MS);
+      simulation.scheduleAdvance(index, index);
+    });
+    simulation.events.runAll();
+    return simulation.figures;
+  }
+
+  private scheduleArrival(kind: RequestKind, nowMs: number): void {
+    const { durationMs, random, loadAt } = this.scenario;
+    const perMs = kind.perSecond * loadAt(nowMs) / 1_000;
+    const nextMs = nowMs - Math.log(1 - random()) / perMs;
+    if (nextMs < durationMs) {
+      this.events.add(nextMs, () => {
+        this.arrive(kind, nextMs);
+        this.scheduleArrival(kind, nextMs);
+      });
+    }
+  }
+
+  private scheduleReport(index: number, atMs: number): void {
+    if (atMs > this.scenario.durationMs) {
+      return;
+    }
+    this.events.add(atMs, () => {
+      const report = this.describe(index, atMs);
+      this.events.add(
+        atMs + REPORT_DELAY_MS,
+        () => this.rules.forEach((_, daemon) => this.deliver(daemon, report)),
+      );
+      this.scheduleReport(index, atMs + REPORT_INTERVAL_MS);
+    });
+  }
+
+  private scheduleAdvance(index: number, atMs: number): void {
+    const { queue } = this.servers[index]!;
+    if (atMs > this.scenario.durationMs && queue.waitingCount === 0) {
+      return;
+    }
+    this.events.add(atMs, () => {
+      this.applyChanges(index, queue.advance(atMs), atMs);
+      this.scheduleAdvance(index, atMs + ADVANCE_INTERVAL_MS);
+    });
+  }
+
+  private describe(index: number, nowMs: number): SimulatedReport {
+    const { queue, offered } = this.servers[index]!;
+    const capacity = this.scenario.slots;
+    return {
+      server: index,
+      capacity,
+      utilization: offered.perSecond(nowMs) / (capacity * 1_000),
+      waitMs: queue.waitMs(nowMs),
+      waits: queue.waitsByRank(nowMs),
+      measuredAtMs: nowMs,
+    };
+  }
+
+  private deliver(daemon: number, report: SimulatedReport): void {
+    this.rules[daemon]!.record(report);
+    const info = this.placement[daemon]![report.server]!;
+    info.waitMs = report.waitMs;
+    info.sentSince = 0;
+  }
+
+  private arrive(kind: RequestKind, nowMs: number): void {
+    const { random, daemons, ownerAt } = this.scenario;
+    this.lastId += 1;
+    const request: SimulatedRequest = {
+      id: this.lastId,
+      kind,
+      daemon: Math.floor(random() * daemons),
+      owner: ownerAt?.(nowMs, random()),
+      workFactor: drawWorkFactor(random),
+      firstSentAtMs: nowMs,
+      attempts: 0,
+    };
+    this.figures.requests += 1;
+    this.figures.ranks[kind.rank]!.requests += 1;
+    this.send(request, nowMs);
+  }
+
+  /** The caller sends a request for the first or the second time. */
+  private send(request: SimulatedRequest, nowMs: number): void {
+    request.attempts += 1;
+    const arrival = toArrival(request, nowMs);
+    const delayMs = this.rules[request.daemon]!.refuse(arrival, nowMs);
+    if (delayMs === undefined) {
+      this.attempt(request, { round: 0, tried: new Set() }, nowMs);
+      return;
+    }
+    const allowed = request.owner === undefined
+      ? this.servers
+      : [this.servers[request.owner]!];
+    if (
+      allowed.some(({ queue }) =>
+        queue.runningCount < this.scenario.slots && queue.waitingCount === 0
+      )
+    ) {
+      this.figures.refusedBesideFreeSlot += 1;
+    }
+    this.comeBack(request, { delayMs, nowMs });
+  }
+
+  private attempt(
+    request: SimulatedRequest,
+    at: { round: number; tried: ReadonlySet<number> },
+    nowMs: number,
+  ): void {
+    const { daemon } = request;
+    const index = request.owner ?? this.choose(request, at.tried);
+    this.placement[daemon]![index]!.sentSince += 1;
+    this.events.add(
+      nowMs + HOP_MS,
+      (arrivedAtMs) =>
+        this.offer(index, request, arrivedAtMs, (waitMs, endedAtMs) => {
+          const report = this.describe(index, endedAtMs);
+          this.events.add(endedAtMs + HOP_MS, (returnedAtMs) => {
+            this.deliver(daemon, report);
+            if (waitMs !== undefined) {
+              const tried = new Set([...at.tried, index]);
+              this.handleRefusal(
+                request,
+                { round: at.round, tried, waitMs },
+                returnedAtMs,
+              );
+            }
+          });
+        }),
+    );
+  }
+
+  /** Handles the refusal of a queue: tries another server if it is expected to be on time, or refuses the caller. */
+  private handleRefusal(
+    request: SimulatedRequest,
+    at: { round: number; tried: ReadonlySet<number>; waitMs: number },
+    nowMs: number,
+  ): void {
+    this.figures.wastedAttempts += 1;
+    const { round, tried, waitMs } = at;
+    const arrival = toArrival(request, nowMs);
+    if (
+      request.owner === undefined && round + 1 < MAX_ROUNDS &&
+      tried.size < this.servers.length
+    ) {
+      const next = this.choose(request, tried);
+      const expectedMs = this.expectedMs(request, next);
+      if (expectedMs < arrival.objectiveRemainingMs) {
+        this.attempt(request, { round: round + 1, tried }, nowMs);
+        return;
+      }
+    }
+    const delayMs = this.rules[request.daemon]!.retryAfterMs(arrival, {
+      waitMs,
+      nowMs,
+    });
+    this.comeBack(request, { delayMs, nowMs });
+  }
+
+  private comeBack(
+    request: SimulatedRequest,
+    at: { delayMs: number; nowMs: number },
+  ): void {
+    const { delayMs, nowMs } = at;
+    const { firstSentAtMs, kind } = request;
+    const remainingMs = firstSentAtMs + kind.deadlineMs - nowMs;
+    const waitMs = delayMs <= remainingMs * MAX_DELAY_SHARE
+      ? delayMs
+      : DEFAULT_DELAY_MS;
+    if (
+      request.attempts === 1 &&
+      remainingMs - waitMs > kind.workMs * MIN_RETRY_SHARE
+    ) {
+      this.events.add(nowMs + waitMs, (atMs) => this.send(request, atMs));
+    }
+  }
+
+  private choose(
+    request: SimulatedRequest,
+    tried: ReadonlySet<number>,
+  ): number {
+    const { random } = this.scenario;
+    return this.servers
+      .map((_, index) => ({
+        index,
+        score: this.expectedMs(request, index) * (1 + 0.15 * random()),
+      }))
+      .filter(({ index }) => !tried.has(index))
+      .reduce((best, scored) => scored.score < best.score ? scored : best)
+      .index;
+  }
+
+  private expectedMs({ kind, daemon }: SimulatedRequest, index: number) {
+    const { waitMs, sentSince } = this.placement[daemon]![index]!;
+    const serviceMs = kind.workMs / this.servers[index]!.speed;
+    return serviceMs + waitMs + sentSince * serviceMs / this.scenario.slots;
+  }
+
+  /** Offers a request to a queue. `onEnd` is called with its wait if it is refused. */
+  private offer(
+    index: number,
+    request: SimulatedRequest,
+    nowMs: number,
+    onEnd: (refusedWaitMs: number | undefined, nowMs: number) => void,
+  ): void {
+    const server = this.servers[index]!;
+    const { kind, firstSentAtMs } = request;
+    this.lastId += 1;
+    const id = this.lastId;
+    const estimateMs = kind.workMs / server.speed;
+    server.offered.add(estimateMs, nowMs);
+    const decision = server.queue.offer({
+      id,
+      rank: kind.rank,
+      objectiveAtMs: firstSentAtMs + kind.objectiveMs,
+      deadlineAtMs: firstSentAtMs + kind.deadlineMs,
+      estimateMs,
+      mayEndLate: true,
+      isReturning: request.attempts > 1,
+    }, nowMs);
+    const start = (startedAtMs: number) => {
+      const endsAtMs = startedAtMs + estimateMs * request.workFactor;
+      this.events.add(endsAtMs, () => {
+        this.recordServed(request, { startedAtMs, endsAtMs });
+        onEnd(undefined, endsAtMs);
+        this.applyChanges(index, server.queue.finish(id, endsAtMs), endsAtMs);
+      });
+    };
+    if (decision.kind === "run") {
+      start(nowMs);
+    } else if (decision.kind === "refuse") {
+      onEnd(decision.waitMs, nowMs);
+    } else {
+      server.waiting.set(
+        id,
+        (outcome, atMs) =>
+          outcome === "run" ? start(atMs) : onEnd(outcome, atMs),
+      );
+    }
+  }
+
+  private applyChanges(
+    index: number,
+    changes: QueueChanges,
+    nowMs: number,
+  ): void {
+    const { waiting, queue } = this.servers[index]!;
+    const resolve = (id: number, outcome: "run" | number) => {
+      const listener = waiting.get(id);
+      waiting.delete(id);
+      listener?.(outcome, nowMs);
+    };
+    changes.run.forEach((id) => resolve(id, "run"));
+    changes.refuse.forEach(({ id }) => resolve(id, queue.waitMs(nowMs)));
+  }
+
+  private recordServed(
+    request: SimulatedRequest,
+    times: { startedAtMs: number; endsAtMs: number },
+  ): void {
+    const { kind, firstSentAtMs } = request;
+    const tookMs = times.endsAtMs + HOP_MS - firstSentAtMs;
+    if (tookMs > kind.deadlineMs) {
+      return;
+    }
+    const rank = this.figures.ranks[kind.rank]!;
+    const field = tookMs <= kind.objectiveMs ? "onTime" : "late";
+    this.figures[field] += 1;
+    rank[field] += 1;
+    this.figures.worstWaitMs = Math.max(
+      this.figures.worstWaitMs,
+      times.startedAtMs - firstSentAtMs,
+    );
+  }
+}
+
+function toArrival(
+  { kind, owner, attempts, firstSentAtMs }: SimulatedRequest,
+  nowMs: number,
+): SimulatedArrival {
+  const waitedMs = nowMs - firstSentAtMs;
+  return {
+    kind,
+    owner,
+    isReturning: attempts > 1,
+    objectiveRemainingMs: kind.objectiveMs - waitedMs,
+    remainingMs: kind.deadlineMs - waitedMs,
+  };
+}
--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -15,6 +15,8 @@
  */
 import { StartRateLimiter } from "./start_rate_limiter.ts";
 import { LateRequestQueue, MIN_CAPACITY } from "./late_request_queue.ts";
+import { MAX_RANK_WAITS, type RankWaits } from "./rank_waits.ts";
+import { RankWork } from "./rank_work.ts";
 import type { WorkRequest } from "./work_request.ts";
 
 /** Why a request was refused. A refused request has certainly not run. */
@@ -82,6 +84,7 @@
   private slots = 0;
   /** Moving average of the estimates of offered requests, in milliseconds; 0 before the first. */
   private meanEstimateMs = 0;
+  private readonly rankWork = RankWork.create();
 
   private constructor(private readonly limiter: StartRateLimiter) {}
 
@@ -200,6 +203,34 @@
     return this.waitBehindMs(this.mainQueue, nowMs);
   }
 
+  /** Expected waits of requests that arrive now, by rank; `undefined` without slots. */
+  waitsByRank(nowMs: number): RankWaits | undefined {
+    if (this.slots === 0) {
+      return undefined;
+    }
+    const others = [...this.mainQueue, ...this.running.values()];
+    const maxRank = Math.max(
+      this.lateQueue.maxRank,
+      ...others.map(({ rank }) => rank),
+    );
+    const length = Math.min(MAX_RANK_WAITS, maxRank + 1);
+    const onTimeMs = Array.from({ length }, (_, rank) => {
+      const isLast = rank === length - 1;
+      const ahead = this.mainQueue.filter((other) =>
+        isLast || other.rank <= rank
+      );
+      return this.waitBehindMs(ahead, nowMs) /
+        this.rankWork.shareLeftTo(rank, { slots: this.capacity, nowMs });
+    });
+    const lateMs = onTimeMs.map((waitMs, rank) =>
+      this.hasLessUrgent({ rank })
+        ? waitMs
+        : Math.max(waitMs, this.waitMs(nowMs)) +
+          this.lateQueue.waitOfRankMs(rank, nowMs)
+    );
+    return { onTimeMs, lateMs };
+  }
+
   /** Whether a slot is free and the limiter allows another start. */
   private canStart(nowMs: number): boolean {
     return this.running.size < this.slots &&
@@ -294,7 +325,7 @@
   }
 
   /** Whether any request that runs or waits in the main queue is less urgent. */
-  private hasLessUrgent(request: WorkRequest): boolean {
+  private hasLessUrgent(request: Pick<WorkRequest, "rank">): boolean {
     const isLess = ({ rank }: { rank: number }) => rank > request.rank;
     return this.mainQueue.some(isLess) ||
       [...this.running.values()].some(isLess);
@@ -302,6 +333,7 @@
 
   private start(request: WorkRequest, nowMs: number): void {
     this.limiter.recordStart(nowMs);
+    this.rankWork.recordStart(request, nowMs);
     this.running.set(request.id, {
       rank: request.rank,
       startedAtMs: nowMs,
@@ -413,9 +445,14 @@
   );
 }
 
-/** Orders by rank, then by the latest start with which the objective can still be met. */
+/**
+ * Orders by rank, then those of returning callers before others, then by the latest start with which the objective can still be
+ * met.
+ */
 function compareUrgency(left: WorkRequest, right: WorkRequest): number {
-  return left.rank - right.rank || latestStartMs(left) - latestStartMs(right);
+  return left.rank - right.rank ||
+    Number(right.isReturning ?? false) - Number(left.isReturning ?? false) ||
+    latestStartMs(left) - latestStartMs(right);
 }
 
 function latestStartMs(request: WorkRequest): number {
--- a/packages/admission/src/work_queue_test.ts
+++ b/packages/admission/src/work_queue_test.ts
@@ -90,6 +90,91 @@
     });
   });
 
+  describe("for requests that come back after a refusal", () => {
+    // Guards against callers whose only retry is refused because newer requests of their rank took all slots.
+    it("starts them before new ones of their rank, but after more urgent ones", () => {
+      const queue = fullQueue(1);
+      const returning = { objectiveAtMs: 290, isReturning: true };
+      queue.offer(request(1, { objectiveAtMs: 250, estimateMs: 20 }), 0);
+      queue.offer(request(2, { rank: 1, estimateMs: 20 }), 0);
+      queue.offer(request(3, { ...returning, estimateMs: 20 }), 0);
+      expect(queue.finish(1_000, 100).run).to.deep.equal([2]);
+      expect(queue.finish(2, 120).run).to.deep.equal([3]);
+      expect(queue.finish(3, 140).run).to.deep.equal([1]);
+    });
+
+    it("does the same among those that are late", () => {
+      const queue = fullQueue(1);
+      const late = { objectiveAtMs: 50, deadlineAtMs: 20_000 };
+      expect(queue.offer(request(1, late), 0).kind).to.equal("wait");
+      const returning = { ...late, isReturning: true };
+      expect(queue.offer(request(2, returning), 0).kind).to.equal("wait");
+      expect(queue.finish(1_000, 100).run).to.deep.equal([2]);
+    });
+
+    // Guards against a service that serves everybody late: without this, each late request displaces one that would
+    // have been on time, whose caller then comes back late, too.
+    it("keeps those that are late behind new ones that can be on time", () => {
+      const queue = fullQueue(1);
+      const late = { objectiveAtMs: 50, deadlineAtMs: 20_000 };
+      queue.offer(request(1, { ...late, isReturning: true }), 0);
+      queue.offer(request(2), 0);
+      expect(queue.finish(1_000, 100).run).to.deep.equal([2]);
+    });
+  });
+
+  describe("for the waits that are reported by rank", () => {
+    it("returns one value while nothing waits", () => {
+      const queue = fullQueue(1);
+      queue.finish(1_000, 1);
+      expect(queue.waitsByRank(1)).to.deep.equal({
+        onTimeMs: [0],
+        lateMs: [0],
+      });
+    });
+
+    it("returns nothing without slots, for which waits would be infinite", () => {
+      expect(WorkQueue.create().waitsByRank(0)).to.equal(undefined);
+    });
+
+    it("returns longer waits for ranks behind which more requests wait", () => {
+      const queue = fullQueue(1);
+      queue.offer(request(1, { rank: 1 }), 0);
+      queue.offer(request(2, { objectiveAtMs: 900 }), 0);
+      const { onTimeMs } = queue.waitsByRank(0)!;
+      expect(onTimeMs[0]).to.equal(100);
+      expect(onTimeMs[1]).to.equal(200);
+      expect(onTimeMs[2]).to.be.at.least(300);
+    });
+
+    // Guards against requests that are admitted, overtaken by more urgent ones while they wait, and refused then.
+    it("expects more urgent requests to keep arriving while a request waits", () => {
+      const queue = WorkQueue.create();
+      queue.setSlots(1);
+      Array.from({ length: 20 }, (_, id) => {
+        queue.offer(request(id, { rank: 0, estimateMs: 25 }), id * 50);
+        queue.finish(id, id * 50 + 25);
+      });
+      queue.offer(request(30, { rank: 2, estimateMs: 100 }), 1_000);
+      const { onTimeMs } = queue.waitsByRank(1_000)!;
+      expect(onTimeMs[0]).to.equal(100);
+      expect(onTimeMs[2]).to.be.above(130);
+    });
+
+    it("returns longer waits for late requests that others are ahead of", () => {
+      const queue = fullQueue(1);
+      queue.offer(request(1, { objectiveAtMs: 50, deadlineAtMs: 20_000 }), 0);
+      const { onTimeMs, lateMs } = queue.waitsByRank(0)!;
+      expect(lateMs[2]).to.be.above(onTimeMs[2]!);
+    });
+
+    it("limits the number of values", () => {
+      const queue = fullQueue(1);
+      queue.offer(request(1, { rank: 40 }), 0);
+      expect(queue.waitsByRank(0)!.onTimeMs).to.have.length(8);
+    });
+  });
+
   describe("under any sequence of events", () => {
     it("never runs more requests than it has slots, and ends each request once", () => {
       const event = fc.record({
