--- a/packages/membership/src/member.ts
+++ b/packages/membership/src/member.ts
@@ -24,6 +24,15 @@
 /** State of the backend server on a daemon's host. */
 export type MemberPhase = z.infer<typeof MemberPhase>;
 
+/** Maximum number of ranks for which a report contains waits; less urgent ranks have the wait of the last one. */
+const MAX_RANK_WAITS = 8;
+/** Longest wait in a report, in milliseconds: far beyond the deadline of any request. */
+const MAX_WAIT_MS = 600_000;
+/** Expected waits by rank, in milliseconds; empty where they are not known. */
+export const RankWaitList = z.array(z.number().min(0).max(MAX_WAIT_MS)).max(
+  MAX_RANK_WAITS,
+);
+
 /** What a backend server has stated about itself in its responses. */
 export const StatedStatus = z.object({
   instance: z.string(),
@@ -74,6 +83,10 @@
    * its next process learns of it from the others.
    */
   statedStatus: StatedStatus.nullable(),
+  /** Expected waits of requests that can meet their latency objective. */
+  rankWaitsMs: RankWaitList,
+  /** Expected waits of requests that miss their objective; empty if they are the same. */
+  lateRankWaitsMs: RankWaitList,
 });
 /** Status report of one daemon, which other daemons forward. */
 export type MemberReport = z.infer<typeof MemberReport>;
--- a/packages/membership/src/membership_test.ts
+++ b/packages/membership/src/membership_test.ts
@@ -29,6 +29,8 @@
     reachesStore: true,
     capacity: 6,
     statedStatus: null,
+    rankWaitsMs: [],
+    lateRankWaitsMs: [],
     ...changes,
   };
 }
--- a/packages/membership/src/report_row.ts
+++ b/packages/membership/src/report_row.ts
@@ -3,11 +3,18 @@
  *
  * @module
  */
-import { MemberPhase, MemberReport, StatedStatus } from "./member.ts";
+import {
+  MemberPhase,
+  MemberReport,
+  RankWaitList,
+  StatedStatus,
+} from "./member.ts";
 
 const REPORT_FIELDS = Object.keys(MemberReport.shape);
 const CAPACITY_INDEX = REPORT_FIELDS.indexOf("capacity");
 const STATED_STATUS_INDEX = REPORT_FIELDS.indexOf("statedStatus");
+const RANK_WAITS_INDEX = REPORT_FIELDS.indexOf("rankWaitsMs");
+const LATE_RANK_WAITS_INDEX = REPORT_FIELDS.indexOf("lateRankWaitsMs");
 const MEMBER_PHASES: ReadonlySet<unknown> = new Set(MemberPhase.options);
 
 /**
@@ -37,11 +44,13 @@
     ownershipRevision,
     reachesStore,
   ] = row;
-  // Earlier versions report no capacity or no stated status.
+  // Earlier versions report no capacity, or no stated status.
   const capacity = row.length > CAPACITY_INDEX ? row[CAPACITY_INDEX] : slots;
   const statedStatus = decodeStatedStatus(
     row.length > STATED_STATUS_INDEX ? row[STATED_STATUS_INDEX] : null,
   );
+  const rankWaitsMs = decodeRankWaits(row, RANK_WAITS_INDEX);
+  const lateRankWaitsMs = decodeRankWaits(row, LATE_RANK_WAITS_INDEX);
   const isValid = isString(address) && address !== "" &&
     isNonNegativeInteger(incarnation) && isNonNegativeInteger(sequence) &&
     isString(availabilityZone) && isString(peerAddress) &&
@@ -53,7 +62,8 @@
     isNonNegativeNumber(configurationVersion) &&
     isNonNegativeInteger(ownershipRevision) &&
     typeof reachesStore === "boolean" &&
-    isNonNegativeNumber(capacity) && statedStatus !== undefined;
+    isNonNegativeNumber(capacity) && statedStatus !== undefined &&
+    rankWaitsMs !== undefined && lateRankWaitsMs !== undefined;
   return isValid
     ? {
       address,
@@ -73,6 +83,8 @@
       reachesStore,
       capacity,
       statedStatus,
+      rankWaitsMs,
+      lateRankWaitsMs,
     }
     : undefined;
 }
@@ -82,6 +94,18 @@
   return value === null ? null : StatedStatus.safeParse(value).data;
 }
 
+/** Returns `undefined` if the value is invalid. Most reports contain few waits or none. */
+function decodeRankWaits(
+  row: readonly unknown[],
+  index: number,
+): number[] | undefined {
+  // Earlier versions report no waits by rank.
+  const value = row.length > index ? row[index] : [];
+  return Array.isArray(value) && value.length === 0
+    ? value
+    : RankWaitList.safeParse(value).data;
+}
+
 function isString(value: unknown): value is string {
   return typeof value === "string";
 }
--- a/packages/membership/src/report_row_test.ts
+++ b/packages/membership/src/report_row_test.ts
@@ -33,7 +33,12 @@
     isLeaving: true,
     limitPerSecond: 2.5,
   },
+  rankWaitsMs: [0, 40, 310.5],
+  lateRankWaitsMs: [0, 900],
 };
+const STATED_STATUS_INDEX = REPORT_FIELDS.indexOf("statedStatus");
+/** Number of fields in the reports of versions without waits by rank. */
+const EARLIER_LENGTH = REPORT_FIELDS.indexOf("rankWaitsMs");
 const ROW: readonly unknown[] = REPORT_FIELDS.map((field) => REPORT[field]);
 
 /** Values at the limits of what fields accept, and of types that they don't accept. */
@@ -77,7 +82,7 @@
   describe("with one or a few values changed", () => {
     it("is decoded without a stated status, and rejected with an invalid one", () => {
       const decodeWith = (statedStatus: unknown) =>
-        decodeReportRow([...ROW.slice(0, -1), statedStatus]);
+        decodeReportRow(ROW.with(STATED_STATUS_INDEX, statedStatus));
       const status = REPORT.statedStatus!;
       expect(decodeWith(null)).to.deep.equal({ ...REPORT, statedStatus: null });
       [
@@ -90,6 +95,31 @@
       ].forEach((invalid) => expect(decodeWith(invalid)).to.equal(undefined));
     });
 
+    // Guards against waits that make a daemon refuse everything for a service, or nothing for ever.
+    it("is rejected with waits that are not numbers, negative, far too long or too many", () => {
+      ["rankWaitsMs", "lateRankWaitsMs"].forEach((field) => {
+        const index = REPORT_FIELDS.indexOf(field as keyof MemberReport);
+        [
+          null,
+          undefined,
+          3,
+          "3",
+          ["3"],
+          [null],
+          [-1],
+          [NaN],
+          [Infinity],
+          [600_001],
+          Array.from({ length: 9 }, () => 0),
+        ].forEach((invalid) =>
+          expect(decodeReportRow(ROW.with(index, invalid))).to.equal(undefined)
+        );
+        const longest = Array.from({ length: 8 }, () => 600_000);
+        expect(decodeReportRow(ROW.with(index, longest)))
+          .to.deep.equal({ ...REPORT, [field]: longest });
+      });
+    });
+
     it("is decoded or rejected exactly as by the schema", () => {
       const change = fc.tuple(
         fc.nat({ max: REPORT_FIELDS.length - 1 }),
@@ -115,17 +145,52 @@
     it("is rejected if required values are missing, and decoded if there are more", () => {
       const isDecoded = (length: number) =>
         decodeReportRow([...ROW, 1, 2].slice(0, length)) !== undefined;
-      const lengths = ROW.slice(2).map((_, index) => index);
+      const requiredCount = REPORT_FIELDS.indexOf("capacity");
+      const lengths = ROW.slice(0, requiredCount).map((_, index) => index);
       expect(lengths.filter(isDecoded)).to.deep.equal([]);
       expect([ROW.length, ROW.length + 1].every(isDecoded)).to.equal(true);
     });
 
     // Guards against daemons that take each other for absent while a fleet is upgraded.
     it("is decoded without the stated status and the capacity, which earlier versions don't report", () => {
-      const withoutStatus = { ...REPORT, statedStatus: null };
-      expect(decodeReportRow(ROW.slice(0, -1))).to.deep.equal(withoutStatus);
-      expect(decodeReportRow(ROW.slice(0, -2)))
+      const withoutWaits = { ...REPORT, rankWaitsMs: [], lateRankWaitsMs: [] };
+      const withoutStatus = { ...withoutWaits, statedStatus: null };
+      expect(decodeReportRow(ROW.slice(0, STATED_STATUS_INDEX)))
+        .to.deep.equal(withoutStatus);
+      expect(decodeReportRow(ROW.slice(0, STATED_STATUS_INDEX - 1)))
         .to.deep.equal({ ...withoutStatus, capacity: REPORT.slots });
     });
+
+    // Guards against the same for waits by rank, which the version before doesn't report.
+    it("is decoded without waits by rank", () => {
+      const earlier = { ...REPORT, rankWaitsMs: [], lateRankWaitsMs: [] };
+      expect(decodeReportRow(ROW.slice(0, EARLIER_LENGTH)))
+        .to.deep.equal(earlier);
+      expect(decodeReportRow(ROW.slice(0, EARLIER_LENGTH + 1)))
+        .to.deep.equal({ ...REPORT, lateRankWaitsMs: [] });
+    });
+
+    // The version before reads the first values of a row and ignores the others, so they must keep their places.
+    it("starts with the fields of the version before, in their order", () => {
+      expect(REPORT_FIELDS.slice(0, EARLIER_LENGTH)).to.deep.equal([
+        "address",
+        "incarnation",
+        "sequence",
+        "availabilityZone",
+        "peerAddress",
+        "service",
+        "phase",
+        "slots",
+        "waitMs",
+        "serviceMs",
+        "utilization",
+        "failureShare",
+        "configurationVersion",
+        "ownershipRevision",
+        "reachesStore",
+        "capacity",
+        "statedStatus",
+      ]);
+    });
   });
 });
--- a/packages/router/src/attempts/backend_load_tracker_test.ts
+++ b/packages/router/src/attempts/backend_load_tracker_test.ts
@@ -56,6 +56,8 @@
     reachesStore: true,
     capacity: SLOTS,
     statedStatus: null,
+    rankWaitsMs: [],
+    lateRankWaitsMs: [],
   };
 }
 
--- a/packages/router/src/attempts/request_runner_test.ts
+++ b/packages/router/src/attempts/request_runner_test.ts
@@ -48,6 +48,8 @@
     reachesStore: true,
     capacity: 6,
     statedStatus: null,
+    rankWaitsMs: [],
+    lateRankWaitsMs: [],
   };
 }
 
--- a/packages/router/src/decoders_test.ts
+++ b/packages/router/src/decoders_test.ts
@@ -75,6 +75,8 @@
       reachesStore: true,
       capacity: 6,
       statedStatus: null,
+      rankWaitsMs: [],
+      lateRankWaitsMs: [],
     };
 
     it("reject them or return reports of the right types", () => {
--- a/packages/router/src/members/gossip_node_test.ts
+++ b/packages/router/src/members/gossip_node_test.ts
@@ -43,6 +43,8 @@
   reachesStore: true,
   capacity: 6,
   statedStatus: null,
+  rankWaitsMs: [],
+  lateRankWaitsMs: [],
 };
 
 /**
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -878,6 +878,8 @@
     reachesStore: false,
     capacity: 0,
     statedStatus: null,
+    rankWaitsMs: [],
+    lateRankWaitsMs: [],
   };
 }
 
