--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -867,6 +867,8 @@
     reachesStore: false,
     capacity: 0,
     statedStatus: null,
+    rankWaitsMs: [],
+    lateRankWaitsMs: [],
   };
 }
 
