--- a/packages/router/src/configuration/watch_poll_planner_test.ts
+++ b/packages/router/src/configuration/watch_poll_planner_test.ts
@@ -32,6 +32,8 @@
     reachesStore: true,
     capacity: 6,
     statedStatus: null,
+    rankWaitsMs: [],
+    lateRankWaitsMs: [],
   };
 }
 
