--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -229,6 +229,8 @@
       beforeDrain: () => this.ownership.releaseAll(),
       onProcessEnded: (end) => this.quarantine.recordBackendEnd(end),
       beforeGrant: () => this.awaitHandovers(),
+      awaitGrantable: (service, delayedMs) =>
+        this.ownership.awaitGrantable(service, delayedMs),
     });
     this.ownership = OwnershipManager.create({
       store: this.store,
@@ -289,6 +291,7 @@
       operatorPrefix: ports.document.prefix,
       onRegistered: (revision) => this.ownership.onRegistered(revision),
       onRecord: (record) => this.directory.updateFromStore(record.key, record),
+      onListed: (listing) => this.ownership.onStartListing(listing),
     });
     this.gossip = GossipNode.create({
       address: settings.gossipAddress,
@@ -807,6 +810,8 @@
       bamboolink_backend_starts_per_second: () =>
         this.backend.startRate.startedPerSecond,
       bamboolink_backend_slowdown: () => this.backend.slowdown,
+      bamboolink_backend_cold: () => this.backend.isCold ? 1 : 0,
+      bamboolink_cold_key_ms: () => this.backend.keyColdMs,
       bamboolink_configuration_version: () => this.configuration.version,
       bamboolink_members_alive: () => this.view.alive(monotonicMs()).length,
       bamboolink_requests_quarantined: () => this.quarantine.count,
