Compute the share of a zone's work that should leave it

A request left its zone only when the servers there were already full, so a zone with few servers also sent out uploads while its small requests waited. A request follows the share of its route unless a server of its zone has room now.

The choice moves from the request runner to ZonePlacement. The simulation is split into modules, and replays a zone that loses its servers, and daemons without reports.

--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -12,3 +12,4 @@
 export { isServerFault } from "./server_fault.ts";
 export { RouteServiceTimes } from "./route_service_times.ts";
 export { chooseWithAffinity, type PlacementRequest } from "./zone_affinity.ts";
+export { type ServerLoad, ZoneShareTracker } from "./zone_share_tracker.ts";
--- a/packages/placement/src/route_service_times.ts
+++ b/packages/placement/src/route_service_times.ts
@@ -73,6 +73,11 @@
     return decayExcess(report, { othersMs, nowMs });
   }
 
+  /** Speed of a backend server relative to the others, over all routes; 1 without reports. */
+  speedOf(backend: string): number {
+    return 1 / (this.relativeServiceTimeOf(backend) || 1);
+  }
+
   /** Mean ratio of a backend server's service times to the averages of their routes; 0 without reports. */
   private relativeServiceTimeOf(backend: string): number {
     const ratios = [...this.routes].flatMap(([route, entry]) => {
--- a/packages/placement/src/route_service_times_test.ts
+++ b/packages/placement/src/route_service_times_test.ts
@@ -56,6 +56,15 @@
     });
   });
 
+  it("derives the speed of a server from all routes that it has run", () => {
+    const times = RouteServiceTimes.create();
+    times.record("one", "call", { serviceMs: 150, measuredAtMs: 0 });
+    times.record("two", "call", { serviceMs: 50, measuredAtMs: 0 });
+    expect(times.speedOf("one")).to.be.closeTo(1 / 1.5, 0.01);
+    expect(times.speedOf("two")).to.be.closeTo(2, 0.01);
+    expect(times.speedOf("three")).to.equal(1);
+  });
+
   describe("replaying short calls together with long requests", () => {
     // Guards against one server of three being full while the others are idle: servers are compared by averages over
     // different requests, which fall at the one that runs the first calls by chance and rise where long requests run.
--- a/packages/placement/src/testing/zone_policies.ts
+++ b/packages/placement/src/testing/zone_policies.ts
@@ -7,9 +7,11 @@
   chooseBackend,
   DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE,
   expectedLatencyMs,
+  type PlacementCandidate,
 } from "../choose_backend.ts";
 import { sampleBackends } from "../sample_backends.ts";
 import { chooseWithAffinity } from "../zone_affinity.ts";
+import { type ServerLoad, ZoneShareTracker } from "../zone_share_tracker.ts";
 import type { SimulatedServer } from "./simulated_server.ts";
 import type { SimulatedRequest, ZonePolicy } from "./zone_simulation.ts";
 
@@ -32,16 +34,33 @@
   return chosen === undefined ? undefined : Number(chosen.daemon);
 };
 
-/** The choice with zone affinity. */
+/** The choice with zone affinity, with or without the shares of the zone's work. */
 export function createAffinityChoice(
-  crossZoneMsPerKilobyte = DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE,
+  options: { crossZoneMsPerKilobyte?: number; followsShares?: boolean } = {},
 ): ZonePolicy {
-  return (request, { candidates, nowMs, isRetry, random }) => {
+  const {
+    crossZoneMsPerKilobyte = DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE,
+    followsShares = true,
+  } = options;
+  const trackers = new Map<number, ZoneShareTracker>();
+  return (request, context) => {
+    const { candidates, servers, daemon, nowMs, isRetry, random } = context;
+    const { kind, zone } = request;
+    const tracker = trackers.get(daemon) ??
+      ZoneShareTracker.create(String(zone));
+    trackers.set(daemon, tracker);
     const chosen = chooseWithAffinity(candidates, {
       objectiveRemainingMs: request.objectiveAtMs - nowMs,
       remainingMs: request.deadlineAtMs - nowMs,
-      bodyBytes: request.kind.requestBytes,
+      bodyBytes: kind.requestBytes,
       crossZoneMsPerKilobyte,
+      leavingShare: followsShares
+        ? tracker.leavingShare(
+          kind.route,
+          () => toServerLoads(candidates, servers),
+          nowMs,
+        )
+        : 0,
     }, {
       isOwnZone: ({ isSameZone }) => isSameZone,
       describe: (candidate) =>
@@ -50,10 +69,35 @@
           : candidate,
       random,
     });
-    return chosen === undefined ? undefined : Number(chosen.daemon);
+    if (chosen === undefined) {
+      return undefined;
+    }
+    tracker.recordPlaced({
+      route: kind.route,
+      workMs: kind.workMs,
+      bytes: kind.requestBytes + kind.responseBytes,
+      isOtherZone: !chosen.isSameZone,
+    }, nowMs);
+    return Number(chosen.daemon);
   };
 }
 
+/** The loads of all servers as the choosing daemon knows them. */
+function toServerLoads(
+  candidates: readonly PlacementCandidate[],
+  servers: readonly SimulatedServer[],
+): ServerLoad[] {
+  const known = candidates.filter(({ serviceMs }) => serviceMs > 0);
+  const meanMs = known.reduce((sum, { serviceMs }) => sum + serviceMs, 0) /
+    known.length;
+  return candidates.map(({ daemon, capacity, utilization, serviceMs }) => ({
+    zone: String(servers[Number(daemon)]!.zone),
+    capacity,
+    utilization,
+    speed: serviceMs > 0 ? meanMs / serviceMs : 1,
+  }));
+}
+
 /**
  * A reference with full knowledge of the queues and of the work of the request, but not of later requests: the server in
  * the zone that leaves the least time before the objective, and another zone only if none there is on time. A zone
--- a/packages/placement/src/testing/zone_scenarios.ts
+++ b/packages/placement/src/testing/zone_scenarios.ts
@@ -60,10 +60,11 @@
     utilization: number;
     seed: number;
     speeds?: readonly (readonly number[])[];
-  },
+  } & Pick<ZoneScenario, "hasReports" | "isAvailable">,
 ): ZoneScenario {
-  const { utilization, seed, speeds = EVEN_SPEEDS } = options;
+  const { utilization, seed, speeds = EVEN_SPEEDS, ...failures } = options;
   return {
+    ...failures,
     speeds,
     slots: 6,
     daemonsPerZone: 8,
--- a/packages/placement/src/testing/zone_simulation.ts
+++ b/packages/placement/src/testing/zone_simulation.ts
@@ -8,8 +8,9 @@
  * @module
  */
 import type { PlacementCandidate } from "../choose_backend.ts";
-import { RouteServiceTimes } from "../route_service_times.ts";
-import { type SimulatedLoad, SimulatedServer } from "./simulated_server.ts";
+import { EventQueue } from "./event_queue.ts";
+import { SimulatedDaemon } from "./simulated_daemon.ts";
+import { SimulatedServer } from "./simulated_server.ts";
 
 /** Interval of the daemons' reports, in milliseconds. */
 const REPORT_INTERVAL_MS = 500;
@@ -20,8 +21,6 @@
 const OTHER_ZONE_MS = 3;
 /** Maximum attempts for one request. */
 const MAX_ROUNDS = 4;
-/** Weight of the latest request in the moving average of a route's size. */
-const SIZE_EWMA_WEIGHT = 0.1;
 /** Time before the measurement starts, in milliseconds, in which daemons learn service times and sizes. */
 const WARM_UP_MS = 3_000;
 
@@ -52,6 +51,9 @@
   /** Phase of the wave of each zone, as a share of the period. */
   readonly phases: readonly number[];
   readonly durationMs: number;
+  /** Whether the daemons receive reports at a time, and whether the servers of a zone are available. */
+  readonly hasReports?: (nowMs: number) => boolean;
+  readonly isAvailable?: (zone: number, nowMs: number) => boolean;
   /** Random numbers for the arrivals, and for choices and reports. */
   readonly arrivalRandom: () => number;
   readonly random: () => number;
@@ -69,6 +71,8 @@
 /** What a policy may use. Only references with full knowledge use `servers`. */
 export interface ChoiceContext {
   readonly nowMs: number;
+  /** Number of the choosing daemon. */
+  readonly daemon: number;
   readonly candidates: readonly PlacementCandidate[];
   readonly servers: readonly SimulatedServer[];
   readonly isRetry: boolean;
@@ -98,29 +102,12 @@
   readonly maxUtilization: number;
 }
 
-interface SimulatedDaemon {
-  readonly zone: number;
-  /** The server on its host, if there is one. */
-  readonly server: number | undefined;
-  readonly loads: (SimulatedLoad & { receivedAtMs: number; sent: number })[];
-  readonly times: RouteServiceTimes;
-  readonly sizes: Map<string, number>;
-}
-
-interface Event {
-  readonly dueAtMs: number;
-  readonly sequence: number;
-  readonly run: () => void;
-}
-
 /** The simulated service. */
 export class ZoneSimulation {
-  private readonly events: Event[] = [];
+  private readonly events = EventQueue.create();
   private readonly servers: SimulatedServer[];
   private readonly daemons: SimulatedDaemon[];
   private readonly zones: ZoneResult[];
-  private sequence = 0;
-  private nowMs = 0;
   private crossZoneBytes = 0;
 
   private constructor(
@@ -137,7 +124,11 @@
       );
       return Array.from(
         { length: daemonsPerZone },
-        (_, index) => this.createDaemon(zone, local[index]),
+        (_, index) =>
+          SimulatedDaemon.create(
+            { zone, localServer: local[index] },
+            this.servers,
+          ),
       );
     });
     this.zones = speeds.map(() => ({
@@ -154,41 +145,17 @@
     return simulation.run();
   }
 
-  private createDaemon(
-    zone: number,
-    server: number | undefined,
-  ): SimulatedDaemon {
-    return {
-      zone,
-      server,
-      loads: this.servers.map(() => ({
-        waitMs: 0,
-        utilization: 0,
-        meanServiceMs: 0,
-        measuredAtMs: 0,
-        receivedAtMs: 0,
-        sent: 0,
-      })),
-      times: RouteServiceTimes.create(),
-      sizes: new Map(),
-    };
-  }
-
   private run(): SimulationResult {
-    const { durationMs } = this.scenario;
     this.zones.forEach((_, zone) => this.scheduleArrival(zone));
     this.scheduleReports();
     let busyAtStartMs: number[] = [];
-    this.schedule(WARM_UP_MS, () => {
+    this.events.schedule(WARM_UP_MS, () => {
       busyAtStartMs = this.servers.map(({ busyMs }) => busyMs);
     });
-    while (this.events.length > 0) {
-      const event = this.events.shift()!;
-      this.nowMs = event.dueAtMs;
-      event.run();
-    }
+    this.events.runAll();
+    const measuredMs = this.scenario.durationMs - WARM_UP_MS;
     const utilizations = this.servers.map(({ busyMs, slots }, index) =>
-      (busyMs - busyAtStartMs[index]!) / slots / (durationMs - WARM_UP_MS)
+      (busyMs - busyAtStartMs[index]!) / slots / measuredMs
     );
     const total = utilizations.reduce((sum, value) => sum + value, 0);
     return {
@@ -199,11 +166,15 @@
     };
   }
 
+  private get nowMs(): number {
+    return this.events.nowMs;
+  }
+
   private scheduleArrival(zone: number): void {
     const { arrivalRandom, durationMs } = this.scenario;
     const delayMs = -Math.log(1 - arrivalRandom()) / this.arrivalsPerMs(zone);
     if (this.nowMs + delayMs < durationMs) {
-      this.schedule(this.nowMs + delayMs, () => {
+      this.events.schedule(delayMs, () => {
         this.handleArrival(zone);
         this.scheduleArrival(zone);
       });
@@ -249,16 +220,17 @@
     daemon: SimulatedDaemon,
     tried: readonly number[],
   ): void {
-    const { random } = this.scenario;
-    const candidates = this.servers.flatMap((_, server) =>
-      tried.includes(server)
+    const { random, isAvailable = () => true } = this.scenario;
+    const candidates = this.servers.flatMap(({ zone }, server) =>
+      tried.includes(server) || !isAvailable(zone, this.nowMs)
         ? []
-        : [this.toCandidate(daemon, server, request.kind)]
+        : [daemon.toCandidate(server, request.kind.route, this.nowMs)]
     );
     const chosen = tried.length === MAX_ROUNDS ? undefined : this.policy(
       request,
       {
         nowMs: this.nowMs,
+        daemon: this.daemons.indexOf(daemon),
         candidates,
         servers: this.servers,
         isRetry: tried.length > 0,
@@ -271,13 +243,13 @@
     }
     const isOtherZone = this.servers[chosen]!.zone !== daemon.zone;
     this.countBytes(isOtherZone ? request.kind.requestBytes : 0);
-    const delayMs = chosen === daemon.server
+    const delayMs = chosen === daemon.localServer
       ? 0
       : isOtherZone
       ? OTHER_ZONE_MS
       : SAME_ZONE_MS;
-    daemon.loads[chosen]!.sent += 1;
-    this.schedule(this.nowMs + delayMs, () => {
+    daemon.recordSent(chosen);
+    this.events.schedule(delayMs, () => {
       const { kind, workMs, deadlineAtMs } = request;
       const endsAtMs = this.servers[chosen]!.offer({
         workMs,
@@ -285,8 +257,9 @@
         deadlineAtMs,
       }, this.nowMs);
       const isRefused = endsAtMs === undefined;
-      this.schedule((endsAtMs ?? this.nowMs) + delayMs, () => {
-        this.receiveLoad(daemon, chosen);
+      const runMs = (endsAtMs ?? this.nowMs) - this.nowMs;
+      this.events.schedule(runMs + delayMs, () => {
+        daemon.recordLoad(chosen, this.nowMs);
         if (isRefused) {
           this.attempt(request, daemon, [...tried, chosen]);
           return;
@@ -302,15 +275,11 @@
   ): void {
     const { kind, objectiveAtMs } = request;
     const { daemon, chosen, isOtherZone } = at;
-    const bytes = kind.requestBytes + kind.responseBytes;
-    const average = daemon.sizes.get(kind.route) ?? bytes;
-    daemon.sizes.set(
-      kind.route,
-      average + SIZE_EWMA_WEIGHT * (bytes - average),
-    );
-    daemon.times.record(String(chosen), kind.route, {
-      serviceMs: kind.workMs / this.servers[chosen]!.speed,
-      measuredAtMs: this.nowMs,
+    daemon.recordResponse(chosen, {
+      route: kind.route,
+      workMs: kind.workMs,
+      bytes: kind.requestBytes + kind.responseBytes,
+      nowMs: this.nowMs,
     });
     this.countBytes(isOtherZone ? kind.responseBytes : 0);
     this.record(request, (zone) => {
@@ -334,83 +303,25 @@
     }
   }
 
-  private receiveLoad(daemon: SimulatedDaemon, server: number): void {
-    daemon.loads[server] = {
-      ...this.servers[server]!.report(this.nowMs),
-      receivedAtMs: this.nowMs,
-      sent: 0,
-    };
-  }
-
   private scheduleReports(): void {
-    if (this.nowMs > this.scenario.durationMs) {
+    const { random, durationMs, hasReports = () => true } = this.scenario;
+    if (this.nowMs > durationMs) {
       return;
     }
     const reports = this.servers.map((server) => server.report(this.nowMs));
-    this.schedule(this.nowMs + REPORT_INTERVAL_MS, () => {
-      this.daemons.forEach((daemon) =>
-        reports.forEach((report, server) => {
-          const isNews = report.measuredAtMs >
-            daemon.loads[server]!.measuredAtMs;
-          if (isNews && this.scenario.random() < REPORT_SHARE) {
-            daemon.loads[server] = {
-              ...report,
-              receivedAtMs: this.nowMs,
-              sent: 0,
-            };
-          }
-        })
-      );
+    this.events.schedule(REPORT_INTERVAL_MS, () => {
+      if (hasReports(this.nowMs)) {
+        this.daemons.forEach((daemon) =>
+          reports.forEach((report, server) => {
+            if (random() < REPORT_SHARE) {
+              daemon.recordReport(server, report, this.nowMs);
+            }
+          })
+        );
+      }
       this.scheduleReports();
     });
   }
-
-  private toCandidate(
-    daemon: SimulatedDaemon,
-    index: number,
-    kind: RequestKind,
-  ): PlacementCandidate {
-    const server = this.servers[index]!;
-    const isLocal = daemon.server === index;
-    if (isLocal) {
-      this.receiveLoad(daemon, index);
-    }
-    const load = daemon.loads[index]!;
-    return {
-      daemon: String(index),
-      isLocal,
-      isSameZone: server.zone === daemon.zone,
-      capacity: server.slots,
-      waitMs: load.waitMs,
-      utilization: load.utilization,
-      serviceMs: daemon.times.estimateMs(
-        String(index),
-        kind.route,
-        this.nowMs,
-      ),
-      meanServiceMs: load.meanServiceMs,
-      transferBytes: daemon.sizes.get(kind.route) ?? 0,
-      failureShare: 0,
-      reportAgeMs: this.nowMs - load.receivedAtMs,
-      sentSinceReport: load.sent,
-    };
-  }
-
-  private schedule(dueAtMs: number, run: () => void): void {
-    this.sequence += 1;
-    const event = { dueAtMs, sequence: this.sequence, run };
-    let low = 0;
-    let high = this.events.length;
-    while (low < high) {
-      const middle = (low + high) >> 1;
-      if (this.events[middle]!.dueAtMs <= dueAtMs) {
-        low = middle + 1;
-      } else {
-        high = middle;
-      }
-    }
-    this.events.splice(low, 0, event);
-  }
 }
 
 function pickKind(kinds: readonly RequestKind[], value: number): RequestKind {
--- a/packages/placement/src/zone_affinity.ts
+++ b/packages/placement/src/zone_affinity.ts
@@ -28,6 +28,8 @@
   readonly bodyBytes: number;
   /** Milliseconds of waiting that saving one kilobyte between zones is worth; 0 switches affinity off. */
   readonly crossZoneMsPerKilobyte: number;
+  /** Share of the requests of its route that should leave the zone, from 0 to 1. */
+  readonly leavingShare: number;
 }
 
 /** How the backend servers appear to the choosing daemon. */
@@ -57,6 +59,11 @@
  * which shows whether all fail alike.
  */
 const MAX_FAILURE_SHARE = 0.05;
+/**
+ * Share of the time to the objective within which a server of the zone finishes a request although its route should send
+ * some out: the shares follow reports that are seconds old, and the zone may have room again.
+ */
+const ROOM_SHARE = 0.3;
 /** Bodies from this size, in bytes, are not sent to another zone to be refused there: they cost more than an answer. */
 const LARGE_BODY_BYTES = 8_000;
 
@@ -82,12 +89,27 @@
   const sample = sampleByZone(backends, { isOwnZone, random });
   const own = describeAll(sample.own);
   const inTime = own.filter((candidate) => isInTime(candidate, request));
-  if (inTime.length > 0) {
+  const mustLeave = request.leavingShare > 0 &&
+    random() < request.leavingShare && !hasRoom(own, request);
+  if (inTime.length > 0 && !mustLeave) {
     return chooseBackend(inTime, random, crossZoneMsPerKilobyte);
   }
   const others = describeAll(sample.others)
     .filter((candidate) => mayReceiveBody(candidate, request));
-  return chooseBackend([...own, ...others], random, crossZoneMsPerKilobyte);
+  const compared = mustLeave && others.length > 0
+    ? others
+    : [...own, ...others];
+  return chooseBackend(compared, random, crossZoneMsPerKilobyte);
+}
+
+/** Whether a server of the zone would finish a request so early that it need not leave. */
+function hasRoom(
+  own: readonly PlacementCandidate[],
+  { objectiveRemainingMs }: PlacementRequest,
+): boolean {
+  return own.some((candidate) =>
+    expectedLatencyMs(candidate) <= objectiveRemainingMs * ROOM_SHARE
+  );
 }
 
 /** Whether a server in the zone is expected to finish a request with a margin before its objective. */
--- a/packages/placement/src/zone_affinity_test.ts
+++ b/packages/placement/src/zone_affinity_test.ts
@@ -43,6 +43,7 @@
       remainingMs: 2_100,
       bodyBytes: 4_000,
       crossZoneMsPerKilobyte: 2,
+      leavingShare: 0,
       ...changes,
     }, {
       isOwnZone: ({ isSameZone }) => isSameZone,
@@ -136,6 +137,28 @@
     });
   });
 
+  describe("when a share of the requests should leave", () => {
+    const busy = [candidate({ waitMs: 150 }), candidate(OTHER)];
+
+    it("sends out that share, although the zone would be in time", () => {
+      expect(shareThatLeaves(busy, { leavingShare: 0.3 })).to.be.within(
+        0.2,
+        0.4,
+      );
+    });
+
+    // Guards against billed bytes by a share that follows reports which are seconds old.
+    it("sends out nothing while a server of the zone has room", () => {
+      const servers = [...busy, candidate({ waitMs: 0 })];
+      expect(shareThatLeaves(servers, { leavingShare: 0.9 })).to.equal(0);
+    });
+
+    it("sends nothing to servers that can't be used", () => {
+      expect(shareThatLeaves([candidate({ waitMs: 150 })], { leavingShare: 1 }))
+        .to.equal(0);
+    });
+  });
+
   describe("when there is no server in the zone", () => {
     it("chooses one of another zone", () => {
       expect(shareThatLeaves([candidate(OTHER)])).to.equal(1);
--- a/packages/placement/src/zone_replay_test.ts
+++ b/packages/placement/src/zone_replay_test.ts
@@ -23,13 +23,9 @@
 function replay(
   policy: ZonePolicy,
   utilization: number,
-  speeds?: readonly (readonly number[])[],
+  options: Partial<Parameters<typeof createScenario>[0]> = {},
 ) {
-  const scenario = createScenario({
-    utilization,
-    seed: 7,
-    ...(speeds === undefined ? {} : { speeds }),
-  });
+  const scenario = createScenario({ utilization, seed: 7, ...options });
   return summarize(ZoneSimulation.run(scenario, policy));
 }
 
@@ -72,7 +68,7 @@
       const { worstZoneOnTime, crossedUploads, crossedRequests } = replay(
         createAffinityChoice(),
         0.6,
-        UNEVEN_SPEEDS,
+        { speeds: UNEVEN_SPEEDS },
       );
       expect(worstZoneOnTime).to.be.above(0.99);
       expect(crossedUploads / crossedRequests).to.be.below(0.05);
@@ -93,10 +89,38 @@
     // Guards against a price that operators set without effect.
     it("sends fewer bytes to other zones the more a kilobyte costs", () => {
       const megabytes = [0, 2, 10].map((price) =>
-        replay(createAffinityChoice(price), 0.7, FEW_SPEEDS).crossZoneMegabytes
+        replay(createAffinityChoice({ crossZoneMsPerKilobyte: price }), 0.7, {
+          speeds: FEW_SPEEDS,
+        }).crossZoneMegabytes
       );
       expect(megabytes[1]).to.be.below(megabytes[0]! / 2);
       expect(megabytes[2]).to.be.below(megabytes[1]!);
     });
+
+    // Guards against callers of a zone whose requests are late because its servers are lost, and against work that stays
+    // away from the zone after they have returned.
+    it("serves the callers of a zone that loses its servers for 6 s", () => {
+      const isLost = (zone: number, nowMs: number) =>
+        zone === 1 && nowMs > 10_000 && nowMs < 16_000;
+      const { worstZoneOnTime, crossedRequests, requests } = replay(
+        createAffinityChoice(),
+        0.5,
+        { isAvailable: (zone, nowMs) => !isLost(zone, nowMs) },
+      );
+      expect(worstZoneOnTime).to.be.above(0.99);
+      expect(crossedRequests / requests).to.be.below(0.1);
+    });
+
+    // Guards against choices that rely on reports which no longer arrive.
+    it("serves all zones while daemons know only the outcomes of their requests", () => {
+      const { worstZoneOnTime, crossZoneMegabytes } = replay(
+        createAffinityChoice(),
+        0.6,
+        { hasReports: (nowMs) => nowMs < 10_000 },
+      );
+      expect(worstZoneOnTime).to.be.above(0.99);
+      // The choice by score sends 45 MB in the same waves with reports.
+      expect(crossZoneMegabytes).to.be.below(5);
+    });
   });
 });
--- a/packages/router/src/attempts/backend_load_tracker.ts
+++ b/packages/router/src/attempts/backend_load_tracker.ts
@@ -7,6 +7,7 @@
 import {
   type PlacementCandidate,
   RouteServiceTimes,
+  type ServerLoad,
 } from "@bamboolink/placement";
 import type { LoadReport } from "../links/link_codec.ts";
 
@@ -17,10 +18,13 @@
 const SIZE_EWMA_WEIGHT = 0.1;
 
 /** Load of one backend server over all routes. */
-type ServerLoad = Pick<LoadReport, "waitMs" | "utilization" | "failureShare">;
+type ReportedLoad = Pick<
+  LoadReport,
+  "waitMs" | "utilization" | "failureShare"
+>;
 
 interface Entry {
-  load: ServerLoad;
+  load: ReportedLoad;
   reportedAtMs: number;
   sentSinceReport: number;
   avoidUntilMs: number;
@@ -40,7 +44,7 @@
   }
 
   /** Records the load that a daemon reports for its backend server. */
-  recordLoad(daemon: string, load: ServerLoad, nowMs: number): void {
+  recordLoad(daemon: string, load: ReportedLoad, nowMs: number): void {
     const entry = this.entryOf(daemon);
     entry.load = load;
     entry.reportedAtMs = nowMs;
@@ -83,6 +87,21 @@
     return this.times.typicalMs(route);
   }
 
+  /** Typical size of the body of a route's response, in bytes; 0 where that is not known. */
+  typicalResponseBytes(route: string): number {
+    return this.responseSizes.get(route) ?? 0;
+  }
+
+  /** The loads of backend servers as last reported, at their speeds. */
+  serverLoads(reports: readonly MemberReport[]): ServerLoad[] {
+    return reports.map(({ address, availabilityZone, capacity }) => ({
+      zone: availabilityZone,
+      capacity,
+      utilization: this.entryOf(address).load.utilization,
+      speed: this.times.speedOf(address),
+    }));
+  }
+
   /** Share of recent requests that a backend server failed, as last reported, from 0 to 1. */
   failureShareOf(daemon: string): number {
     return this.entryOf(daemon).load.failureShare;
@@ -131,7 +150,7 @@
       ),
       meanServiceMs: report.serviceMs,
       transferBytes: origin.bodyBytes +
-        (this.responseSizes.get(origin.route) ?? 0),
+        this.typicalResponseBytes(origin.route),
       reportAgeMs: Math.max(0, origin.nowMs - reportedAtMs),
       sentSinceReport,
     };
--- a/packages/router/src/attempts/request_runner.ts
+++ b/packages/router/src/attempts/request_runner.ts
@@ -7,7 +7,6 @@
 import type { Logger } from "@bamboolink/logger";
 import type { MemberReport, MemberView } from "@bamboolink/membership";
 import {
-  chooseWithAffinity,
   expectedLatencyMs,
   isServerFault,
   type PlacementCandidate,
@@ -26,6 +25,7 @@
   type RefusalReason,
   type RoutedRequest,
 } from "./routed_request.ts";
+import { ZonePlacement } from "./zone_placement.ts";
 
 /** Maximum attempts for one request, including refused ones; each refusal costs a network round trip. */
 const MAX_ROUNDS = 4;
@@ -79,7 +79,11 @@
 
 /** Places requests on backend servers and retries them as their routes, deadlines and the retry budget allow. */
 export class RequestRunner {
-  private constructor(private readonly context: RequestRunnerContext) {}
+  private readonly placement: ZonePlacement;
+
+  private constructor(private readonly context: RequestRunnerContext) {
+    this.placement = ZonePlacement.create(context);
+  }
 
   static create(context: RequestRunnerContext): RequestRunner {
     return new RequestRunner(context);
@@ -184,6 +188,9 @@
   ): Promise<Outcome> {
     const { view, backend, loadTracker, forwarder } = this.context;
     const { target, cancellation, mayGiveUp } = to;
+    if (request.key === undefined) {
+      this.placement.recordPlaced(request, target);
+    }
     if (target.address === view.ownReport.address) {
       return backend.attempt(request, cancellation);
     }
@@ -280,9 +287,8 @@
     request: RoutedRequest,
     tried: ReadonlySet<string>,
   ): MemberReport | undefined {
-    const { view, loadTracker, random } = this.context;
+    const { view, loadTracker } = this.context;
     const nowMs = monotonicMs();
-    const own = view.ownReport;
     const untried = view.readyReports(request.service, nowMs)
       .filter(({ address }) => !tried.has(address));
     const reachable = untried.filter(({ address }) =>
@@ -292,32 +298,12 @@
     if (this.context.quarantine.classify(request).kind === "suspect") {
       return this.chooseProbation(request, eligible);
     }
-    const bodyBytes = request.body?.length ?? 0;
-    const origin = {
-      daemon: own.address,
-      availabilityZone: own.availabilityZone,
-      route: request.route,
-      bodyBytes,
-      nowMs,
-    };
     this.recordLocalLoad(request.route, nowMs);
-    const chosen = chooseWithAffinity(eligible, {
-      objectiveRemainingMs: request.objectiveAtMs - nowMs,
-      remainingMs: request.deadlineAtMs - nowMs,
-      bodyBytes,
-      crossZoneMsPerKilobyte: this.context.crossZoneMsPerKilobyte(),
-    }, {
-      isOwnZone: ({ availabilityZone }) =>
-        availabilityZone === own.availabilityZone,
-      describe: (report) => {
-        const candidate = loadTracker.toCandidate(report, origin);
-        return tried.size === 0 || this.hasCapacity(candidate, request)
-          ? candidate
-          : undefined;
-      },
-      random,
-    });
-    return chosen === undefined ? undefined : view.find(chosen.daemon);
+    return this.placement.choose(
+      request,
+      eligible,
+      (candidate) => tried.size === 0 || this.hasCapacity(candidate, request),
+    );
   }
 
   private chooseProbation(
--- a/scripts/zone_replay.mjs
+++ b/scripts/zone_replay.mjs
@@ -21,15 +21,20 @@
 const SEEDS = [7, 14];
 const UTILIZATIONS = (process.argv[2] ?? "0.6,0.7,0.8").split(",").map(Number);
 const SPEEDS = { even: EVEN_SPEEDS, uneven: UNEVEN_SPEEDS, few: FEW_SPEEDS };
+/** Created for each run, because some keep state. */
 const POLICIES = {
-  score: chooseByScore,
-  informed: createInformedChoice({ smallRequestShare: 0.7, largeBytes: 8_000 }),
-  affinity: createAffinityChoice(),
+  score: () => chooseByScore,
+  informed: () =>
+    createInformedChoice({ smallRequestShare: 0.7, largeBytes: 8_000 }),
+  affinity: () => createAffinityChoice({ followsShares: false }),
+  shares: () => createAffinityChoice(),
 };
 
-function measure(scenario, policy) {
+function measure(scenario, createPolicy) {
   const summaries = SEEDS.map((seed) =>
-    summarize(ZoneSimulation.run(createScenario({ ...scenario, seed }), policy))
+    summarize(
+      ZoneSimulation.run(createScenario({ ...scenario, seed }), createPolicy()),
+    )
   );
   const total = (field) =>
     summaries.reduce((sum, summary) => sum + summary[field], 0);
@@ -38,8 +43,8 @@
 
 Object.entries(SPEEDS).forEach(([name, speeds]) =>
   UTILIZATIONS.forEach((utilization) =>
-    Object.entries(POLICIES).forEach(([choice, policy]) => {
-      const mean = measure({ speeds, utilization }, policy);
+    Object.entries(POLICIES).forEach(([choice, createPolicy]) => {
+      const mean = measure({ speeds, utilization }, createPolicy);
       console.log([
         name,
         utilization,
