Replay hot keys and uneven owners

The load is that of both deployments: one key with a sixth of the requests, 60 or 200 adjacent keys with a third to 45 % of the rest for 4 to 5 s, 9 and 7 owners at 0.85 of their capacity.

--- /dev/null
+++ b/packages/keyspace/src/hot_key_replay_test.ts
@@ -0,0 +1,53 @@
+/**
+ * Replays of hot keys and uneven owners: the load of docs/design/hard_load.md, part 3.
+ *
+ * @module
+ */
+import { expect } from "chai";
+import { DEPLOYMENTS } from "./testing/hot_key_load.ts";
+import {
+  type ReplayedPlanner,
+  replayHotKeys,
+} from "./testing/hot_key_replay.ts";
+import type { RebalanceCost } from "./testing/rebalance_simulation.ts";
+
+const SEEDS = [1, 2, 3];
+
+function replay(
+  deployment: (typeof DEPLOYMENTS)[number],
+  planner: ReplayedPlanner,
+) {
+  const costs = SEEDS.map((seed) =>
+    replayHotKeys(deployment, planner, { seed })
+  );
+  const sumOf = (key: keyof RebalanceCost) =>
+    costs.reduce((sum, cost) => sum + cost[key], 0);
+  return {
+    refusedShare: sumOf("refused") / sumOf("requests"),
+    lateShare: sumOf("late") / sumOf("requests"),
+    movedKeys: sumOf("movedKeys") / SEEDS.length,
+    writes: sumOf("writes") / SEEDS.length,
+  };
+}
+
+describe("replay of hot keys and uneven owners", () => {
+  DEPLOYMENTS.forEach((deployment) => {
+    describe(deployment.name, () => {
+      // Guards against a replay whose load can't be served whoever owns the keys: it would show nothing about planners.
+      it("can be served by owners that are assigned with full knowledge", () => {
+        const best = replay(deployment, { kind: "full_knowledge" });
+        expect(best.refusedShare).to.be.below(0.02);
+        expect(best.movedKeys).to.be.below(1_000);
+      }).timeout(60_000);
+
+      // Guards against a replay in which it does not matter who owns the keys.
+      it("can't be served by owners that never move keys", () => {
+        const without = replay(deployment, {
+          kind: "planner",
+          create: () => ({ plan: () => [] }),
+        });
+        expect(without.refusedShare).to.be.above(0.15);
+      }).timeout(60_000);
+    });
+  });
+});
