Refuse requests at the first daemon if no server of their service can serve them

Cause: under overload each refused request costs a hop, often several, and the caller's only retry comes when one queue has room. Refused callers get the reserved time, also those that a queue has refused after the admission. The queue beside a server reports its waits by rank only with this setting. The tests of the ingress and of the request runner create the new dependency.

--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -44,7 +44,7 @@
 } from "./service_admission.ts";
 export { MIN_RETURN_MS, ReturnSchedule } from "./return_schedule.ts";
 export {
-  encodeWaits,
+  encodeRankWaits,
   isWaitList,
   MAX_RANK_WAITS,
   MAX_WAIT_MS,
--- a/packages/admission/src/rank_waits.ts
+++ b/packages/admission/src/rank_waits.ts
@@ -25,8 +25,19 @@
   return rank < 0 ? 0 : waitsMs[Math.min(rank, waitsMs.length - 1)] ?? 0;
 }
 
-/** Rounds waits for transmission and drops values at the end that equal the one before. */
-export function encodeWaits(waitsMs: readonly number[]): number[] {
+/** Prepares waits for transmission, in as few values as possible; without waits, both lists are empty. */
+export function encodeRankWaits(
+  waits: RankWaits | undefined,
+): { onTimeMs: number[]; lateMs: number[] } {
+  const onTimeMs = encodeWaits(waits?.onTimeMs ?? []);
+  const lateMs = encodeWaits(waits?.lateMs ?? []);
+  const isSame = lateMs.length === onTimeMs.length &&
+    lateMs.every((waitMs, rank) => waitMs === onTimeMs[rank]);
+  return { onTimeMs, lateMs: isSame ? [] : lateMs };
+}
+
+/** Rounds waits and drops values at the end that equal the one before. */
+function encodeWaits(waitsMs: readonly number[]): number[] {
   const rounded = waitsMs.slice(0, MAX_RANK_WAITS).map((waitMs) =>
     Math.min(MAX_WAIT_MS, Math.round(waitMs))
   );
--- a/packages/router/src/attempts/request_runner_test.ts
+++ b/packages/router/src/attempts/request_runner_test.ts
@@ -12,6 +12,7 @@
 import { monotonicMs } from "../clock.ts";
 import type { OwnershipDirectory } from "../keys/ownership_directory.ts";
 import { SAMPLE_REQUEST } from "../testing/sample_request.ts";
+import type { FinalOutcome } from "./attempt_history.ts";
 import { BackendLoadTracker } from "./backend_load_tracker.ts";
 import { Cancellation } from "./cancellation.ts";
 import type { Forwarder } from "./forwarder.ts";
@@ -56,8 +57,9 @@
 /** Runs one request for a key whose owner returns the outcomes in turn; returns what was sent and the result. */
 async function runAtOwner(
   outcomes: readonly Outcome[],
-  settings: { resendRatio: number },
+  settings: { resendRatio: number; refusal?: FinalOutcome },
 ) {
+  const { refusal } = settings;
   const view = MemberView.create(createReport(OWN_ADDRESS));
   view.merge([createReport(OWNER_ADDRESS)], monotonicMs());
   const sentTo: string[] = [];
@@ -89,11 +91,13 @@
       extra: 0,
       windowMs: 10_000,
     }),
+    admission: { refuse: () => refusal },
     random: () => 0.5,
   });
   const startedAtMs = monotonicMs();
-  const request: RoutedRequest = {
+  const request = {
     ...SAMPLE_REQUEST,
+    callerWaitedMs: 0,
     key: 7,
     isIdempotent: false,
     objectiveAtMs: startedAtMs + 600,
@@ -107,6 +111,23 @@
 }
 
 describe("RequestRunner", () => {
+  describe("for a request that the admission to its service refuses", () => {
+    it("makes no attempt and returns that outcome", async () => {
+      const refused = notRun("overloaded", { waitMs: 700 });
+      const { sentTo, outcome } = await runAtOwner([], {
+        resendRatio: 10,
+        refusal: {
+          outcome: refused,
+          peer: undefined,
+          attempts: 0,
+          retryAfterMs: 400,
+        },
+      });
+      expect(sentTo).to.deep.equal([]);
+      expect(outcome).to.equal(refused);
+    });
+  });
+
   describe("for a key whose owner rejects a request without running it", () => {
     it("tries the owner again", async () => {
       const { sentTo, outcome } = await runAtOwner([REJECTED], {
--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { ServiceTimes } from "@bamboolink/admission";
+import { type RankWaits, ServiceTimes } from "@bamboolink/admission";
 import {
   type GrantTracker,
   type Incarnation,
@@ -70,6 +70,8 @@
   readonly onSuspicion: (suspicion: BackendSuspicion) => void;
   /** Called when the backend server states in a response that it is leaving. */
   readonly onLeaving: StatedLeavingListener;
+  /** Whether daemons admit requests by the waits of a service's servers. */
+  readonly admitsByService?: () => boolean;
 }
 
 /** The backend server's identity and state, as far as requests depend on them. */
@@ -152,6 +154,7 @@
       utilization: this.utilization,
       serviceMs: this.times.averageOf(route),
       failureShare: this.failureShare,
+      rankWaits: this.rankWaits,
     };
   }
 
@@ -165,6 +168,13 @@
     return this.admission.waitMs;
   }
 
+  /** The same by rank; `undefined` if daemons don't admit by it. */
+  get rankWaits(): RankWaits | undefined {
+    return this.context.admitsByService?.() === true
+      ? this.admission.rankWaits
+      : undefined;
+  }
+
   /** Typical service time over all routes, in milliseconds; 0 until enough requests were served. */
   get serviceMs(): number {
     return this.times.stableAverageMs;
--- a/packages/router/src/backend/slot_admission.ts
+++ b/packages/router/src/backend/slot_admission.ts
@@ -6,6 +6,7 @@
  */
 import {
   type QueueChanges,
+  type RankWaits,
   StartRateLimiter,
   WorkQueue,
 } from "@bamboolink/admission";
@@ -58,6 +59,8 @@
   private slots = 0;
   private startTimer: NodeJS.Timeout | undefined;
   private wait = { waitMs: 0, computedAtMs: -Infinity };
+  private waitsByRank: { waits: RankWaits | undefined; computedAtMs: number } =
+    { waits: undefined, computedAtMs: -Infinity };
 
   private constructor() {}
 
@@ -112,6 +115,16 @@
     return this.wait.waitMs;
   }
 
+  /** Estimated waits of requests that arrive now, by rank; `undefined` without slots. */
+  get rankWaits(): RankWaits | undefined {
+    const nowMs = monotonicMs();
+    if (nowMs - this.waitsByRank.computedAtMs > WAIT_CACHE_TTL_MS) {
+      const waits = this.queue.waitsByRank(nowMs);
+      this.waitsByRank = { waits, computedAtMs: nowMs };
+    }
+    return this.waitsByRank.waits;
+  }
+
   /** Slots that requests can keep busy: fewer than there are if the server limits the rate of requests. */
   get capacity(): number {
     return this.queue.capacity;
--- a/packages/router/src/ingress/ingress.ts
+++ b/packages/router/src/ingress/ingress.ts
@@ -51,6 +51,7 @@
   RouterRejection,
 } from "../ports/caller_protocol.ts";
 import type { LoopLag } from "../loop_lag.ts";
+import type { RequestAdmission } from "../attempts/request_admission.ts";
 import type { RequestRunner } from "../attempts/request_runner.ts";
 import {
   notRun,
@@ -104,6 +105,7 @@
   readonly configuration: ConfigurationManager;
   readonly configurationChecker: ConfigurationChecker;
   readonly runner: RequestRunner;
+  readonly admission: Pick<RequestAdmission, "retryAfterMs">;
   readonly lag: LoopLag;
   readonly random: () => number;
   /** Returns the service on this host: the sender of all requests that arrive here. */
@@ -116,6 +118,8 @@
   readonly latestStartAtMs: number;
   /** When the caller stops waiting, whatever the timeout of its route. */
   readonly callerDeadlineAtMs: number;
+  /** For how long the caller had waited before it sent the request, in milliseconds. */
+  readonly callerWaitedMs: number;
 }
 
 /** A request's route and the configuration that contains it. */
@@ -607,6 +611,7 @@
         route.name,
       ),
       callerDeadlineAtMs: arrivedAtMs + (request.deadlineMs ?? route.timeoutMs),
+      callerWaitedMs,
       method: incoming.method ?? "GET",
       target: target.pathAndQuery,
       headers: target.isAbsolute ? replaceHost(headers, target.host) : headers,
@@ -616,7 +621,7 @@
 
   /** Runs a request until it has an outcome, its deadline passes or its caller disconnects. */
   private async runUntilDeadline(
-    routed: RoutedRequest,
+    routed: CallerRoutedRequest,
     response: ServerResponse,
     route: TrafficRoute,
   ): Promise<FinalOutcome> {
@@ -659,12 +664,14 @@
       // No daemon runs it until its quarantine expires, so an earlier retry would be refused again.
       const retryAfterMs = isQuarantined
         ? outcome.waitMs
-        : this.sampleRetryAfterMs({
-          waitMs: outcome.waitMs,
-          objectiveRemainingMs: routed.latestStartAtMs - monotonicMs(),
-          remainingMs: routed.callerDeadlineAtMs - monotonicMs(),
-          isTransient: TRANSIENT_REASONS.has(outcome.reason),
-        });
+        : completed.final.retryAfterMs ??
+          this.context.admission.retryAfterMs(routed, outcome) ??
+          this.sampleRetryAfterMs({
+            waitMs: outcome.waitMs,
+            objectiveRemainingMs: routed.latestStartAtMs - monotonicMs(),
+            remainingMs: routed.callerDeadlineAtMs - monotonicMs(),
+            isTransient: TRANSIENT_REASONS.has(outcome.reason),
+          });
       logger.log("request_not_run", {
         request_id: routed.id,
         route: routed.route,
--- a/packages/router/src/ingress/ingress_header_size_test.ts
+++ b/packages/router/src/ingress/ingress_header_size_test.ts
@@ -56,6 +56,7 @@
       } as unknown as ConfigurationManager,
       configurationChecker: {} as ConfigurationChecker,
       runner: {} as RequestRunner,
+      admission: { retryAfterMs: () => undefined },
       lag: LoopLag.create(TICK_MS, () => 0),
       random: () => 0.5,
       callerService: () => "service",
--- a/packages/router/src/ingress/ingress_test.ts
+++ b/packages/router/src/ingress/ingress_test.ts
@@ -217,6 +217,7 @@
           });
         },
       } as unknown as RequestRunner,
+      admission: { retryAfterMs: () => undefined },
       lag: LoopLag.create(TICK_MS, () => 0),
       random: () => 0.5,
       callerService: () => "caller",
--- a/packages/router/src/links/link_codec.ts
+++ b/packages/router/src/links/link_codec.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import {
-  encodeWaits,
+  encodeRankWaits,
   isWaitList,
   type RankWaits,
   toRankWaits,
@@ -302,7 +302,7 @@
     Math.round(load.utilization * 100) / 100,
     Math.round(load.serviceMs),
     Math.round(load.failureShare * 100) / 100,
-    ...encodeRankWaits(load),
+    ...toWaitLists(load),
   ];
   const head = toOutcomeHead(outcome, loadHead);
   const body = outcome.kind === "answer" ? outcome.body : undefined;
@@ -350,12 +350,14 @@
   };
 }
 
-function encodeRankWaits(
+function toWaitLists(
   { rankWaits }: LoadReport,
 ): [] | [number[], number[]] {
-  return rankWaits === undefined || rankWaits === "malformed"
-    ? []
-    : [encodeWaits(rankWaits.onTimeMs), encodeWaits(rankWaits.lateMs)];
+  if (rankWaits === undefined || rankWaits === "malformed") {
+    return [];
+  }
+  const { onTimeMs, lateMs } = encodeRankWaits(rankWaits);
+  return [onTimeMs, lateMs];
 }
 
 /** Decodes the values of a load report that earlier versions lack. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -6,7 +6,7 @@
 import type { Server } from "node:http";
 import type { Server as ConnectionServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { FleetRetryBudget } from "@bamboolink/admission";
+import { encodeRankWaits, FleetRetryBudget } from "@bamboolink/admission";
 import { CallerConnections } from "@bamboolink/connections";
 import { BamboolinkError } from "@bamboolink/errors";
 import {
@@ -64,6 +64,7 @@
 import { RelayedStore } from "./members/relayed_store.ts";
 import { RecordInspector } from "./keys/record_inspector.ts";
 import { RequestQuarantine } from "./backend/request_quarantine.ts";
+import { RequestAdmission } from "./attempts/request_admission.ts";
 import { RequestRunner } from "./attempts/request_runner.ts";
 import {
   SharedReader,
@@ -131,6 +132,7 @@
   private readonly earlierReportQuery: EarlierReportQuery;
   private readonly forwarder: Forwarder;
   private readonly retryBudget: FleetRetryBudget;
+  private readonly admission: RequestAdmission;
   private readonly ingress: Ingress;
   private readonly linkServer: LinkServer;
   private readonly peerServer: PeerServer;
@@ -206,6 +208,7 @@
         void this.backendManager.handleSuspicion(suspicion),
       onLeaving: (incarnation, { isRecent }) =>
         this.backendManager.handleStatedLeaving(incarnation, { isRecent }),
+      admitsByService: () => this.settings.bounds.admitsByService,
     });
     this.backendManager = BackendManager.create({
       logger,
@@ -315,6 +318,7 @@
       onLoad: (daemon, { route, load, isCompleted }) => {
         const nowMs = monotonicMs();
         const measuredAtMs = isCompleted ? nowMs : undefined;
+        this.admission.recordLoad(daemon, load, nowMs);
         this.loadTracker.recordRouteLoad(daemon, {
           route,
           load,
@@ -331,6 +335,16 @@
       extra: resendExtra,
       windowMs: resendWindowMs,
     });
+    this.admission = RequestAdmission.create({
+      logger,
+      metrics: this.metrics,
+      view: this.view,
+      loadTracker: this.loadTracker,
+      directory: this.directory,
+      backend: this.backend,
+      isEnabled: () => this.settings.bounds.admitsByService,
+      random,
+    });
     const runner = RequestRunner.create({
       logger,
       view: this.view,
@@ -340,6 +354,7 @@
       forwarder: this.forwarder,
       quarantine: this.quarantine,
       budget: this.retryBudget,
+      admission: this.admission,
       random,
     });
     this.ingress = Ingress.create({
@@ -349,6 +364,7 @@
       configuration: this.configuration,
       configurationChecker: this.configurationChecker,
       runner,
+      admission: this.admission,
       lag: this.lag,
       random,
       callerService: () => this.settings.service,
@@ -520,6 +536,7 @@
   }
 
   private describeSelf(): Partial<MemberReport> {
+    const { onTimeMs, lateMs } = encodeRankWaits(this.backend.rankWaits);
     return {
       service: this.backendManager.service ?? this.settings.service,
       phase: this.isStopping ? "stopping" : this.backendManager.phase,
@@ -533,11 +550,14 @@
       configurationVersion: Math.max(0, this.configuration.version),
       ownershipRevision: this.directory.revision,
       reachesStore: this.store.isReachable,
+      rankWaitsMs: onTimeMs,
+      lateRankWaitsMs: lateMs,
     };
   }
 
   private handleReports(reports: readonly MemberReport[]): void {
     const nowMs = monotonicMs();
+    this.admission.recordReports(reports, nowMs);
     reports.forEach((report) => {
       this.loadTracker.recordLoad(report.address, report, nowMs);
       this.configuration.handlePeerReport(report);
@@ -822,6 +842,7 @@
       bamboolink_configuration_version: () => this.configuration.version,
       bamboolink_members_alive: () => this.view.alive(monotonicMs()).length,
       bamboolink_requests_quarantined: () => this.quarantine.count,
+      bamboolink_return_reservations: () => this.admission.reservationCount,
       bamboolink_owned_keys: () => this.grants.ownKeyCount,
       bamboolink_tenure_left_ms: () =>
         Math.max(0, this.lease.expiresAtMs - bootMs()),
