Start requests of returning callers before new ones of their rank

Cause: the queue beside a server orders requests of one rank by the latest start that meets their objective, so a caller that has come back after a refusal waits behind new requests with shorter objectives, and has no further retry. Ruled out: putting returning requests that miss their objective before new ones that can meet it. Change: behind bounds.admitsByService the daemon beside the server recognizes them by a deadline that is at least 60 ms shorter than usual on their route. They come first among those that can be on time, and among late ones.

--- a/packages/admission/src/elapsed_wait_estimator.ts
+++ b/packages/admission/src/elapsed_wait_estimator.ts
@@ -9,6 +9,17 @@
 /** Minimum share of the kept deadlines that a deadline must make up to count as typical. */
 const FREQUENT_SHARE = 0.2;
 
+/** How deadlines are compared. */
+export interface DeadlineComparison {
+  /**
+   * Deadlines that differ by less count as the same, in milliseconds. At the daemon beside a backend server they vary by
+   * the time that requests have taken to reach it.
+   */
+  readonly resolutionMs: number;
+  /** Whether a route's typical deadline is also updated while few of its requests are known, as after a start. */
+  readonly isEager: boolean;
+}
+
 /**
  * Learns the typical deadline of each route.
  *
@@ -21,11 +32,13 @@
   private readonly samples = new Map<string, number[]>();
   private readonly typicalDeadlines = new Map<string, number>();
 
-  private constructor() {}
+  private constructor(private readonly comparison: DeadlineComparison) {}
 
-  /** Creates an estimator without history. */
-  static create(): ElapsedWaitEstimator {
-    return new ElapsedWaitEstimator();
+  /** Creates an estimator without history, which compares deadlines as callers have stated them by default. */
+  static create(
+    comparison: DeadlineComparison = { resolutionMs: 1, isEager: false },
+  ): ElapsedWaitEstimator {
+    return new ElapsedWaitEstimator(comparison);
   }
 
   /**
@@ -34,10 +47,13 @@
    */
   recordDeadline(route: string, deadlineMs: number): number {
     const routeSamples = this.samples.get(route) ?? [];
-    routeSamples.push(Math.round(deadlineMs));
+    const { resolutionMs, isEager } = this.comparison;
+    routeSamples.push(Math.round(deadlineMs / resolutionMs) * resolutionMs);
     this.samples.set(route, routeSamples);
+    const { length } = routeSamples;
+    const isPowerOfTwo = (length & (length - 1)) === 0;
     if (
-      routeSamples.length >= MAX_SAMPLES ||
+      length >= MAX_SAMPLES || isEager && isPowerOfTwo ||
       this.typicalDeadlines.get(route) === undefined
     ) {
       this.updateTypicalDeadline(route, routeSamples);
--- /dev/null
+++ b/packages/router/src/backend/local_backend_order_test.ts
@@ -0,0 +1,124 @@
+/**
+ * Tests of the order in which requests of returning callers reach a backend server.
+ *
+ * @module
+ */
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { GrantTracker } from "@bamboolink/keyspace";
+import { Logger } from "@bamboolink/logger";
+import { expect } from "chai";
+import { Cancellation } from "../attempts/cancellation.ts";
+import type { RoutedRequest } from "../attempts/routed_request.ts";
+import { bootMs, monotonicMs } from "../clock.ts";
+import type { BackendProtocol } from "../ports/backend_protocol.ts";
+import { SAMPLE_REQUEST } from "../testing/sample_request.ts";
+import { LocalBackend } from "./local_backend.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
+
+const DEADLINE_MS = 4_000;
+const OBJECTIVE_MS = 2_000;
+/** Objective of another route of the same rank, whose requests are therefore the first among new ones. */
+const SHORT_OBJECTIVE_MS = 1_600;
+/** How long the server takes for a request, in milliseconds: the others arrive meanwhile. */
+const WORK_MS = 60;
+
+function createRequest(target: string, callerWaitedMs: number): RoutedRequest {
+  const sentAtMs = monotonicMs() - callerWaitedMs;
+  return {
+    ...SAMPLE_REQUEST,
+    target,
+    objectiveAtMs: sentAtMs + OBJECTIVE_MS,
+    deadlineAtMs: sentAtMs + DEADLINE_MS,
+  };
+}
+
+describe("LocalBackend with one slot", () => {
+  let server: Server;
+  let served: (string | undefined)[];
+
+  beforeEach(async () => {
+    served = [];
+    server = createServer((incoming, response) => {
+      served.push(incoming.url);
+      setTimeout(() => response.end("done"), WORK_MS);
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", () => resolve())
+    );
+  });
+
+  afterEach(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+
+  /** Runs a request, and while it runs, sends one of a new caller and then one whose caller has waited for a while. */
+  async function runInOrder(
+    options: { admitsByService: boolean; waitedMs: number },
+  ) {
+    const { port } = server.address() as AddressInfo;
+    const backend = LocalBackend.create({
+      address: `127.0.0.1:${port}`,
+      protocol: {
+        requestHeaders: () => [],
+        classifyResponse: () => "answer",
+        readStatus: () => undefined,
+      } as unknown as BackendProtocol,
+      logger: Logger.createRateLimited("test", { level: "error" }),
+      grants: GrantTracker.create(bootMs()),
+      quarantine: {
+        classify: () => ({ kind: "clear" }),
+        recordResponse: () => undefined,
+      } as unknown as RequestQuarantine,
+      onSuspicion: () => undefined,
+      onLeaving: () => undefined,
+      admitsByService: () => options.admitsByService,
+    });
+    backend.updateIdentity({
+      instance: "i-1",
+      born: undefined,
+      service: SAMPLE_REQUEST.service,
+      slots: 1,
+      phase: "ready",
+      isKeyed: false,
+      forwardUntilMs: Infinity,
+      coldUntilMs: -Infinity,
+      coldLimit: 0,
+    });
+    const attempt = (request: RoutedRequest) =>
+      backend.attempt(request, Cancellation.create());
+    const first = attempt(createRequest("/first", 0));
+    await sleep(WORK_MS / 3);
+    const newCaller = attempt({
+      ...createRequest("/new", 0),
+      route: "search",
+      objectiveAtMs: monotonicMs() + SHORT_OBJECTIVE_MS,
+    });
+    const waitingCaller = attempt(createRequest("/back", options.waitedMs));
+    await Promise.all([first, newCaller, waitingCaller]);
+    await backend.close();
+    return served;
+  }
+
+  describe("where callers come back at the times that they are told", () => {
+    // Guards against a caller whose only retry is refused because newer requests took the slots.
+    it("runs their requests before those of new callers", async () => {
+      expect(await runInOrder({ admitsByService: true, waitedMs: 100 }))
+        .to.deep.equal(["/first", "/back", "/new"]);
+    });
+
+    it("treats a caller that comes back earlier than any time it could be told as a new one", async () => {
+      expect(await runInOrder({ admitsByService: true, waitedMs: 30 }))
+        .to.deep.equal(["/first", "/new", "/back"]);
+    });
+  });
+
+  describe("unless the settings call for it", () => {
+    it("runs requests in the order in which they can still be on time", async () => {
+      expect(await runInOrder({ admitsByService: false, waitedMs: 100 }))
+        .to.deep.equal(["/first", "/new", "/back"]);
+    });
+  });
+});
--- a/packages/router/src/backend/slot_admission.ts
+++ b/packages/router/src/backend/slot_admission.ts
@@ -167,10 +167,16 @@
       return Promise.resolve(notRun("cancelled"));
     }
     const { rank, objectiveAtMs, deadlineAtMs, mayEndLate } = request;
-    const decision = this.queue.offer(
-      { id, rank, objectiveAtMs, deadlineAtMs, estimateMs, mayEndLate },
-      monotonicMs(),
-    );
+    const isReturning = request.isReturning === true;
+    const decision = this.queue.offer({
+      id,
+      rank,
+      objectiveAtMs,
+      deadlineAtMs,
+      estimateMs,
+      mayEndLate,
+      isReturning,
+    }, monotonicMs());
     if (decision.kind === "run") {
       return Promise.resolve("run");
     }
