--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -5,6 +5,9 @@
  * @module
  */
 import {
+  ElapsedWaitEstimator,
+  MIN_RETURN_MS,
+  type RankWaits,
   type RunningColdRequest,
   type ServiceEstimate,
   ServiceTimes,
@@ -52,6 +55,11 @@
  * unknown outcome, so only connections in steady use are reused for them.
  */
 const NON_IDEMPOTENT_MAX_IDLE_MS = 1_000;
+/**
+ * Deadlines of one route vary by less than this between requests that have reached the backend server's daemon at once,
+ * in milliseconds.
+ */
+const DEADLINE_RESOLUTION_MS = 20;
 /** Maximum wait of a request for a key that the backend server is about to be granted, in milliseconds. */
 const MAX_GRANT_WAIT_MS = 1_200;
 
@@ -75,6 +83,8 @@
   readonly onSuspicion: (suspicion: BackendSuspicion) => void;
   /** Called when the backend server states in a response that it is leaving. */
   readonly onLeaving: StatedLeavingListener;
+  /** Whether daemons admit requests by the waits of a service's servers. */
+  readonly admitsByService?: () => boolean;
 }
 
 /** The backend server's identity and state, as far as requests depend on them. */
@@ -101,6 +111,10 @@
   private readonly times = ServiceTimes.create();
   private readonly coldStart: ColdStart;
   private readonly meter = LoadMeter.create();
+  private readonly waitEstimator = ElapsedWaitEstimator.create({
+    resolutionMs: DEADLINE_RESOLUTION_MS,
+    isEager: true,
+  });
   private readonly grantWaits = new Set<() => void>();
   private readonly probation = Probation.create();
   private readonly statusMonitor: BackendStatusMonitor;
@@ -174,6 +188,7 @@
         monotonicMs(),
       ),
       failureShare: this.failureShare,
+      rankWaits: this.rankWaits,
     };
   }
 
@@ -187,6 +202,13 @@
     return this.admission.waitMs;
   }
 
+  /** The same by rank; `undefined` if daemons don't admit by it. */
+  get rankWaits(): RankWaits | undefined {
+    return this.context.admitsByService?.() === true
+      ? this.admission.rankWaits
+      : undefined;
+  }
+
   /** Typical service time over all routes, in milliseconds; 0 until enough requests were served. */
   get serviceMs(): number {
     return this.times.stableAverageMs;
@@ -285,10 +307,11 @@
   }
 
   override async attempt(
-    request: RoutedRequest,
+    arrived: RoutedRequest,
     cancellation: Cancellation,
   ): Promise<Outcome> {
     const { quarantine } = this.context;
+    const request = this.markReturning(arrived);
     const refused = this.checkService(request) ??
       this.checkQuarantine(request) ??
       await this.awaitKey(request, cancellation);
@@ -316,6 +339,23 @@
     );
   }
 
+  /**
+   * Marks a request whose caller has come back after a refusal: its deadline is shorter than usual, by no less than the
+   * shortest delay that a refusal can have stated.
+   */
+  private markReturning(request: RoutedRequest): RoutedRequest {
+    if (this.context.admitsByService?.() !== true) {
+      return request;
+    }
+    const waitedMs = this.waitEstimator.recordDeadline(
+      request.route,
+      request.deadlineAtMs - monotonicMs(),
+    );
+    return waitedMs < MIN_RETURN_MS + DEADLINE_RESOLUTION_MS
+      ? request
+      : { ...request, isReturning: true };
+  }
+
   /** Queues a request for a slot and runs it there. */
   private async runAdmitted(
     request: RoutedRequest,
--- a/packages/router/src/backend/slot_admission.ts
+++ b/packages/router/src/backend/slot_admission.ts
@@ -6,6 +6,7 @@
  */
 import {
   type QueueChanges,
+  type RankWaits,
   type ServerLoadEstimator,
   type ServiceEstimate,
   StartRateLimiter,
@@ -60,6 +61,8 @@
   private slots = 0;
   private startTimer: NodeJS.Timeout | undefined;
   private wait = { waitMs: 0, computedAtMs: -Infinity };
+  private waitsByRank: { waits: RankWaits | undefined; computedAtMs: number } =
+    { waits: undefined, computedAtMs: -Infinity };
 
   private constructor(load: ServerLoadEstimator) {
     this.queue = WorkQueue.create(this.limiter, load);
@@ -120,6 +123,16 @@
     return this.wait.waitMs;
   }
 
+  /** Estimated waits of requests that arrive now, by rank; `undefined` without slots. */
+  get rankWaits(): RankWaits | undefined {
+    const nowMs = monotonicMs();
+    if (nowMs - this.waitsByRank.computedAtMs > WAIT_CACHE_TTL_MS) {
+      const waits = this.queue.waitsByRank(nowMs);
+      this.waitsByRank = { waits, computedAtMs: nowMs };
+    }
+    return this.waitsByRank.waits;
+  }
+
   /** Slots that requests can keep busy: fewer than there are if the server limits the rate of requests. */
   get capacity(): number {
     return this.queue.capacity;
@@ -166,10 +179,16 @@
       return Promise.resolve(notRun("cancelled"));
     }
     const { rank, objectiveAtMs, deadlineAtMs, mayEndLate } = request;
-    const decision = this.queue.offer(
-      { id, rank, objectiveAtMs, deadlineAtMs, mayEndLate, ...estimate },
-      monotonicMs(),
-    );
+    const isReturning = request.isReturning === true;
+    const decision = this.queue.offer({
+      id,
+      rank,
+      objectiveAtMs,
+      deadlineAtMs,
+      mayEndLate,
+      isReturning,
+      ...estimate,
+    }, monotonicMs());
     if (decision.kind === "run") {
       return Promise.resolve("run");
     }
