--- a/packages/admission/src/late_request_queue.ts
+++ b/packages/admission/src/late_request_queue.ts
@@ -74,13 +74,21 @@
 
   /** Expected start of a new request behind the late requests that are ahead of it, in milliseconds. */
   startBehindMs(request: WorkRequest, forecast: StartForecast): number {
-    const slots = this.capacity * this.spareShareAt(forecast.nowMs);
-    return this.waiting
-      .filter((other) => compareUrgency(other, request) <= 0)
-      .reduce(
-        (startMs, ahead) => nextStartMs(ahead, { startMs, slots }),
-        forecast.startMs,
-      );
+    return this.startAfterMs(
+      this.waiting.filter((other) => compareUrgency(other, request) <= 0),
+      forecast,
+    );
+  }
+
+  /** Rank of the least urgent waiting request; 0 without any. */
+  get maxRank(): number {
+    return Math.max(0, ...this.waiting.map(({ rank }) => rank));
+  }
+
+  /** Expected wait behind all late requests of a rank and of more urgent ones, in milliseconds. */
+  waitOfRankMs(rank: number, nowMs: number): number {
+    const ahead = this.waiting.filter((other) => other.rank <= rank);
+    return this.startAfterMs(ahead, { nowMs, startMs: nowMs }) - nowMs;
   }
 
   /** Queues a request; returns false, without queueing it, if it is not expected to meet its deadline. */
@@ -132,6 +140,19 @@
     return unmeetable;
   }
 
+  /** Expected start of a request behind others, in the slot time that on-time requests leave over, in milliseconds. */
+  private startAfterMs(
+    requests: readonly WorkRequest[],
+    { nowMs, startMs }: StartForecast,
+  ): number {
+    const slots = this.capacity * this.spareShareAt(nowMs);
+    return requests.reduce(
+      (requestStartMs, ahead) =>
+        nextStartMs(ahead, { startMs: requestStartMs, slots }),
+      startMs,
+    );
+  }
+
   /** Share of slot time that on-time requests leave over. */
   private spareShareAt(nowMs: number): number {
     this.decay(nowMs);
@@ -165,9 +186,14 @@
     request.deadlineAtMs;
 }
 
-/** Orders by rank, then by the latest start with which the deadline can still be met. */
+/**
+ * Orders by rank, then those of returning callers before others, then by the latest start with which the deadline can still be
+ * met.
+ */
 function compareUrgency(left: WorkRequest, right: WorkRequest): number {
-  return left.rank - right.rank || latestStartMs(left) - latestStartMs(right);
+  return left.rank - right.rank ||
+    Number(right.isReturning ?? false) - Number(left.isReturning ?? false) ||
+    latestStartMs(left) - latestStartMs(right);
 }
 
 function latestStartMs({ deadlineAtMs, estimateMs }: WorkRequest): number {
--- a/packages/router/src/attempts/request_runner.ts
+++ b/packages/router/src/attempts/request_runner.ts
@@ -7,8 +7,6 @@
 import type { Logger } from "@bamboolink/logger";
 import type { MemberReport, MemberView } from "@bamboolink/membership";
 import {
-  chooseWithAffinity,
-  DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE,
   expectedLatencyMs,
   isServerFault,
   type PlacementCandidate,
@@ -17,6 +15,10 @@
 import type { BackendLoadTracker } from "./backend_load_tracker.ts";
 import type { Cancellation } from "./cancellation.ts";
 import { monotonicMs } from "../clock.ts";
+import type {
+  AdmissibleRequest,
+  RequestAdmission,
+} from "./request_admission.ts";
 import type { Forwarder } from "./forwarder.ts";
 import type { LocalBackend } from "../backend/local_backend.ts";
 import type { OwnershipDirectory } from "../keys/ownership_directory.ts";
@@ -27,6 +29,7 @@
   type RefusalReason,
   type RoutedRequest,
 } from "./routed_request.ts";
+import { ZonePlacement } from "./zone_placement.ts";
 
 /** Maximum attempts for one request, including refused ones; each refusal costs a network round trip. */
 const MAX_ROUNDS = 4;
@@ -73,12 +76,19 @@
   readonly forwarder: Forwarder;
   readonly quarantine: RequestQuarantine;
   readonly budget: FleetRetryBudget;
+  /** Milliseconds of waiting that saving one kilobyte between availability zones is worth. */
+  readonly crossZoneMsPerKilobyte: () => number;
+  readonly admission: Pick<RequestAdmission, "refuse">;
   readonly random: () => number;
 }
 
 /** Places requests on backend servers and retries them as their routes, deadlines and the retry budget allow. */
 export class RequestRunner {
-  private constructor(private readonly context: RequestRunnerContext) {}
+  private readonly placement: ZonePlacement;
+
+  private constructor(private readonly context: RequestRunnerContext) {
+    this.placement = ZonePlacement.create(context);
+  }
 
   static create(context: RequestRunnerContext): RequestRunner {
     return new RequestRunner(context);
@@ -90,7 +100,7 @@
    * @param options.maximumAttempts how many attempts may reach a backend server.
    */
   async run(
-    request: RoutedRequest,
+    request: RoutedRequest & AdmissibleRequest,
     options: { maximumAttempts: number; cancellation: Cancellation },
   ): Promise<FinalOutcome> {
     const { cancellation, maximumAttempts } = options;
@@ -102,6 +112,10 @@
       });
       return { outcome, peer: undefined, attempts: 0 };
     }
+    const refused = this.context.admission.refuse(request);
+    if (refused !== undefined) {
+      return refused;
+    }
     this.context.budget.recordRequest(request.service, monotonicMs());
     for (let round = 0; round < MAX_ROUNDS; round += 1) {
       const current = history.brokenConnections === 0
@@ -183,6 +197,9 @@
   ): Promise<Outcome> {
     const { view, backend, loadTracker, forwarder } = this.context;
     const { target, cancellation, mayGiveUp } = to;
+    if (request.key === undefined) {
+      this.placement.recordPlaced(request, target);
+    }
     if (target.address === view.ownReport.address) {
       return backend.attempt(request, cancellation);
     }
@@ -279,9 +296,8 @@
     request: RoutedRequest,
     tried: ReadonlySet<string>,
   ): MemberReport | undefined {
-    const { view, loadTracker, random } = this.context;
+    const { view, loadTracker } = this.context;
     const nowMs = monotonicMs();
-    const own = view.ownReport;
     const untried = view.readyReports(request.service, nowMs)
       .filter(({ address }) => !tried.has(address));
     const reachable = untried.filter(({ address }) =>
@@ -291,32 +307,12 @@
     if (this.context.quarantine.classify(request).kind === "suspect") {
       return this.chooseProbation(request, eligible);
     }
-    const bodyBytes = request.body?.length ?? 0;
-    const origin = {
-      daemon: own.address,
-      availabilityZone: own.availabilityZone,
-      route: request.route,
-      bodyBytes,
-      nowMs,
-    };
     this.recordLocalLoad(request.route, nowMs);
-    const chosen = chooseWithAffinity(eligible, {
-      objectiveRemainingMs: request.objectiveAtMs - nowMs,
-      remainingMs: request.deadlineAtMs - nowMs,
-      bodyBytes,
-      crossZoneMsPerKilobyte: DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE,
-    }, {
-      isOwnZone: ({ availabilityZone }) =>
-        availabilityZone === own.availabilityZone,
-      describe: (report) => {
-        const candidate = loadTracker.toCandidate(report, origin);
-        return tried.size === 0 || this.hasCapacity(candidate, request)
-          ? candidate
-          : undefined;
-      },
-      random,
-    });
-    return chosen === undefined ? undefined : view.find(chosen.daemon);
+    return this.placement.choose(
+      request,
+      eligible,
+      (candidate) => tried.size === 0 || this.hasCapacity(candidate, request),
+    );
   }
 
   private chooseProbation(
