Report no waits by rank while a server is cold

Cause: daemons refuse a request at its ingress if the reported wait and the typical service time exceed its remaining time. While a server is cold, both are those of the cold server, and requests would be refused that its queue keeps until it is warm.

Ruled out: reporting the waits until it is warm, because the typical service time of the route, which other daemons add, is that of the cold server, too.

--- a/packages/router/src/backend/cold_start_test.ts
+++ b/packages/router/src/backend/cold_start_test.ts
@@ -56,6 +56,7 @@
     quarantine: quarantine as unknown as RequestQuarantine,
     onSuspicion: () => undefined,
     onLeaving: () => undefined,
+    admitsByService: () => true,
   });
   backend.updateIdentity({
     instance: "a",
@@ -95,6 +96,8 @@
         deadlineAtMs: monotonicMs() + 5_000,
       }, Cancellation.create());
     expect(backend.isCold).to.equal(true);
+    // Other daemons would refuse requests by the waits of the cold server.
+    expect(backend.rankWaits).to.equal(undefined);
     expect((await attempt("/first")).kind).to.equal("answer");
     const outcomes = await Promise.all([attempt("/second"), attempt("/third")]);
     expect(outcomes.map(({ kind }) => kind)).to.deep.equal([
@@ -104,5 +107,6 @@
     expect(arrivals.get("/second")).to.be.at.least(coldUntilMs);
     expect(arrivals.get("/third")).to.be.at.least(coldUntilMs);
     expect(backend.isCold).to.equal(false);
+    expect(backend.rankWaits?.onTimeMs).to.have.length(1);
   });
 });
--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -202,9 +202,12 @@
     return this.admission.waitMs;
   }
 
-  /** The same by rank; `undefined` if daemons don't admit by it. */
+  /**
+   * The same by rank; `undefined` if daemons don't admit by it, or while the server is cold: by the service time of the
+   * moment they would refuse requests that the warm server finishes in time. Its queue decides on these.
+   */
   get rankWaits(): RankWaits | undefined {
-    return this.context.admitsByService?.() === true
+    return this.context.admitsByService?.() === true && !this.isCold
       ? this.admission.rankWaits
       : undefined;
   }
