--- a/packages/router/src/configuration/store_watcher.ts
+++ b/packages/router/src/configuration/store_watcher.ts
@@ -68,6 +68,9 @@
     const { store, logger, prefix, onListing, onChange } = this.context;
     const { choosePollTimeoutMs, awaitPoll } = this.context;
     const firstListing = await this.takeFirstListing();
+    if (this.isStopped) {
+      return;
+    }
     const listing = firstListing === undefined
       ? await store.list(prefix)
       : ok(firstListing);
