Start a held request when its moment passes between two calls

Cause: the delay of the next start counts only moments that are still ahead. If the server becomes warm between an advance and the call for the delay, or a request arrives while the timer is due, the timer is replaced by none, and the request waits for the next tick of the control loop, up to 50 ms later; the test has no such loop.

Change: a waiting request that may start now gives a delay of 1 ms.

--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -78,6 +78,9 @@
 const ESTIMATE_MARGIN = 0.25;
 /** A request counts as short up to this share of the mean estimate. */
 const SHORT_REQUEST_SHARE = 0.4;
+/** Delay of a start that nothing holds back any more, in milliseconds; 0 stands for no start. */
+const IMMEDIATE_START_DELAY_MS = 1;
+
 /** Weight of the latest request in the mean estimate (EWMA). */
 const ESTIMATE_EWMA_WEIGHT = 0.1;
 
@@ -223,13 +226,18 @@
     if (this.waitingCount === 0 || this.running.size >= this.slots) {
       return 0;
     }
+    const delayMs = this.limiter.delayMs(0, nowMs);
+    if (delayMs > 0) {
+      return delayMs;
+    }
+    if (this.findNext(nowMs) !== undefined) {
+      // The timer of an earlier call may be due, and is replaced by that of this one.
+      return IMMEDIATE_START_DELAY_MS;
+    }
     const warmAtMs = [...this.mainQueue, ...this.lateQueue.requests]
       .flatMap(({ coldEstimate }) => coldEstimate?.warmAtMs ?? [])
       .filter((atMs) => atMs > nowMs);
-    const delayMs = this.limiter.delayMs(0, nowMs);
-    return delayMs > 0 || warmAtMs.length === 0
-      ? delayMs
-      : Math.min(...warmAtMs) - nowMs;
+    return warmAtMs.length === 0 ? 0 : Math.min(...warmAtMs) - nowMs;
   }
 
   /** Expected wait of a request of the lowest urgency that arrives now, in milliseconds. */
--- a/packages/admission/src/work_queue_test.ts
+++ b/packages/admission/src/work_queue_test.ts
@@ -136,6 +136,18 @@
       expect(queue.advance(500).run).to.deep.equal([1]);
     });
 
+    // Guards against requests that wait for the next tick of the control loop, or forever without one: a request that
+    // arrives when the server has just become warm replaces the timer that is due.
+    it("still asks for a timer when the moment has passed", () => {
+      const queue = WorkQueue.create();
+      queue.setSlots(1);
+      queue.offer(coldRequest(1), 300);
+      expect(queue.offer(request(2, { objectiveAtMs: 900 }), 501).kind)
+        .to.equal("wait");
+      expect(queue.nextStartDelayMs(501)).to.be.within(0.1, 2);
+      expect(queue.advance(502).run).to.have.length(1);
+    });
+
     it("starts other requests meanwhile", () => {
       const queue = WorkQueue.create();
       queue.setSlots(1);
--- a/packages/router/src/backend/cold_start_test.ts
+++ b/packages/router/src/backend/cold_start_test.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { GrantTracker } from "@bamboolink/keyspace";
 import { Logger } from "@bamboolink/logger";
 import { expect } from "chai";
@@ -73,28 +74,33 @@
 }
 
 describe("LocalBackend beside a cold server", () => {
-  let server: Server | undefined;
-  let backend: LocalBackend | undefined;
+  let stop: () => Promise<void> = () => Promise.resolve();
 
-  afterEach(async () => {
-    await backend?.close();
-    server?.close();
-  });
+  afterEach(() => stop());
 
-  // Guards against requests that hold slots of the warm server for as long as on the cold one, and against refusing
-  // them: an objective that the cold server can't meet is no reason to refuse what the warm one finishes in time.
-  it("sends a request that ends sooner on the warm server only when that is warm", async () => {
+  async function start() {
     const coldUntilMs = monotonicMs() + COLD_MS;
     const arrivals = new Map<string, number>();
-    server = await startServer(coldUntilMs, arrivals);
-    backend = createBackend(server, coldUntilMs);
+    const server = await startServer(coldUntilMs, arrivals);
+    const backend = createBackend(server, coldUntilMs);
+    stop = async () => {
+      await backend.close();
+      server.close();
+    };
     const attempt = (target: string) =>
-      backend!.attempt({
+      backend.attempt({
         ...SAMPLE_REQUEST,
         target,
         objectiveAtMs: monotonicMs() + 300,
         deadlineAtMs: monotonicMs() + 5_000,
       }, Cancellation.create());
+    return { backend, attempt, arrivals, coldUntilMs };
+  }
+
+  // Guards against requests that hold slots of the warm server for as long as on the cold one, and against refusing
+  // them: an objective that the cold server can't meet is no reason to refuse what the warm one finishes in time.
+  it("sends a request that ends sooner on the warm server only when that is warm", async () => {
+    const { backend, attempt, arrivals, coldUntilMs } = await start();
     expect(backend.isCold).to.equal(true);
     // Other daemons would refuse requests by the waits of the cold server.
     expect(backend.rankWaits).to.equal(undefined);
@@ -109,4 +115,19 @@
     expect(backend.isCold).to.equal(false);
     expect(backend.rankWaits?.onTimeMs).to.have.length(1);
   });
+
+  // Guards against a request that waits without a timer: another one that arrives when the server has just become warm
+  // replaces the timer, which is due and has not run.
+  it("sends a waiting request also if another one arrives just before its timer runs", async () => {
+    const { attempt, coldUntilMs } = await start();
+    await attempt("/first");
+    const second = attempt("/second");
+    await nextTurn();
+    while (monotonicMs() < coldUntilMs + 5);
+    const outcomes = await Promise.all([second, attempt("/third")]);
+    expect(outcomes.map(({ kind }) => kind)).to.deep.equal([
+      "answer",
+      "answer",
+    ]);
+  });
 });
--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -380,7 +380,9 @@
       cancellation,
     });
     if (admitted.kind !== "admitted") {
-      this.coldStart.count("refused");
+      if (admitted.kind === "not_run" && admitted.reason !== "cancelled") {
+        this.coldStart.count("refused");
+      }
       return admitted;
     }
     const { release } = admitted;
