Keep the coders of gossip, and read its digests in a loop

Cause: each datagram of gossip created a MessagePack coder with its buffers, and each of the fleet's digests in it called three methods of Buffer that check their arguments in JavaScript. Change: one encoder and one decoder for all datagrams, and a DataView in a loop for digests. New tests: valid messages after truncated ones, and bytes that remain after the next message was encoded.

--- a/packages/membership/src/gossip_codec.ts
+++ b/packages/membership/src/gossip_codec.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import { BamboolinkError } from "@bamboolink/errors";
-import { decode, encode } from "@msgpack/msgpack";
+import { Decoder, Encoder } from "@msgpack/msgpack";
 import { err, ok, type Result } from "neverthrow";
 import {
   decodeDigests,
@@ -22,6 +22,10 @@
 const MESSAGE_LENGTH = 4;
 const REPORT_FIELDS = Object.keys(MemberReport.shape) as (keyof MemberReport)[];
 
+/** Reused, since the functions of the library create one, with its buffers, for each datagram. */
+const ENCODER = new Encoder({ forceFloat32: true });
+const DECODER = new Decoder();
+
 /** Format version, sender, rows of reports and encoded digests. */
 type Message = readonly [
   typeof FORMAT_VERSION,
@@ -63,9 +67,7 @@
     REPORT_FIELDS.map((field) => report[field])
   );
   const digests = encodeDigests(message.digests);
-  return encode([FORMAT_VERSION, message.sender, rows, digests], {
-    forceFloat32: true,
-  });
+  return ENCODER.encode([FORMAT_VERSION, message.sender, rows, digests]);
 }
 
 /** Identifies a report, and determines whether it is newer than another one of the same daemon. */
@@ -129,7 +131,7 @@
 
 function tryDecode(bytes: Uint8Array): unknown {
   try {
-    return decode(bytes);
+    return DECODER.decode(bytes);
   } catch {
     // Callers reject `undefined` like any other value that is not a message.
     return undefined;
--- a/packages/membership/src/heartbeat_digest.ts
+++ b/packages/membership/src/heartbeat_digest.ts
@@ -46,15 +46,22 @@
   };
 }
 
-/** Encodes digests, each in 9 bytes. */
+/**
+ * Encodes digests, each in 9 bytes.
+ *
+ * Both directions use a `DataView` in a loop: each datagram contains the digests of the whole fleet, and the methods of
+ * `Buffer` check their arguments in JavaScript, which takes several times as long while the code is cold.
+ */
 export function encodeDigests(digests: readonly HeartbeatDigest[]): Uint8Array {
-  const bytes = Buffer.allocUnsafe(digests.length * DIGEST_BYTES);
-  digests.forEach(({ addressHash, incarnation, sequence }, index) => {
-    const offset = index * DIGEST_BYTES;
-    bytes.writeUInt32LE(addressHash, offset);
-    bytes.writeUInt8(incarnation, offset + 4);
-    bytes.writeUInt32LE(sequence, offset + 5);
-  });
+  const bytes = new Uint8Array(digests.length * DIGEST_BYTES);
+  const view = new DataView(bytes.buffer);
+  let offset = 0;
+  for (const { addressHash, incarnation, sequence } of digests) {
+    view.setUint32(offset, addressHash, true);
+    view.setUint8(offset + 4, incarnation);
+    view.setUint32(offset + 5, sequence, true);
+    offset += DIGEST_BYTES;
+  }
   return bytes;
 }
 
@@ -62,16 +69,18 @@
 export function decodeDigests(
   encoded: Uint8Array,
 ): HeartbeatDigest[] | undefined {
-  if (encoded.length % DIGEST_BYTES !== 0) {
+  const { buffer, byteOffset, length } = encoded;
+  if (length % DIGEST_BYTES !== 0) {
     return undefined;
   }
-  const bytes = Buffer.from(encoded.buffer, encoded.byteOffset, encoded.length);
-  return Array.from({ length: encoded.length / DIGEST_BYTES }, (_, index) => {
-    const offset = index * DIGEST_BYTES;
-    return {
-      addressHash: bytes.readUInt32LE(offset),
-      incarnation: bytes.readUInt8(offset + 4),
-      sequence: bytes.readUInt32LE(offset + 5),
-    };
-  });
+  const view = new DataView(buffer, byteOffset, length);
+  const digests: HeartbeatDigest[] = [];
+  for (let offset = 0; offset < length; offset += DIGEST_BYTES) {
+    digests.push({
+      addressHash: view.getUint32(offset, true),
+      incarnation: view.getUint8(offset + 4),
+      sequence: view.getUint32(offset + 5, true),
+    });
+  }
+  return digests;
 }
--- a/packages/membership/src/membership_test.ts
+++ b/packages/membership/src/membership_test.ts
@@ -78,6 +78,39 @@
       fc.assert(property, { seed: 1, numRuns: 300 });
     });
   });
+
+  describe("with valid messages after truncated ones", () => {
+    // Guards against a decoder that keeps parts of a datagram that it rejected, since all datagrams share one.
+    it("decodes each of them completely", () => {
+      const message = {
+        sender: "10.0.0.9:7000",
+        reports: [report(), report({ address: "10.0.0.2:7000" })],
+        digests: [{ addressHash: 1, incarnation: 2, sequence: 3 }],
+      };
+      const bytes = encodeGossip(message);
+      bytes.forEach((_, length) => {
+        expect(decodeGossip(bytes.subarray(0, length)).isErr()).to.equal(true);
+        expect(decodeGossip(bytes)._unsafeUnwrap()).to.deep.equal({
+          ...message,
+          skippedReports: 0,
+        });
+      });
+    });
+  });
+
+  describe("with a message after another one", () => {
+    // Guards against bytes of a datagram that are overwritten by the next one before they are sent.
+    it("leaves the bytes of the first as they were", () => {
+      const first = encodeGossip({
+        sender: "a",
+        reports: [report()],
+        digests: [{ addressHash: 1, incarnation: 2, sequence: 3 }],
+      });
+      const copy = Uint8Array.from(first);
+      encodeGossip({ sender: "b", reports: [], digests: [] });
+      expect(first).to.deep.equal(copy);
+    });
+  });
 });
 
 describe("member view", () => {
