Plan moves of keys anew until they begin

Cause: a move begins with responses to heartbeats of both servers, some 0.6 s after it was planned, and nothing was planned until it had ended. By then the averages show twice the load of keys that have just become hot, so the rest took another round, and keys moved whose heat had ended. After a power loss, owners that were all cold moved keys between them. Ruled out, on the replay of both deployments: averages that are restarted after a significant change (no fewer refusals), weighing the gain of moves against their cost (fewer keys, more refusals), other choices for a heavy key (no difference), and moves that begin in parts (three times as many store writes). Change: RebalancePlanner plans every 100 ms instead of those moves that could not begin yet, and drops them if they are no longer needed, without a report for a second, and between servers that are cold together. The recipients learn of changes by the datagram they know; an empty one ends their wait. BL1820 is logged when a move begins; BL2021 states that a plan was dropped.

--- a/packages/keyspace/src/hot_key_replay_test.ts
+++ b/packages/keyspace/src/hot_key_replay_test.ts
@@ -6,12 +6,15 @@
 import { expect } from "chai";
 import { DEPLOYMENTS } from "./testing/hot_key_load.ts";
 import {
+  PRODUCT_PLANNER,
   type ReplayedPlanner,
   replayHotKeys,
 } from "./testing/hot_key_replay.ts";
 import type { RebalanceCost } from "./testing/rebalance_simulation.ts";
 
 const SEEDS = [1, 2, 3];
+/** The planner before `RebalancePlanner`: it plans each 250 ms, and begins what it planned first. */
+const PLANS_ONCE: ReplayedPlanner = { kind: "planner" };
 
 function replay(
   deployment: (typeof DEPLOYMENTS)[number],
@@ -48,6 +51,17 @@
         });
         expect(without.refusedShare).to.be.above(0.15);
       }).timeout(60_000);
+
+      // Guards against moves of the size that was right when they were planned: some 0.6 s later, when they begin, keys
+      // that have just become hot cause twice the load, and others are hot no longer. Planned once, moves take twice the
+      // store writes, more keys change owners, and more requests are refused.
+      it("moves fewer keys and refuses fewer requests than with moves that are planned once", () => {
+        const once = replay(deployment, PLANS_ONCE);
+        const product = replay(deployment, PRODUCT_PLANNER);
+        expect(product.refusedShare).to.be.below(0.9 * once.refusedShare);
+        expect(product.writes).to.be.below(0.65 * once.writes);
+        expect(product.movedKeys).to.be.below(0.75 * once.movedKeys);
+      }).timeout(60_000);
     });
   });
 });
--- a/packages/keyspace/src/mod.ts
+++ b/packages/keyspace/src/mod.ts
@@ -56,6 +56,11 @@
 } from "./confirmation_schedule.ts";
 export { WriteBackoff } from "./write_backoff.ts";
 export { type PlannedMove, planRebalance } from "./plan_rebalance.ts";
+export {
+  type MoveAnnouncements,
+  type RebalanceInput,
+  RebalancePlanner,
+} from "./rebalance_planner.ts";
 export {
   type Heartbeat,
   type HeartbeatStatus,
--- a/packages/keyspace/src/testing/compare_planners.ts
+++ b/packages/keyspace/src/testing/compare_planners.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import { DEPLOYMENTS } from "./hot_key_load.ts";
-import { type ReplayedPlanner, replayHotKeys } from "./hot_key_replay.ts";
+import {
+  PRODUCT_PLANNER,
+  type ReplayedPlanner,
+  replayHotKeys,
+} from "./hot_key_replay.ts";
 import type { RebalanceCost } from "./rebalance_simulation.ts";
 import { WeighingPlanner } from "./weighing_planner.ts";
 
@@ -15,11 +19,7 @@
   "no moves": { kind: "planner", create: () => ({ plan: () => [] }) },
   "plans once (before)": { kind: "planner" },
   "plans anew": { kind: "planner", replans: true },
-  "plans anew, each 100 ms": {
-    kind: "planner",
-    replans: true,
-    planIntervalMs: 100,
-  },
+  "each 100 ms (product)": PRODUCT_PLANNER,
   "the same, responses held": {
     kind: "planner",
     replans: true,
--- a/packages/keyspace/src/testing/hot_key_replay.ts
+++ b/packages/keyspace/src/testing/hot_key_replay.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { KEY_COUNT } from "../mod.ts";
+import { KEY_COUNT, RebalancePlanner } from "../mod.ts";
 import {
   createSlowPhases,
   type HotKeyDeployment,
@@ -38,6 +38,29 @@
   /** Knows the popularity of each key at once, and moves keys without delay. */
   | { readonly kind: "full_knowledge" };
 
+/** The planner of the product. */
+export const PRODUCT_PLANNER: ReplayedPlanner = {
+  kind: "planner",
+  replans: true,
+  planIntervalMs: 100,
+  create: () => {
+    const planner = RebalancePlanner.create();
+    return {
+      plan: (own, others, keys, nowMs) => {
+        planner.update(
+          { own, others, ...keys, reportAgeMs: 0, coldMs: 0 },
+          nowMs,
+        );
+        return planner.plannedMoves;
+      },
+      confirm: (planned) => {
+        planner.take(0);
+        return planned;
+      },
+    };
+  },
+};
+
 /** Replays the load of a deployment. */
 export function replayHotKeys(
   deployment: HotKeyDeployment,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -508,11 +508,18 @@
       "Other daemons considered this one lost and sealed its ownership; this daemon removes the seal if it can reach the others.",
     action: "Check the network between the hosts.",
   },
+  key_moves_dropped: {
+    number: 2021,
+    severity: "info",
+    meaning:
+      "Planned moves of keys were dropped before they could begin, because the load at `utilization` no longer requires them.",
+    action: NOTHING,
+  },
   ownership_shed: {
     number: 1820,
     severity: "info",
     meaning:
-      "Keys are moved to a less loaded backend server because of `utilization`; `deviation` is the standard deviation of its random error.",
+      "A move of keys to a less loaded backend server begins because of `utilization`; `deviation` is the standard deviation of its random error. `waited_ms`: time since the first plan, until the recipients were ready.",
     action: NOTHING,
   },
   member_registered: {
--- a/packages/router/src/backend/backend_manager.ts
+++ b/packages/router/src/backend/backend_manager.ts
@@ -141,6 +141,11 @@
     return this.lastHeartbeat?.slots ?? 0;
   }
 
+  /** Remaining time for which the backend server is slow after its start, in milliseconds. */
+  get coldRemainingMs(): number {
+    return Math.max(0, this.coldEndsAtMs - monotonicMs());
+  }
+
   /** Time since the last heartbeat, in milliseconds. */
   sinceLastHeartbeatMs(): number {
     return bootMs() - this.incarnations.lastHeartbeatAtMs;
--- a/packages/router/src/keys/handover_coordinator.ts
+++ b/packages/router/src/keys/handover_coordinator.ts
@@ -39,16 +39,21 @@
     return new HandoverCoordinator();
   }
 
-  /** Records the ranges that another daemon has announced to move to this one. */
+  /** Records the ranges that another daemon has announced to move to this one; none if it no longer does. */
   expectRanges(
     source: string,
     ranges: readonly ExpectedRange[],
     nowMs: number,
   ): void {
-    this.expectations.set(source, {
-      expiresAtMs: nowMs + EXPECTATION_TTL_MS,
-      ranges,
-    });
+    if (ranges.length === 0) {
+      this.expectations.delete(source);
+    } else {
+      this.expectations.set(source, {
+        expiresAtMs: nowMs + EXPECTATION_TTL_MS,
+        ranges,
+      });
+    }
+    this.runPendingChecks();
   }
 
   /** Records that another daemon delays a heartbeat response until it has received keys. */
@@ -85,14 +90,23 @@
     );
   }
 
-  /** Waits until all recipients of keys delay a heartbeat response, too, or the maximum delay has passed. */
-  async awaitRecipients(daemons: readonly string[]): Promise<void> {
+  /**
+   * Waits until all recipients of keys delay a heartbeat response, too, or the maximum delay has passed.
+   *
+   * @param daemons returns the recipients, which may change meanwhile.
+   */
+  async awaitRecipients(daemons: () => readonly string[]): Promise<void> {
     await this.waitUntil(() =>
-      daemons.every((daemon) => this.awaitingRecipients.has(daemon))
+      daemons().every((daemon) => this.awaitingRecipients.has(daemon))
     );
     this.awaitingRecipients.clear();
   }
 
+  /** Checks again whether waits have ended. To be called when the planned moves have changed. */
+  recheck(): void {
+    this.runPendingChecks();
+  }
+
   private waitUntil(isDone: () => boolean): Promise<void> {
     return new Promise((resolve) => {
       const finish = () => {
--- a/packages/router/src/keys/key_rebalancer.ts
+++ b/packages/router/src/keys/key_rebalancer.ts
@@ -7,7 +7,9 @@
   type GrantTracker,
   type OwnerLoad,
   type PlannedMove,
-  planRebalance,
+  type RebalanceInput,
+  RebalancePlanner,
+  sizeOf,
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
 import type { MemberReport, MemberView } from "@bamboolink/membership";
@@ -18,9 +20,6 @@
 import type { OwnershipDirectory } from "./ownership_directory.ts";
 import type { OwnershipLeaseManager } from "./ownership_lease_manager.ts";
 
-/** Interval between two attempts to plan a rebalance, in milliseconds. */
-const REBALANCE_INTERVAL_MS = 250;
-
 /** Dependencies of the key rebalancer. */
 export interface KeyRebalancerContext {
   readonly logger: Logger;
@@ -33,18 +32,29 @@
   readonly leaseManager: OwnershipLeaseManager;
   /** The service of the backend server on this host, if its keys have owners. */
   readonly ownService: () => string | undefined;
-  /** Announces to a daemon the keys that are about to be moved to it. */
+  /** Announces to a daemon the keys that are about to be moved to it; none if that is no longer planned. */
   readonly onMovesPlanned: (
     daemon: string,
     moves: readonly PlannedMove[],
   ) => void;
 }
 
+/** What has become of the moves since the start of this process. */
+export interface MoveTotals {
+  /** Moves that were begun, and the keys in them. */
+  readonly begun: number;
+  readonly keys: number;
+  /** Plans that were dropped before they could begin, because they were no longer needed. */
+  readonly dropped: number;
+}
+
 /** Plans and begins moves of keys. */
 export class KeyRebalancer {
-  private plannedMoves: readonly PlannedMove[] = [];
+  private readonly planner = RebalancePlanner.create();
   private lastBegunMoves: readonly PlannedMove[] = [];
-  private lastPlannedAtMs = -Infinity;
+  /** Whether moves that begin are being confirmed by a read of the store. */
+  private isConfirming = false;
+  private moveTotals: MoveTotals = { begun: 0, keys: 0, dropped: 0 };
 
   private constructor(private readonly context: KeyRebalancerContext) {}
 
@@ -58,64 +68,69 @@
     return this.lastBegunMoves;
   }
 
+  /** What has become of the moves since the start of this process. */
+  get totals(): MoveTotals {
+    return this.moveTotals;
+  }
+
   /** Plans moves of the keys with the highest load while this daemon's backend server is more loaded than others. */
   tick(): void {
-    const { grants, backend, view, backendManager, logger, leaseManager } =
-      this.context;
+    const { grants, backendManager, leaseManager } = this.context;
     const service = this.context.ownService();
     const nowMs = monotonicMs();
     if (
-      service === undefined ||
-      nowMs - this.lastPlannedAtMs < REBALANCE_INTERVAL_MS
+      service === undefined || !this.planner.isDue(nowMs) ||
+      backendManager().phase !== "ready" || grants.isReleasing ||
+      this.isConfirming || !leaseManager.canMoveKeys()
     ) {
       return;
     }
-    this.lastPlannedAtMs = nowMs;
-    const isMoving = grants.isReleasing || this.plannedMoves.length > 0;
-    if (
-      backendManager().phase !== "ready" || isMoving ||
-      !leaseManager.canMoveKeys()
-    ) {
-      return;
+    const hadPlan = this.hasPlannedMoves;
+    const announcements = this.planner.update(
+      this.createInput(service, nowMs),
+      nowMs,
+    );
+    announcements.forEach((moves, recipient) =>
+      this.context.onMovesPlanned(recipient, moves)
+    );
+    this.context.handoverCoordinator.recheck();
+    if (hadPlan && !this.hasPlannedMoves) {
+      this.moveTotals = {
+        ...this.moveTotals,
+        dropped: this.moveTotals.dropped + 1,
+      };
+      this.context.logger.log("key_moves_dropped", {
+        service,
+        utilization: this.utilization,
+      });
     }
-    const others = view.alive(nowMs)
+  }
+
+  private createInput(service: string, nowMs: number): RebalanceInput {
+    const { grants, backend, view, backendManager, directory } = this.context;
+    const reports = view.alive(nowMs)
       .filter((report) =>
         report.service === service && report.phase === "ready"
-      )
-      .map(toOwnerLoad);
-    const own = {
-      daemon: view.ownReport.address,
-      utilization: this.utilization,
-      deviation: this.deviation,
-      slots: backend.capacity,
-      serviceMs: backend.serviceMs,
-    };
-    const record = this.context.directory.record(service);
-    const owners = new Set(record?.daemons ?? []);
-    this.plannedMoves = planRebalance(own, others, {
+      );
+    const owners = new Set(directory.record(service)?.daemons ?? []);
+    const addresses = reports.map(({ address }) => address);
+    return {
+      own: {
+        daemon: view.ownReport.address,
+        utilization: this.utilization,
+        deviation: this.deviation,
+        slots: backend.capacity,
+        serviceMs: backend.serviceMs,
+      },
+      others: reports.map(toOwnerLoad),
       ranges: grants.ownRanges,
       profile: backend.profile,
-      keyless: new Set(
-        others
-          .map(({ daemon }) => daemon)
-          .filter((daemon) => !owners.has(daemon)),
+      keyless: new Set(addresses.filter((address) => !owners.has(address))),
+      reportAgeMs: Math.min(
+        ...addresses.map((address) => view.heartbeatAgeMs(address, nowMs)),
       ),
-    });
-    this.plannedMoves.forEach((move) => {
-      logger.log("ownership_shed", {
-        service,
-        ...move,
-        utilization: own.utilization,
-        deviation: own.deviation,
-      });
-    });
-    const recipients = new Set(this.plannedMoves.map(({ daemon }) => daemon));
-    recipients.forEach((recipient) =>
-      this.context.onMovesPlanned(
-        recipient,
-        this.plannedMoves.filter(({ daemon }) => daemon === recipient),
-      )
-    );
+      coldMs: backendManager().coldRemainingMs,
+    };
   }
 
   /**
@@ -144,7 +159,7 @@
 
   /** Whether planned moves of keys await the next response to a heartbeat. */
   get hasPlannedMoves(): boolean {
-    return this.plannedMoves.length > 0;
+    return this.planner.plannedMoves.length > 0;
   }
 
   /**
@@ -152,19 +167,54 @@
    * to serve the keys, and by then their recipients are ready to receive them.
    */
   async beginMoves(): Promise<void> {
-    const { plannedMoves } = this;
-    const recipients = [...new Set(plannedMoves.map(({ daemon }) => daemon))];
-    await this.context.handoverCoordinator.awaitRecipients(recipients);
-    this.plannedMoves = [];
+    const { handoverCoordinator, leaseManager, grants } = this.context;
+    await handoverCoordinator.awaitRecipients(() => [
+      ...new Set(this.planner.plannedMoves.map(({ daemon }) => daemon)),
+    ]);
+    const { utilization, deviation } = this;
+    const { moves, waitedMs } = this.planner.take(monotonicMs());
     const service = this.context.ownService();
-    if (
-      service !== undefined &&
-      await this.context.leaseManager.confirmKeysMovable(service)
-    ) {
-      this.lastBegunMoves = plannedMoves;
-      this.context.grants.beginRelease(plannedMoves);
+    if (service === undefined || moves.length === 0) {
+      return;
+    }
+    this.isConfirming = true;
+    const isConfirmed = await leaseManager.confirmKeysMovable(service)
+      .finally(() => {
+        this.isConfirming = false;
+      });
+    if (isConfirmed) {
+      this.lastBegunMoves = moves;
+      grants.beginRelease(moves);
+      this.recordBegun(moves, { service, utilization, deviation, waitedMs });
     }
   }
+
+  private recordBegun(
+    moves: readonly PlannedMove[],
+    cause: {
+      service: string;
+      utilization: number;
+      deviation: number;
+      waitedMs: number;
+    },
+  ): void {
+    const { service, utilization, deviation, waitedMs } = cause;
+    const { begun, keys, dropped } = this.moveTotals;
+    this.moveTotals = {
+      begun: begun + moves.length,
+      keys: keys + moves.reduce((sum, move) => sum + sizeOf(move), 0),
+      dropped,
+    };
+    moves.forEach((move) => {
+      this.context.logger.log("ownership_shed", {
+        service,
+        ...move,
+        utilization,
+        deviation,
+        waited_ms: Math.round(waitedMs),
+      });
+    });
+  }
 }
 
 function toOwnerLoad(report: MemberReport): OwnerLoad {
--- a/packages/router/src/keys/ownership_manager.ts
+++ b/packages/router/src/keys/ownership_manager.ts
@@ -22,7 +22,7 @@
 import type { BackendManager } from "../backend/backend_manager.ts";
 import { bootMs, monotonicMs } from "../clock.ts";
 import type { HandoverCoordinator } from "./handover_coordinator.ts";
-import { KeyRebalancer } from "./key_rebalancer.ts";
+import { KeyRebalancer, type MoveTotals } from "./key_rebalancer.ts";
 import type { LocalBackend } from "../backend/local_backend.ts";
 import type { OwnershipDirectory } from "./ownership_directory.ts";
 import { AssignmentManager, findCandidates } from "./assignment_manager.ts";
@@ -200,6 +200,11 @@
     return this.rebalancer.utilization;
   }
 
+  /** What has become of the moves since the start of this process. */
+  get moveTotals(): MoveTotals {
+    return this.rebalancer.totals;
+  }
+
   /** Whether planned moves of keys await the next response to a heartbeat. */
   get hasPlannedMoves(): boolean {
     return this.rebalancer.hasPlannedMoves;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -824,6 +824,9 @@
       bamboolink_members_alive: () => this.view.alive(monotonicMs()).length,
       bamboolink_requests_quarantined: () => this.quarantine.count,
       bamboolink_owned_keys: () => this.grants.ownKeyCount,
+      bamboolink_key_moves_begun: () => this.ownership.moveTotals.begun,
+      bamboolink_key_moves_dropped: () => this.ownership.moveTotals.dropped,
+      bamboolink_moved_keys: () => this.ownership.moveTotals.keys,
       bamboolink_tenure_left_ms: () =>
         Math.max(0, this.lease.expiresAtMs - bootMs()),
       bamboolink_zone_evacuated: () => this.evacuation.isEvacuated ? 1 : 0,
