--- a/packages/router/src/backend/cold_start.ts
+++ b/packages/router/src/backend/cold_start.ts
@@ -55,9 +55,14 @@
 
   /** Whether the server or most of its keys are cold, so that its load does not show its usual one. */
   get isCold(): boolean {
+    return monotonicMs() < this.serverColdUntilMs || this.hasColdKeys;
+  }
+
+  /** Whether most of the server's keys are cold. */
+  get hasColdKeys(): boolean {
     const sinceMs = bootMs() - this.estimator.keyColdMs;
-    return monotonicMs() < this.serverColdUntilMs ||
-      this.context.grants.acquiredShareSince(sinceMs) >= MIN_COLD_KEY_SHARE;
+    return this.context.grants.acquiredShareSince(sinceMs) >=
+      MIN_COLD_KEY_SHARE;
   }
 
   /** For how long keys are assumed to be cold after a grant without a handover, in milliseconds. */
--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -157,6 +157,11 @@
     return this.coldStart.isCold;
   }
 
+  /** Whether most keys of the backend server are cold. */
+  get hasColdKeys(): boolean {
+    return this.coldStart.hasColdKeys;
+  }
+
   /** For how long keys are assumed to be cold after a grant without a handover, in milliseconds. */
   get keyColdMs(): number {
     return this.coldStart.keyColdMs;
