--- a/packages/membership/src/gossip_bytes_test.ts
+++ b/packages/membership/src/gossip_bytes_test.ts
@@ -41,6 +41,8 @@
     reachesStore: true,
     capacity: 6,
     statedStatus: null,
+    rankWaitsMs: [],
+    lateRankWaitsMs: [],
   };
 }
 
--- a/packages/router/src/attempts/zone_placement_test.ts
+++ b/packages/router/src/attempts/zone_placement_test.ts
@@ -36,6 +36,8 @@
     reachesStore: true,
     capacity: 6,
     statedStatus: null,
+    rankWaitsMs: [],
+    lateRankWaitsMs: [],
   };
 }
 
