--- a/packages/router/src/configuration/watch_poll_planner_test.ts
+++ b/packages/router/src/configuration/watch_poll_planner_test.ts
@@ -146,7 +146,7 @@
     });
 
     // Guards against a change that the others learn of only with the next poll of the daemon that replaces a follower.
-    it("announces a newer version that it gets in place of a follower", async () => {
+    it("announces a newer version that it gets in place of a follower", () => {
       let nowMs = monotonicMs();
       const { planner, view, announced, setVersion } = createPlanner(
         FLEET_SIZE,
