Extend the assumed cold time of keys only by several slow requests

Cause: one slow request after the assumed time extended it by 2.5 times, up to 30 s, and what counts as slow was derived by an assumed factor, so that servers that are not slow on cold keys were concerned, too. Found in review. Change: the slow requests must exceed the others by two, the derived time is at least what the objective suggests, requests that can't be attributed yet count in no average, and another process of the server begins anew.

--- a/packages/admission/src/cold_key_time.ts
+++ b/packages/admission/src/cold_key_time.ts
@@ -8,12 +8,19 @@
 const INITIAL_MS = 2_000;
 /** Factor by which the assumed time grows when a request shows that keys are still cold after it. */
 const GROWTH_FACTOR = 2.5;
+/**
+ * By how many the requests that are as slow as with cold keys must exceed the others for the assumed time to grow. Some
+ * requests of any route take several times as long as usual; at warm keys most others are fast.
+ */
+const MIN_EXCESS = 2;
 /** Upper bound of the assumed time, in milliseconds. */
 const MAX_MS = 30_000;
 
 /** The time for which keys are assumed to be cold after their grant. */
 export class ColdKeyTime {
   private assumedMs = INITIAL_MS;
+  /** Requests started after the assumed time that were slow, less those that were not; never negative. */
+  private slowExcess = 0;
 
   private constructor() {}
 
@@ -38,13 +45,31 @@
 
   /** Records that a request, started `ageMs` after the grant of its key, was as slow as one for a cold key. */
   recordCold(ageMs: number): void {
-    if (this.mayBeCold(ageMs)) {
+    if (!this.mayBeCold(ageMs)) {
+      return;
+    }
+    this.slowExcess += 1;
+    if (this.slowExcess >= MIN_EXCESS) {
+      this.slowExcess = 0;
       this.assumedMs = Math.min(MAX_MS, this.assumedMs * GROWTH_FACTOR);
     }
   }
 
+  /** Records that a request, started `ageMs` after the grant of its key, took no longer than with a warm key. */
+  recordUsual(ageMs: number): void {
+    if (this.mayBeCold(ageMs)) {
+      this.slowExcess = Math.max(0, this.slowExcess - 1);
+    }
+  }
+
   /** Records that a request, started `ageMs` after the grant of its key, was as fast as one for a warm key. */
   recordWarm(ageMs: number): void {
     this.assumedMs = Math.min(this.assumedMs, Math.max(1, ageMs));
   }
+
+  /** Forgets what was learned, because another process of the backend server runs now. */
+  reset(): void {
+    this.assumedMs = INITIAL_MS;
+    this.slowExcess = 0;
+  }
 }
--- a/packages/admission/src/cold_start_estimator.ts
+++ b/packages/admission/src/cold_start_estimator.ts
@@ -8,7 +8,11 @@
  */
 import { ColdKeyTime } from "./cold_key_time.ts";
 import { ASSUMED_FACTORS, type Coldness, toColdness } from "./coldness.ts";
-import type { RemainingTimes, ServiceTimes } from "./service_times.ts";
+import {
+  minInferredMs,
+  type RemainingTimes,
+  type ServiceTimes,
+} from "./service_times.ts";
 import type { ColdEstimate } from "./work_request.ts";
 
 /**
@@ -43,6 +47,8 @@
   private readonly keyTime = ColdKeyTime.create();
   private readonly runningOnWarmKeys = new Set<RunningColdRequest>();
   private serverColdUntilMs = -Infinity;
+  /** Least time on a warm server that the objectives of a route's requests suggest, in milliseconds. */
+  private readonly minWarmMs = new Map<string, number>();
 
   private constructor(private readonly times: ServiceTimes) {}
 
@@ -55,6 +61,12 @@
     return new ColdStartEstimator(times);
   }
 
+  /** Forgets what was learned, because another process of the backend server runs now. */
+  reset(): void {
+    this.keyTime.reset();
+    this.runningOnWarmKeys.clear();
+  }
+
   /** Sets until when the server is cold, in milliseconds. */
   setServerColdUntil(coldUntilMs: number): void {
     this.serverColdUntilMs = coldUntilMs;
@@ -73,6 +85,10 @@
   ): ServiceEstimate {
     const { route } = request;
     const coldness = this.coldnessAt(request, nowMs);
+    this.minWarmMs.set(
+      route,
+      Math.max(this.minWarmMs.get(route) ?? 0, minInferredMs(remaining)),
+    );
     const estimateMs = this.times.estimate(route, remaining, coldness);
     if (coldness === "warm") {
       return { estimateMs, coldEstimate: undefined };
@@ -120,8 +136,12 @@
     if (!isServed) {
       return;
     }
-    this.learnKeyTime(running, tookMs);
+    const mayHaveBeenCold = this.learnKeyTime(running, tookMs);
     const coldness = this.coldnessAt(running, running.startedAtMs);
+    if (mayHaveBeenCold && !isColdKey(coldness)) {
+      // It is not known yet to which average it belongs.
+      return;
+    }
     this.times.record(running.route, { tookMs, endedAtMs: nowMs, coldness });
   }
 
@@ -145,10 +165,11 @@
     });
   }
 
-  private learnKeyTime(running: RunningColdRequest, tookMs: number): void {
+  /** Learns from a completed request; returns whether its key may have been cold although it counted as warm. */
+  private learnKeyTime(running: RunningColdRequest, tookMs: number): boolean {
     const { route, startedAtMs, keyColdSinceMs, coldness } = running;
     if (keyColdSinceMs === undefined) {
-      return;
+      return false;
     }
     const ageMs = startedAtMs - keyColdSinceMs;
     if (isColdKey(coldness)) {
@@ -156,16 +177,26 @@
       if (coldMs !== undefined && tookMs < coldMs * WARM_KEY_SHARE) {
         this.keyTime.recordWarm(ageMs);
       }
-      return;
+      return false;
     }
     const warmMs = this.times.measuredMs(route, coldness) ??
       this.expectedWarmMs(running);
-    if (warmMs !== undefined && tookMs > warmMs * COLD_KEY_FACTOR) {
+    if (warmMs === undefined || !this.keyTime.mayBeCold(ageMs)) {
+      return false;
+    }
+    const isSlow = tookMs > warmMs * COLD_KEY_FACTOR;
+    if (isSlow) {
       this.keyTime.recordCold(ageMs);
+    } else {
+      this.keyTime.recordUsual(ageMs);
     }
+    return isSlow;
   }
 
-  /** Time of a request with a warm key, derived from requests for cold keys by the assumed factor. */
+  /**
+   * Time of a request with a warm key, derived from requests for cold keys by the assumed factor, but no less than the
+   * objective suggests: the server may not be slow on cold keys at all.
+   */
   private expectedWarmMs(
     { route, coldness }: RunningColdRequest,
   ): number | undefined {
@@ -175,7 +206,9 @@
     return counterparts.flatMap((counterpart) => {
       const coldMs = this.times.measuredMs(route, counterpart);
       const share = ASSUMED_FACTORS[coldness] / ASSUMED_FACTORS[counterpart];
-      return coldMs === undefined ? [] : [coldMs * share];
+      return coldMs === undefined
+        ? []
+        : [Math.max(coldMs * share, this.minWarmMs.get(route) ?? 0)];
     })[0];
   }
 
--- a/packages/admission/src/service_times.ts
+++ b/packages/admission/src/service_times.ts
@@ -123,11 +123,7 @@
     coldness: Coldness,
   ): number {
     const factor = ASSUMED_FACTORS[coldness];
-    const defaultMs = factor * Math.max(
-      0,
-      remaining.objectiveMs * DEFAULT_OBJECTIVE_SHARE,
-      remaining.deadlineMs * DEFAULT_DEADLINE_SHARE,
-    );
+    const defaultMs = factor * defaultServiceMs(remaining);
     const other = (Object.keys(ASSUMED_FACTORS) as Coldness[])
       .find((key) => this.measuredMs(route, key) !== undefined);
     const maxAssumedMs = coldness === "warm"
@@ -177,6 +173,24 @@
   }
 }
 
+/** Time on a warm server that the objective suggests, in milliseconds. */
+function defaultServiceMs(remaining: RemainingTimes): number {
+  return Math.max(
+    0,
+    remaining.objectiveMs * DEFAULT_OBJECTIVE_SHARE,
+    remaining.deadlineMs * DEFAULT_DEADLINE_SHARE,
+  );
+}
+
+/**
+ * Lower bound of the time on a warm server that is derived from requests on a cold one, in milliseconds.
+ *
+ * @param remaining the time to the objective and to the deadline of a new request.
+ */
+export function minInferredMs(remaining: RemainingTimes): number {
+  return defaultServiceMs(remaining) * MIN_INFERRED_SHARE;
+}
+
 function updated(
   known: Average | undefined,
   { tookMs, endedAtMs, coldness = "warm" }: CompletedRequest,
--- a/packages/router/src/backend/cold_start.ts
+++ b/packages/router/src/backend/cold_start.ts
@@ -47,6 +47,11 @@
     return new ColdStart(context);
   }
 
+  /** Forgets what was learned of an earlier process of the backend server. */
+  reset(): void {
+    this.estimator.reset();
+  }
+
   /** Sets until when the server is cold, on the monotonic clock. */
   setServerColdUntil(coldUntilMs: number): void {
     this.serverColdUntilMs = coldUntilMs;
--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -142,6 +142,7 @@
     if (!isSameProcess) {
       this.connections.closeIdle();
       this.times.clear();
+      this.coldStart.reset();
     }
     this.identity = identity;
     if (identity !== undefined) {
