--- a/packages/admission/src/server_load_estimator.ts
+++ b/packages/admission/src/server_load_estimator.ts
@@ -109,9 +109,10 @@
     for (let step = 0; step < NEWTON_STEPS; step += 1) {
       const factor = 1 + excess * Math.exp(-decay * durationMs);
       const doneMs = durationMs + Math.log(factor / (1 + excess)) / decay;
-      durationMs -= (doneMs - workMs) * factor;
+      // A server that has become ten times as fast would otherwise lead to negative times, for which there is no logarithm.
+      durationMs = Math.max(0, durationMs - (doneMs - workMs) * factor);
     }
-    return Math.max(0, durationMs);
+    return durationMs;
   }
 
   /** How long a run would have taken at the mean speed, in milliseconds. */
--- a/packages/admission/src/server_load_estimator_test.ts
+++ b/packages/admission/src/server_load_estimator_test.ts
@@ -182,4 +182,22 @@
       expect(queue.offer(request(2), 0).kind).to.equal("wait");
     });
   });
+
+  // Guards against waits that are not a number, which would be reported to other daemons.
+  it("returns finite durations after any change of the stated slowness", () => {
+    const slownesses = [0.1, 0.2, 0.5, 1, 3, 10, 50];
+    slownesses.forEach((before) =>
+      slownesses.forEach((after) => {
+        const estimator = ServerLoadEstimator.create();
+        estimator.record(before, 0);
+        estimator.record(before, 5_000);
+        estimator.record(after, 5_010);
+        [1, 150, 400, 2_000].forEach((workMs) => {
+          const durationMs = estimator.durationMs(workMs, 5_020);
+          expect(durationMs).to.be.at.least(0);
+          expect(Number.isFinite(durationMs)).to.equal(true);
+        });
+      })
+    );
+  });
 });
--- a/packages/placement/src/zone_affinity.ts
+++ b/packages/placement/src/zone_affinity.ts
@@ -94,12 +94,19 @@
   if (inTime.length > 0 && !mustLeave) {
     return chooseBackend(inTime, random, crossZoneMsPerKilobyte);
   }
-  const others = describeAll(sample.others)
-    .filter((candidate) => mayReceiveBody(candidate, request));
+  const allOthers = describeAll(sample.others);
+  const others = allOthers.filter((candidate) =>
+    mayReceiveBody(candidate, request)
+  );
   const compared = mustLeave && others.length > 0
     ? others
     : [...own, ...others];
-  return chooseBackend(compared, random, crossZoneMsPerKilobyte);
+  // Without any server to compare, the request would be refused although the expected waits may be outdated.
+  return chooseBackend(
+    compared.length > 0 ? compared : allOthers,
+    random,
+    crossZoneMsPerKilobyte,
+  );
 }
 
 /** Whether a server of the zone would finish a request so early that it need not leave. */
--- a/packages/router/src/loop_lag.ts
+++ b/packages/router/src/loop_lag.ts
@@ -14,6 +14,10 @@
 const MAX_LAG_SHARE = 0.25;
 /** The same for urgent requests. */
 const URGENT_MAX_LAG_SHARE = 0.4;
+/** Lag that any request may suffer, in milliseconds, however little time it has: lags of this size end by themselves. */
+const MIN_MAX_LAG_MS = 120;
+/** The same for urgent requests, in milliseconds. */
+const URGENT_MIN_MAX_LAG_MS = 240;
 /** Time of a caller that counts at most, in milliseconds. The lag that long requests allow delays the others, too. */
 const MAX_COUNTED_MS = 4_000;
 /** Half-life of the sum of lags, in milliseconds. */
@@ -100,13 +104,14 @@
    */
   isOverloaded(request: { rank: number; timeMs: number }): boolean {
     const { rank, timeMs } = request;
-    const maxShare = rank <= MAX_URGENT_RANK
-      ? URGENT_MAX_LAG_SHARE
-      : MAX_LAG_SHARE;
+    const isUrgent = rank <= MAX_URGENT_RANK;
+    const maxShare = isUrgent ? URGENT_MAX_LAG_SHARE : MAX_LAG_SHARE;
+    const maxLagMs = Math.max(
+      isUrgent ? URGENT_MIN_MAX_LAG_MS : MIN_MAX_LAG_MS,
+      Math.min(timeMs, MAX_COUNTED_MS) * maxShare,
+    );
     const lagMs = this.currentMs;
-    return lagMs > 0 &&
-      lagMs >
-        Math.min(timeMs, MAX_COUNTED_MS) * maxShare * 0.5 ** this.halvings;
+    return lagMs > 0 && lagMs > maxLagMs * 0.5 ** this.halvings;
   }
 
   /** How often the maximum lag is halved because the lag lasts. */
