Follow shares of services without keys, whatever keys their requests state

A caller may state a key in a request to a service without keys; such requests are placed by zone, too, and were left out of what the daemon has placed.

--- a/packages/router/src/attempts/request_runner.ts
+++ b/packages/router/src/attempts/request_runner.ts
@@ -186,9 +186,9 @@
       mayGiveUp: () => boolean;
     },
   ): Promise<Outcome> {
-    const { view, backend, loadTracker, forwarder } = this.context;
+    const { view, backend, loadTracker, forwarder, directory } = this.context;
     const { target, cancellation, mayGiveUp } = to;
-    if (request.key === undefined) {
+    if (!directory.isKeyed(request.service)) {
       this.placement.recordPlaced(request, target);
     }
     if (target.address === view.ownReport.address) {
