Reject announcements of keys that don't exist

Cause: the recipient of moved keys applies the announced load to each key of a range, and nothing bounded the range that a peer announces. Change: first and last key are checked where the datagram is decoded, which logs it as malformed (gossip_malformed), as for all other fields.

--- a/packages/router/src/members/datagram_codec.ts
+++ b/packages/router/src/members/datagram_codec.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { BamboolinkError } from "@bamboolink/errors";
+import { KEY_COUNT } from "@bamboolink/keyspace";
 import { decode, encode } from "@msgpack/msgpack";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
@@ -17,14 +18,15 @@
   text: z.string().optional(),
 });
 
+const key = z.int().min(0).max(KEY_COUNT - 1);
 /** First key, last key, and the load of the range, in milliseconds of slot time per second. */
-const ExpectedRange = z.tuple([
-  z.int().min(0),
-  z.int().min(0),
-  z.number().min(0),
-]);
+const ExpectedRange = z.tuple([key, key, z.number().min(0)])
+  .refine(([from, to]) => from <= to);
 
-/** Announces that these keys will be handed over to the receiver's backend server. */
+/**
+ * Announces that these keys will be handed over to the receiver's backend server, instead of those announced before;
+ * none if no longer any will be.
+ */
 const PlannedHandover = z.object({
   kind: z.literal("expect"),
   sender: z.string(),
