Keep late requests of returning callers as long as they could finish in time

A late request is refused if the slots are expected to become free too late, and while the load lasts they are expected to. Its caller doesn't come again, and at the end of a burst the slots are free at once. Ruled out: refusing retries at the first daemon by the wait of late requests. Change: such a request is queued, and kept, as long as it would finish in time if it started now. It still leaves all slots to requests that can be on time. At the first daemon only the wait of requests on time counts for it. The replay draws arrivals apart from choices, so that all rules see the same arrivals.

--- a/packages/admission/src/late_request_queue.ts
+++ b/packages/admission/src/late_request_queue.ts
@@ -85,7 +85,7 @@
 
   /** Queues a request; returns false, without queueing it, if it is not expected to meet its deadline. */
   offer(request: WorkRequest, forecast: StartForecast): boolean {
-    if (missesDeadline(request, forecast.startMs)) {
+    if (missesDeadline(request, toHopefulStart(request, forecast))) {
       return false;
     }
     const index = this.waiting.findIndex((other) =>
@@ -115,7 +115,10 @@
     const kept: WorkRequest[] = [];
     const unmeetable = this.waiting.filter((request) => {
       const startMs = forecast.startMs + this.drainTimeMs(kept, forecast.nowMs);
-      const isUnmeetable = missesDeadline(request, startMs);
+      const isUnmeetable = missesDeadline(
+        request,
+        toHopefulStart(request, { ...forecast, startMs }),
+      );
       if (!isUnmeetable) {
         kept.push(request);
       }
@@ -152,6 +155,18 @@
   }
 }
 
+/**
+ * The start of a request by which it is decided whether it waits on. That of a returning caller waits as long as it
+ * could meet its deadline if it started now: its caller doesn't come again, so an early refusal would be of no use, and
+ * at the end of a burst slots become free sooner than forecast.
+ */
+function toHopefulStart(
+  { isReturning = false }: WorkRequest,
+  { nowMs, startMs }: StartForecast,
+): number {
+  return isReturning ? nowMs : startMs;
+}
+
 function missesDeadline(request: WorkRequest, startMs: number): boolean {
   return startMs + request.estimateMs * (1 + ESTIMATE_MARGIN) >
     request.deadlineAtMs;
--- a/packages/admission/src/late_request_queue_test.ts
+++ b/packages/admission/src/late_request_queue_test.ts
@@ -5,7 +5,9 @@
  * @module
  */
 import { expect } from "chai";
+import { LateRequestQueue } from "./late_request_queue.ts";
 import { WorkQueue } from "./work_queue.ts";
+import type { WorkRequest } from "./work_request.ts";
 
 const SLOTS = 12;
 const WORK_MS = 250;
@@ -106,7 +108,41 @@
   return counts;
 }
 
+function lateRequest(id: number, changes: Partial<WorkRequest>): WorkRequest {
+  return {
+    id,
+    rank: 2,
+    objectiveAtMs: -100,
+    deadlineAtMs: 1_000,
+    estimateMs: 100,
+    mayEndLate: true,
+    ...changes,
+  };
+}
+
 describe("LateRequestQueue", () => {
+  describe("while slots are expected to become free only after the deadline", () => {
+    const forecast = { nowMs: 0, startMs: 2_000 };
+
+    // Guards against the only retry of a caller being refused at the end of a burst, just before slots become free.
+    it("refuses a new request, and keeps one whose caller has come back", () => {
+      const queue = LateRequestQueue.create();
+      expect(queue.offer(lateRequest(1, {}), forecast)).to.equal(false);
+      const returning = lateRequest(2, { isReturning: true });
+      expect(queue.offer(returning, forecast)).to.equal(true);
+      expect(queue.dropUnmeetable(forecast)).to.deep.equal([]);
+    });
+
+    it("refuses that one once it could no longer finish in time, before its deadline", () => {
+      const queue = LateRequestQueue.create();
+      const returning = lateRequest(2, { isReturning: true });
+      queue.offer(returning, forecast);
+      const laterForecast = { nowMs: 880, startMs: 2_880 };
+      expect(queue.dropUnmeetable(laterForecast)).to.deep.equal([returning]);
+      expect(queue.offer(returning, laterForecast)).to.equal(false);
+    });
+  });
+
   describe("replaying load peaks with quieter periods between them", () => {
     const peaks = (nowMs: number) =>
       CAPACITY * (0.95 + 0.4 * Math.sin(2 * Math.PI * nowMs / 3_000));
--- a/packages/admission/src/service_admission.ts
+++ b/packages/admission/src/service_admission.ts
@@ -291,7 +291,10 @@
   const onTimeMs = onTimeWaitMs(server, { rank: query.rank, nowMs });
   const isOnTime = onTimeMs + serviceMs * (1 + OBJECTIVE_MARGIN) <=
     objectiveRemainingMs;
-  const waitMs = isOnTime ? onTimeMs : lateWaitMs(server, query, nowMs);
+  // A refusal is final for a caller that has come back, so the uncertain wait of late requests doesn't count for it.
+  const waitMs = isOnTime || query.isReturning
+    ? onTimeMs
+    : lateWaitMs(server, query, nowMs);
   return waitMs + serviceMs <= remainingMs;
 }
 
--- a/packages/admission/src/testing/admission_model.ts
+++ b/packages/admission/src/testing/admission_model.ts
@@ -31,7 +31,10 @@
   readonly loadAt: (nowMs: number) => number;
   /** The only server that may run a request, for a service with keys; `undefined` for one without. */
   readonly ownerAt: ((nowMs: number, random: number) => number) | undefined;
+  /** Draws the arrivals and their work, so that these are the same under all rules. */
   readonly random: () => number;
+  /** Draws what daemons decide by chance. */
+  readonly placementRandom: () => number;
 }
 
 /** A request as a daemon sees it when its caller sends it. */
@@ -85,6 +88,9 @@
   requests: number;
   onTime: number;
   late: number;
+  /** Requests that their callers sent a second time, and those of them that were served. */
+  retries: number;
+  servedRetries: number;
   /** Attempts that a queue refused. */
   wastedAttempts: number;
   /** Requests that were refused at the daemon while a server that may run them had a free slot. */
--- a/packages/admission/src/testing/admission_scenarios.ts
+++ b/packages/admission/src/testing/admission_scenarios.ts
@@ -6,6 +6,8 @@
 import type { AdmissionScenario, RequestKind } from "./admission_model.ts";
 import { seededRandom } from "./seeded_random.ts";
 
+/** Added to the seed of the arrivals to seed the choices of daemons. */
+const PLACEMENT_SEED = 1_000;
 const SLOTS = 6;
 const DAEMONS = 8;
 /** Length of a period in which one owner's keys are hot, and of the pause before it, in milliseconds. */
@@ -56,6 +58,7 @@
       return indexByWeight(OWNER_SPEEDS, rest * totalSpeed);
     },
     random: seededRandom(seed),
+    placementRandom: seededRandom(seed + PLACEMENT_SEED),
   };
 }
 
@@ -77,6 +80,7 @@
     loadAt: (nowMs) => nowMs % intervalMs < lengthMs ? high : low,
     ownerAt: undefined,
     random: seededRandom(seed),
+    placementRandom: seededRandom(seed + PLACEMENT_SEED),
   };
 }
 
--- a/packages/admission/src/testing/admission_simulation.ts
+++ b/packages/admission/src/testing/admission_simulation.ts
@@ -25,6 +25,8 @@
 /** Interval and delay of the reports on each server, in milliseconds. */
 const REPORT_INTERVAL_MS = 500;
 const REPORT_DELAY_MS = 100;
+/** Relative jitter of the scores by which daemons choose a server. */
+const SCORE_JITTER = 0.15;
 /** Interval at which the queue of each server is advanced, in milliseconds. */
 const ADVANCE_INTERVAL_MS = 50;
 /** Maximum attempts of one request, including refused ones. */
@@ -99,6 +101,8 @@
       requests: 0,
       onTime: 0,
       late: 0,
+      retries: 0,
+      servedRetries: 0,
       wastedAttempts: 0,
       refusedBesideFreeSlot: 0,
       worstWaitMs: 0,
@@ -285,6 +289,7 @@
       request.attempts === 1 &&
       remainingMs - waitMs > kind.workMs * MIN_RETRY_SHARE
     ) {
+      this.figures.retries += 1;
       this.events.add(nowMs + waitMs, (atMs) => this.send(request, atMs));
     }
   }
@@ -293,11 +298,12 @@
     request: SimulatedRequest,
     tried: ReadonlySet<number>,
   ): number {
-    const { random } = this.scenario;
+    const { placementRandom } = this.scenario;
     return this.servers
       .map((_, index) => ({
         index,
-        score: this.expectedMs(request, index) * (1 + 0.15 * random()),
+        score: this.expectedMs(request, index) *
+          (1 + SCORE_JITTER * placementRandom()),
       }))
       .filter(({ index }) => !tried.has(index))
       .reduce((best, scored) => scored.score < best.score ? scored : best)
@@ -380,6 +386,7 @@
     const rank = this.figures.ranks[kind.rank]!;
     const field = tookMs <= kind.objectiveMs ? "onTime" : "late";
     this.figures[field] += 1;
+    this.figures.servedRetries += request.attempts > 1 ? 1 : 0;
     rank[field] += 1;
     this.figures.worstWaitMs = Math.max(
       this.figures.worstWaitMs,
--- a/packages/admission/src/testing/full_knowledge.ts
+++ b/packages/admission/src/testing/full_knowledge.ts
@@ -74,6 +74,8 @@
     }
   };
   const arrive = (kind: RequestKind, nowMs: number) => {
+    // The simulation draws the daemon that receives the request; without this, the arrivals would differ.
+    random();
     const request = {
       kind,
       owner: ownerAt?.(nowMs, random()),
--- a/packages/router/src/backend/slot_admission.ts
+++ b/packages/router/src/backend/slot_admission.ts
@@ -23,6 +23,11 @@
  * it simulates the slots.
  */
 const WAIT_CACHE_TTL_MS = 5;
+/**
+ * The same for the waits by rank, in milliseconds. Computing them simulates the slots for each rank; daemons allow for
+ * waits that are older than this by an order of magnitude.
+ */
+const RANK_WAITS_CACHE_TTL_MS = 20;
 /** Start of this process on the monotonic clock, in milliseconds. */
 const PROCESS_START_MS = 0;
 
@@ -118,7 +123,7 @@
   /** Estimated waits of requests that arrive now, by rank; `undefined` without slots. */
   get rankWaits(): RankWaits | undefined {
     const nowMs = monotonicMs();
-    if (nowMs - this.waitsByRank.computedAtMs > WAIT_CACHE_TTL_MS) {
+    if (nowMs - this.waitsByRank.computedAtMs > RANK_WAITS_CACHE_TTL_MS) {
       const waits = this.queue.waitsByRank(nowMs);
       this.waitsByRank = { waits, computedAtMs: nowMs };
     }
--- a/scripts/bench.mjs
+++ b/scripts/bench.mjs
@@ -4,6 +4,7 @@
  * @module
  */
 const BENCHMARKS = {
+  admission: () => import("./bench/admission.mjs"),
   ownership: () => import("./bench/ownership.mjs"),
   capacity: () => import("./bench/capacity.mjs"),
   limit: () => import("./bench/limit.mjs"),
