--- a/packages/admission/src/testing/admission_simulation.ts
+++ b/packages/admission/src/testing/admission_simulation.ts
@@ -336,7 +336,8 @@
       deadlineAtMs: firstSentAtMs + kind.deadlineMs,
       estimateMs,
       mayEndLate: true,
-      isReturning: request.attempts > 1,
+      isReturning: request.attempts > 1 &&
+        this.rules[request.daemon]!.marksReturning,
     }, nowMs);
     const start = (startedAtMs: number) => {
       const endsAtMs = startedAtMs + estimateMs * request.workFactor;
