Validate the waits of a report without a schema

A report with waits would be validated by two schemas, in each datagram of a daemon's first minute. The test that compares the decoder with the schema covers the direct check.

--- a/packages/membership/src/member.ts
+++ b/packages/membership/src/member.ts
@@ -25,11 +25,11 @@
 export type MemberPhase = z.infer<typeof MemberPhase>;
 
 /** Maximum number of ranks for which a report contains waits; less urgent ranks have the wait of the last one. */
-const MAX_RANK_WAITS = 8;
+export const MAX_RANK_WAITS = 8;
 /** Longest wait in a report, in milliseconds: far beyond the deadline of any request. */
-const MAX_WAIT_MS = 600_000;
+export const MAX_WAIT_MS = 600_000;
 /** Expected waits by rank, in milliseconds; empty where they are not known. */
-export const RankWaitList = z.array(z.number().min(0).max(MAX_WAIT_MS)).max(
+const RankWaitList = z.array(z.number().min(0).max(MAX_WAIT_MS)).max(
   MAX_RANK_WAITS,
 );
 
--- a/packages/membership/src/report_row.ts
+++ b/packages/membership/src/report_row.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import {
+  MAX_RANK_WAITS,
+  MAX_WAIT_MS,
   MemberPhase,
   MemberReport,
-  RankWaitList,
   StatedStatus,
 } from "./member.ts";
 
@@ -94,16 +95,21 @@
   return value === null ? null : StatedStatus.safeParse(value).data;
 }
 
-/** Returns `undefined` if the value is invalid. Most reports contain few waits or none. */
+/** Returns `undefined` if the value is invalid. */
 function decodeRankWaits(
   row: readonly unknown[],
   index: number,
 ): number[] | undefined {
   // Earlier versions report no waits by rank.
   const value = row.length > index ? row[index] : [];
-  return Array.isArray(value) && value.length === 0
-    ? value
-    : RankWaitList.safeParse(value).data;
+  return isRankWaitList(value) ? value : undefined;
+}
+
+function isRankWaitList(value: unknown): value is number[] {
+  return Array.isArray(value) && value.length <= MAX_RANK_WAITS &&
+    value.every((waitMs) =>
+      isNonNegativeNumber(waitMs) && waitMs <= MAX_WAIT_MS
+    );
 }
 
 function isString(value: unknown): value is string {
