Plan moves while any other daemon is heard of

Cause: moves were planned only while a report of another owner was less than a second old. In a small service of a large fleet that is often not so, although the daemon is not cut off. Change: the newest report of any daemon counts.

--- a/packages/keyspace/src/rebalance_planner.ts
+++ b/packages/keyspace/src/rebalance_planner.ts
@@ -20,8 +20,8 @@
  */
 const PLAN_INTERVAL_MS = 100;
 /**
- * No moves are planned if the newest report of another owner is older than this, in milliseconds: reports come several
- * times a second, so this daemon is probably cut off, and all it knows of the others is what they were.
+ * No moves are planned if the newest report of any other daemon is older than this, in milliseconds: daemons hear of
+ * each other several times a second, so this one is probably cut off, and knows only what the loads were.
  */
 const MAX_REPORT_AGE_MS = 1_000;
 
@@ -34,7 +34,7 @@
   readonly profile: LoadProfile;
   /** Owners without keys. */
   readonly keyless: ReadonlySet<string>;
-  /** Age of the newest report of another owner, in milliseconds. */
+  /** Time since another daemon was last heard of, in milliseconds. */
   readonly reportAgeMs: number;
   /** Remaining time for which the own backend server is slow after its start, in milliseconds. */
   readonly coldMs: number;
--- a/packages/router/src/keys/key_rebalancer.ts
+++ b/packages/router/src/keys/key_rebalancer.ts
@@ -116,10 +116,10 @@
 
   private createInput(service: string, nowMs: number): RebalanceInput {
     const { grants, backend, view, backendManager, directory } = this.context;
-    const reports = view.alive(nowMs)
-      .filter((report) =>
-        report.service === service && report.phase === "ready"
-      );
+    const alive = view.alive(nowMs);
+    const reports = alive.filter((report) =>
+      report.service === service && report.phase === "ready"
+    );
     const owners = new Set(directory.record(service)?.daemons ?? []);
     const addresses = reports.map(({ address }) => address);
     return {
@@ -135,7 +135,7 @@
       profile: backend.profile,
       keyless: new Set(addresses.filter((address) => !owners.has(address))),
       reportAgeMs: Math.min(
-        ...addresses.map((address) => view.heartbeatAgeMs(address, nowMs)),
+        ...alive.map(({ address }) => view.heartbeatAgeMs(address, nowMs)),
       ),
       coldMs: backendManager().coldRemainingMs,
     };
