Take reports for as old as later ones of their daemon show

Cause: waits in a report counted as 0.5 s old on arrival, although reports are forwarded and are seconds old in a large fleet. A request was refused at the first daemon by a report of full queues that was made before the outcome that had shown free slots. Found in review; the new test fails without the change. Change: the age follows from how many later reports the digests have shown. Reservations are scaled by all work that this daemon's callers offer; only admitted work counted before, so the share fell to nothing while requests were refused.

--- a/packages/admission/src/service_admission.ts
+++ b/packages/admission/src/service_admission.ts
@@ -94,7 +94,7 @@
   private readonly serviceByDaemon = new Map<string, string>();
   /** The server of each service that admitted the latest request: it mostly admits the next one, too. */
   private readonly latestAdmitting = new Map<string, string>();
-  /** Admitted work by resource: a service, or the owner of a key. */
+  /** Work of this daemon's callers by resource: a service, or the owner of a key. */
   private readonly arrivals = new Map<string, DecayingSum>();
   private readonly schedule: ReturnSchedule;
   private reportedAtMs = -Infinity;
@@ -163,11 +163,12 @@
   /** Decides on a request before its first attempt. */
   decide(query: AdmissionQuery, nowMs: number): AdmissionVerdict {
     const servers = this.serversFor(query);
+    // Also of refused requests: reservations are scaled by this daemon's share of what all daemons offer.
+    this.arrivalsOf(resourceOf(query)).add(query.serviceMs, nowMs);
     const mayServe = nowMs - this.reportedAtMs > MAX_SILENCE_MS ||
       this.findServing(query, { servers, nowMs }) ||
       this.random() < PROBE_SHARE;
     if (mayServe) {
-      this.arrivalsOf(resourceOf(query)).add(query.serviceMs, nowMs);
       return ADMITTED;
     }
     const waitMs = Math.min(
--- a/packages/membership/src/member_view.ts
+++ b/packages/membership/src/member_view.ts
@@ -203,6 +203,15 @@
     return entry === undefined ? Infinity : nowMs - entry.advancedAtMs;
   }
 
+  /**
+   * Number of reports that a daemon has made since the known one, as far as digests show; 0 if no report is known. A
+   * daemon makes one for each round of gossip, and more for changes.
+   */
+  reportLag(address: string): number {
+    const entry = this.entries.get(address);
+    return entry === undefined ? 0 : entry.sequence - entry.report.sequence;
+  }
+
   /** Addresses of all other daemons from which a report was received or whose address was added. */
   get knownAddresses(): string[] {
     return [...this.entries.keys(), ...this.unreportedAddresses];
--- a/packages/router/src/attempts/request_admission.ts
+++ b/packages/router/src/attempts/request_admission.ts
@@ -27,8 +27,8 @@
 } from "./routed_request.ts";
 
 /**
- * Assumed age of the waits in a report on arrival, in milliseconds: daemons report every 500 ms, and many receive a
- * report only with the round after it.
+ * Assumed age of the waits in a report on arrival, in milliseconds, for each report that its daemon has made since:
+ * daemons report every 500 ms. In a large fleet, most reports arrive seconds after they were made.
  */
 const REPORT_AGE_MS = 500;
 /** Minimum interval between log lines on the refusals of one service, in milliseconds. */
@@ -100,12 +100,13 @@
       return;
     }
     this.admission.recordContact(nowMs);
+    const { view } = this.context;
     reports.forEach((report) => {
       const { address, rankWaitsMs, lateRankWaitsMs } = report;
       this.admission.recordStatus(address, toStatus(report));
       this.admission.recordWaits(address, {
         waits: toRankWaits(rankWaitsMs, lateRankWaitsMs),
-        measuredAtMs: nowMs - REPORT_AGE_MS,
+        measuredAtMs: nowMs - REPORT_AGE_MS * (1 + view.reportLag(address)),
       });
     });
     this.forgetLost(nowMs);
--- a/packages/router/src/attempts/request_admission_test.ts
+++ b/packages/router/src/attempts/request_admission_test.ts
@@ -79,12 +79,14 @@
   readonly logged: EventName[] = [];
   readonly metrics = Metrics.create();
   readonly admission: RequestAdmission;
+  private readonly view: MemberView;
 
   constructor(options: FleetOptions = {}) {
     const { isEnabled = true, ownService = "desk", ownerOf } = options;
     const view = MemberView.create(
       createReport(OWN_ADDRESS, { service: ownService }),
     );
+    this.view = view;
     this.admission = RequestAdmission.create({
       logger: {
         log: (event: EventName) => void this.logged.push(event),
@@ -110,6 +112,20 @@
     );
   }
 
+  /** Receives, 0.6 s from now, a report of full queues, after digests have shown four later ones. */
+  receiveOldReport(daemon: string): void {
+    const report = createReport(daemon, {
+      sequence: 2,
+      rankWaitsMs: [...FULL.onTimeMs],
+      lateRankWaitsMs: [...FULL.lateMs],
+    });
+    const nowMs = monotonicMs() + 600;
+    const digests = MemberView.create({ ...report, sequence: 6 })
+      .chooseDigests({ nowMs, random: () => 0.5 });
+    this.view.mergeDigests(digests, nowMs);
+    this.admission.recordReports(this.view.merge([report], nowMs), nowMs);
+  }
+
   recordWaits(daemon: string, rankWaits: RankWaits): void {
     this.admission.recordLoad(daemon, { ...LOAD, rankWaits }, monotonicMs());
   }
@@ -148,6 +164,17 @@
     });
   });
 
+  describe("when a report arrives that its daemon made seconds ago", () => {
+    // Guards against refusals beside idle servers: reports are forwarded by other daemons, and a later outcome has shown
+    // that the server has room.
+    it("keeps what a later outcome has shown", () => {
+      const fleet = new TestFleet();
+      fleet.recordWaits(OTHER_ADDRESS, EMPTY);
+      fleet.receiveOldReport(OTHER_ADDRESS);
+      expect(fleet.admission.refuse(createRequest())).to.equal(undefined);
+    });
+  });
+
   describe("while one backend server has room", () => {
     it("admits a request if it is another daemon's", () => {
       const fleet = new TestFleet();
