--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -16,8 +16,8 @@
  * - The interrupt budget, after which V8 optimizes a function, is four times the default: in the first minutes of a
  *   daemon, optimization costs more CPU time than it saves.
  * - No function of WebAssembly, in which the HTTP client parses responses, is optimized: the filter names an index
- *   that none has. Otherwise V8 optimizes the parser, one function of 34 kB, during the first response. That takes 180
- *   to 240 ms of CPU time, a third of a start, and 29 MB of memory, and saves less than 0.5 microseconds a response.
+ *   that none has. Otherwise V8 optimizes the parser, one function of 34 kB, during the first response. That takes some
+ *   200 ms of CPU time, a third of a start, and 29 MB of memory, and saves less than 0.5 microseconds a response.
  */
 const V8_FLAGS = [
   "--interrupt-budget=270000",
