Don't decode ownership records that are not newer

Each record arrives several times, by broadcast, with repeats and from the store, and was decoded before its revision was compared. The new test feeds a record that can't be decoded under the known revision; before, that was logged.

--- a/packages/router/src/keys/ownership_directory.ts
+++ b/packages/router/src/keys/ownership_directory.ts
@@ -115,6 +115,11 @@
     stored: { value: string; revision: number; era?: number },
   ): void {
     const service = key.slice(OWNERSHIP_PREFIX.length);
+    const known = this.records.get(service);
+    if (known !== undefined && stored.revision <= known.revision) {
+      // Most records arrive several times, and decoding one takes longer than all else that is done with it.
+      return;
+    }
     OwnershipRecord.decode(stored.value, stored.revision).match(
       (record) => {
         if (stored.era === undefined || stored.era === record.era) {
