--- a/packages/admission/src/elapsed_wait_estimator.ts
+++ b/packages/admission/src/elapsed_wait_estimator.ts
@@ -12,8 +12,8 @@
 /** How deadlines are compared. */
 export interface DeadlineComparison {
   /**
-   * Deadlines that differ by less count as the same, in milliseconds. At the daemon beside a backend server they vary by
-   * the time that requests have taken to reach it.
+   * Deadlines that differ by less count as the same, in milliseconds. At the daemon beside a backend server they vary
+   * by the time that requests have taken to reach it.
    */
   readonly resolutionMs: number;
   /** Whether a route's typical deadline is also updated while few of its requests are known, as after a start. */
--- a/packages/admission/src/late_request_queue.ts
+++ b/packages/admission/src/late_request_queue.ts
@@ -202,8 +202,8 @@
 }
 
 /**
- * Orders by rank, then those of returning callers before others, then by the latest start with which the deadline can still be
- * met.
+ * Orders by rank, then those of returning callers before others, then by the latest start with which the deadline can
+ * still be met.
  */
 function compareUrgency(left: WorkRequest, right: WorkRequest): number {
   return left.rank - right.rank ||
--- a/packages/admission/src/server_load_estimator.ts
+++ b/packages/admission/src/server_load_estimator.ts
@@ -109,7 +109,7 @@
     for (let step = 0; step < NEWTON_STEPS; step += 1) {
       const factor = 1 + excess * Math.exp(-decay * durationMs);
       const doneMs = durationMs + Math.log(factor / (1 + excess)) / decay;
-      // A server that has become ten times as fast would otherwise lead to negative times, for which there is no logarithm.
+      // A server that has become ten times as fast would otherwise lead to negative times, which have no logarithm.
       durationMs = Math.max(0, durationMs - (doneMs - workMs) * factor);
     }
     return durationMs;
--- a/packages/admission/src/slot_forecast.ts
+++ b/packages/admission/src/slot_forecast.ts
@@ -61,8 +61,9 @@
 
 /**
  * The request, with its estimate at the current speed of the server: as the server states it, and scaled by how far the
- * running requests exceed their estimates. Estimates come from requests that have ended. When a server has just become slow, for example after a restart, none has ended yet, and without
- * this the queue would admit many more requests than the server can finish before their deadlines.
+ * running requests exceed their estimates. Estimates come from requests that have ended. When a server has just become
+ * slow, for example after a restart, none has ended yet, and without this the queue would admit many more requests than
+ * the server can finish before their deadlines.
  */
 export function scaledBySlowdown(
   request: WorkRequest,
--- a/packages/membership/src/gossip_targets.ts
+++ b/packages/membership/src/gossip_targets.ts
@@ -16,9 +16,9 @@
 /** Recipients per round while no other daemon is known to be alive. */
 const BOOTSTRAP_FANOUT = 3;
 /**
- * Datagrams per round with reports of other daemons that leave a zone. Membership needs the digests, which each datagram
- * carries, and the sender's own report; the loads of other zones may be a few seconds older. At 88 daemons in four zones,
- * 3 save 43 % of the bytes of gossip between zones, and less saves no more, since digests are the rest.
+ * Datagrams per round with reports of other daemons that leave a zone. Membership needs the digests, which each
+ * datagram carries, and the sender's own report; the loads of other zones may be a few seconds older. At 88 daemons in
+ * four zones, 3 save 43 % of the bytes of gossip between zones, and less saves no more, since digests are the rest.
  */
 const REPORT_DATAGRAMS_PER_ZONE = 3;
 /** Probability that gossip is also sent to a daemon that is unresponsive or from which no report was received. */
--- a/packages/placement/src/choose_backend.ts
+++ b/packages/placement/src/choose_backend.ts
@@ -16,8 +16,8 @@
   /** Wait for a slot at the time of the report, in milliseconds. */
   readonly waitMs: number;
   /**
-   * Recent offered work relative to the capacity (half-life 1 s), or the used share of a cold server's rate limit if that is higher; 1
-   * is saturated.
+   * Recent offered work relative to the capacity (half-life 1 s), or the used share of a cold server's rate limit if
+   * that is higher; 1 is saturated.
    */
   readonly utilization: number;
   /** Typical service time of this route there, in milliseconds; 0 if unknown. */
@@ -132,8 +132,8 @@
 }
 
 /**
- * The same, with a wait that has not grown faster since the report than a queue grows. The typical wait of a server that
- * is used to capacity is that of minutes, and no queue reaches it within the age of a report.
+ * The same, with a wait that has not grown faster since the report than a queue grows. The typical wait of a server
+ * that is used to capacity is that of minutes, and no queue reaches it within the age of a report.
  */
 export function boundedLatencyMs(candidate: PlacementCandidate): number {
   const { waitMs, reportAgeMs, utilization } = candidate;
--- a/packages/placement/src/zone_share_tracker.ts
+++ b/packages/placement/src/zone_share_tracker.ts
@@ -1,6 +1,6 @@
 /**
- * Follows the work that one daemon places for one service, and computes from it and from the servers' reports which share
- * of each route's requests should leave the zone.
+ * Follows the work that one daemon places for one service, and computes from it and from the servers' reports which
+ * share of each route's requests should leave the zone.
  *
  * @module
  */
@@ -34,8 +34,8 @@
 /** Interval at which the shares are computed, in milliseconds; reports are older than this. */
 const UPDATE_INTERVAL_MS = 250;
 /**
- * Half-life of the placed work, in milliseconds. A daemon places a few requests of a service in a second, so a shorter one
- * would follow chance, and a longer one would lag behind waves of 17 s.
+ * Half-life of the placed work, in milliseconds. A daemon places a few requests of a service in a second, so a shorter
+ * one would follow chance, and a longer one would lag behind waves of 17 s.
  */
 const HALF_LIFE_MS = 2_000;
 
--- a/packages/placement/src/zone_shares.ts
+++ b/packages/placement/src/zone_shares.ts
@@ -1,9 +1,9 @@
 /**
  * Computes which share of a zone's work goes to each other zone.
  *
- * Designed for waves of load that reach the zones one after the other: what a zone sends out follows from its work and its
- * capacity, before its own queues have grown. It sends out no more than other zones have room for, and nothing if all are
- * full: the bytes would be paid for, and the work would wait there as long.
+ * Designed for waves of load that reach the zones one after the other: what a zone sends out follows from its work and
+ * its capacity, before its own queues have grown. It sends out no more than other zones have room for, and nothing if
+ * all are full: the bytes would be paid for, and the work would wait there as long.
  *
  * @module
  */
