--- a/packages/admission/src/testing/admission_simulation.ts
+++ b/packages/admission/src/testing/admission_simulation.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import { EventQueue } from "@bamboolink/simulation";
 import { DecayingSum } from "../decaying_sum.ts";
 import { type QueueChanges, WorkQueue } from "../work_queue.ts";
 import {
@@ -18,7 +19,6 @@
   type SimulatedArrival,
   type SimulatedReport,
 } from "./admission_model.ts";
-import { EventQueue } from "./event_queue.ts";
 
 /** One-way delay between two daemons, in milliseconds. */
 const HOP_MS = 1;
@@ -129,7 +129,7 @@
     const perMs = kind.perSecond * loadAt(nowMs) / 1_000;
     const nextMs = nowMs - Math.log(1 - random()) / perMs;
     if (nextMs < durationMs) {
-      this.events.add(nextMs, () => {
+      this.events.at(nextMs, () => {
         this.arrive(kind, nextMs);
         this.scheduleArrival(kind, nextMs);
       });
@@ -140,9 +140,9 @@
     if (atMs > this.scenario.durationMs) {
       return;
     }
-    this.events.add(atMs, () => {
+    this.events.at(atMs, () => {
       const report = this.describe(index, atMs);
-      this.events.add(
+      this.events.at(
         atMs + REPORT_DELAY_MS,
         () => this.rules.forEach((_, daemon) => this.deliver(daemon, report)),
       );
@@ -155,7 +155,7 @@
     if (atMs > this.scenario.durationMs && queue.waitingCount === 0) {
       return;
     }
-    this.events.add(atMs, () => {
+    this.events.at(atMs, () => {
       this.applyChanges(index, queue.advance(atMs), atMs);
       this.scheduleAdvance(index, atMs + ADVANCE_INTERVAL_MS);
     });
@@ -228,12 +228,12 @@
     const { daemon } = request;
     const index = request.owner ?? this.choose(request, at.tried);
     this.placement[daemon]![index]!.sentSince += 1;
-    this.events.add(
+    this.events.at(
       nowMs + HOP_MS,
       (arrivedAtMs) =>
         this.offer(index, request, arrivedAtMs, (waitMs, endedAtMs) => {
           const report = this.describe(index, endedAtMs);
-          this.events.add(endedAtMs + HOP_MS, (returnedAtMs) => {
+          this.events.at(endedAtMs + HOP_MS, (returnedAtMs) => {
             this.deliver(daemon, report);
             if (waitMs !== undefined) {
               const tried = new Set([...at.tried, index]);
@@ -290,7 +290,7 @@
       remainingMs - waitMs > kind.workMs * MIN_RETRY_SHARE
     ) {
       this.figures.retries += 1;
-      this.events.add(nowMs + waitMs, (atMs) => this.send(request, atMs));
+      this.events.at(nowMs + waitMs, (atMs) => this.send(request, atMs));
     }
   }
 
@@ -341,7 +341,7 @@
     }, nowMs);
     const start = (startedAtMs: number) => {
       const endsAtMs = startedAtMs + estimateMs * request.workFactor;
-      this.events.add(endsAtMs, () => {
+      this.events.at(endsAtMs, () => {
         this.recordServed(request, { startedAtMs, endsAtMs });
         onEnd(undefined, endsAtMs);
         this.applyChanges(index, server.queue.finish(id, endsAtMs), endsAtMs);
--- a/packages/admission/src/testing/full_knowledge.ts
+++ b/packages/admission/src/testing/full_knowledge.ts
@@ -5,12 +5,12 @@
  *
  * @module
  */
+import { EventQueue } from "@bamboolink/simulation";
 import {
   type AdmissionScenario,
   drawWorkFactor,
   type RequestKind,
 } from "./admission_model.ts";
-import { EventQueue } from "./event_queue.ts";
 
 interface KnownRequest {
   readonly kind: RequestKind;
@@ -50,7 +50,7 @@
     running[server]! += 1;
     counts.served += 1;
     counts.onTime += isOnTime(request, server, nowMs) ? 1 : 0;
-    events.add(endOf(request, server, nowMs), (endedAtMs) => {
+    events.at(endOf(request, server, nowMs), (endedAtMs) => {
       running[server]! -= 1;
       startNext(server, endedAtMs);
     });
@@ -99,7 +99,7 @@
     const perMs = kind.perSecond * loadAt(nowMs) / 1_000;
     const nextMs = nowMs - Math.log(1 - random()) / perMs;
     if (nextMs < durationMs) {
-      events.add(nextMs, () => {
+      events.at(nextMs, () => {
         arrive(kind, nextMs);
         schedule(kind, nextMs);
       });
--- a/packages/keyspace/src/testing/rebalance_simulation.ts
+++ b/packages/keyspace/src/testing/rebalance_simulation.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import { EventQueue } from "@bamboolink/simulation";
 import {
   intersect,
   KEY_COUNT,
@@ -20,7 +21,6 @@
   sizeOf,
   WriteBackoff,
 } from "../mod.ts";
-import { EventQueue } from "./event_queue.ts";
 import {
   type SimulatedOutcome,
   type SimulatedRequest,
--- a/packages/keyspace/src/testing/simulated_server.ts
+++ b/packages/keyspace/src/testing/simulated_server.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { EventQueue } from "./event_queue.ts";
+import type { EventQueue } from "@bamboolink/simulation";
 
 /** Weight of the latest request in the average service time, as in the product. */
 const SERVICE_TIME_EWMA_WEIGHT = 0.1;
--- a/packages/placement/src/testing/zone_simulation.ts
+++ b/packages/placement/src/testing/zone_simulation.ts
@@ -7,8 +7,8 @@
  *
  * @module
  */
+import { EventQueue } from "@bamboolink/simulation";
 import type { PlacementCandidate } from "../choose_backend.ts";
-import { EventQueue } from "./event_queue.ts";
 import { SimulatedDaemon } from "./simulated_daemon.ts";
 import { SimulatedServer } from "./simulated_server.ts";
 
@@ -149,7 +149,7 @@
     this.zones.forEach((_, zone) => this.scheduleArrival(zone));
     this.scheduleReports();
     let busyAtStartMs: number[] = [];
-    this.events.schedule(WARM_UP_MS, () => {
+    this.events.after(WARM_UP_MS, () => {
       busyAtStartMs = this.servers.map(({ busyMs }) => busyMs);
     });
     this.events.runAll();
@@ -174,7 +174,7 @@
     const { arrivalRandom, durationMs } = this.scenario;
     const delayMs = -Math.log(1 - arrivalRandom()) / this.arrivalsPerMs(zone);
     if (this.nowMs + delayMs < durationMs) {
-      this.events.schedule(delayMs, () => {
+      this.events.after(delayMs, () => {
         this.handleArrival(zone);
         this.scheduleArrival(zone);
       });
@@ -249,7 +249,7 @@
       ? OTHER_ZONE_MS
       : SAME_ZONE_MS;
     daemon.recordSent(chosen);
-    this.events.schedule(delayMs, () => {
+    this.events.after(delayMs, () => {
       const { kind, workMs, deadlineAtMs } = request;
       const endsAtMs = this.servers[chosen]!.offer({
         workMs,
@@ -258,7 +258,7 @@
       }, this.nowMs);
       const isRefused = endsAtMs === undefined;
       const runMs = (endsAtMs ?? this.nowMs) - this.nowMs;
-      this.events.schedule(runMs + delayMs, () => {
+      this.events.after(runMs + delayMs, () => {
         daemon.recordLoad(chosen, this.nowMs);
         if (isRefused) {
           this.attempt(request, daemon, [...tried, chosen]);
@@ -309,7 +309,7 @@
       return;
     }
     const reports = this.servers.map((server) => server.report(this.nowMs));
-    this.events.schedule(REPORT_INTERVAL_MS, () => {
+    this.events.after(REPORT_INTERVAL_MS, () => {
       if (hasReports(this.nowMs)) {
         this.daemons.forEach((daemon) =>
           reports.forEach((report, server) => {
--- /dev/null
+++ b/packages/simulation/src/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Simulated time for replays in tests.
+ *
+ * @module
+ */
+export { EventQueue } from "./event_queue.ts";
