--- a/packages/router/src/attempts/request_admission_test.ts
+++ b/packages/router/src/attempts/request_admission_test.ts
@@ -9,6 +9,7 @@
 import { type MemberReport, MemberView } from "@bamboolink/membership";
 import { Metrics } from "@bamboolink/metrics";
 import { monotonicMs } from "../clock.ts";
+import { createMemberReport } from "../testing/sample_member_report.ts";
 import {
   type AdmissibleRequest,
   RequestAdmission,
@@ -26,28 +27,7 @@
   address: string,
   changes: Partial<MemberReport> = {},
 ): MemberReport {
-  return {
-    address,
-    incarnation: 1,
-    sequence: 1,
-    availabilityZone: "a",
-    peerAddress: address,
-    service: "rooms",
-    phase: "ready",
-    slots: 6,
-    waitMs: 0,
-    serviceMs: 100,
-    utilization: 1.2,
-    failureShare: 0,
-    configurationVersion: 1,
-    ownershipRevision: 1,
-    reachesStore: true,
-    capacity: 6,
-    statedStatus: null,
-    rankWaitsMs: [],
-    lateRankWaitsMs: [],
-    ...changes,
-  };
+  return createMemberReport(address, { utilization: 1.2, ...changes });
 }
 
 function createRequest(
--- a/packages/router/src/attempts/request_runner_test.ts
+++ b/packages/router/src/attempts/request_runner_test.ts
@@ -6,11 +6,12 @@
 import { expect } from "chai";
 import { FleetRetryBudget } from "@bamboolink/admission";
 import type { Logger } from "@bamboolink/logger";
-import { type MemberReport, MemberView } from "@bamboolink/membership";
+import { MemberView } from "@bamboolink/membership";
 import type { LocalBackend } from "../backend/local_backend.ts";
 import type { RequestQuarantine } from "../backend/request_quarantine.ts";
 import { monotonicMs } from "../clock.ts";
 import type { OwnershipDirectory } from "../keys/ownership_directory.ts";
+import { createMemberReport } from "../testing/sample_member_report.ts";
 import { SAMPLE_REQUEST } from "../testing/sample_request.ts";
 import type { FinalOutcome } from "./attempt_history.ts";
 import { BackendLoadTracker } from "./backend_load_tracker.ts";
@@ -30,38 +31,14 @@
 };
 const REJECTED = notRun("not_executed", { hasArrived: true });
 
-function createReport(address: string): MemberReport {
-  return {
-    address,
-    incarnation: 1,
-    sequence: 1,
-    availabilityZone: "a",
-    peerAddress: address,
-    service: "rooms",
-    phase: "ready",
-    slots: 6,
-    waitMs: 0,
-    serviceMs: 100,
-    utilization: 0.5,
-    failureShare: 0,
-    configurationVersion: 1,
-    ownershipRevision: 1,
-    reachesStore: true,
-    capacity: 6,
-    statedStatus: null,
-    rankWaitsMs: [],
-    lateRankWaitsMs: [],
-  };
-}
-
 /** Runs one request for a key whose owner returns the outcomes in turn; returns what was sent and the result. */
 async function runAtOwner(
   outcomes: readonly Outcome[],
   settings: { resendRatio: number; refusal?: FinalOutcome },
 ) {
   const { refusal } = settings;
-  const view = MemberView.create(createReport(OWN_ADDRESS));
-  view.merge([createReport(OWNER_ADDRESS)], monotonicMs());
+  const view = MemberView.create(createMemberReport(OWN_ADDRESS));
+  view.merge([createMemberReport(OWNER_ADDRESS)], monotonicMs());
   const sentTo: string[] = [];
   let ownerLookups = 0;
   const runner = RequestRunner.create({
--- a/packages/router/src/attempts/zone_placement_test.ts
+++ b/packages/router/src/attempts/zone_placement_test.ts
@@ -7,6 +7,7 @@
 import { expect } from "chai";
 import { type MemberReport, MemberView } from "@bamboolink/membership";
 import { monotonicMs } from "../clock.ts";
+import { createMemberReport } from "../testing/sample_member_report.ts";
 import { SAMPLE_REQUEST } from "../testing/sample_request.ts";
 import { BackendLoadTracker } from "./backend_load_tracker.ts";
 import type { RoutedRequest } from "./routed_request.ts";
@@ -17,28 +18,12 @@
 const SERVICE_MS = 100;
 const OBJECTIVE_MS = 800;
 
-function createReport(address: string, zone: string): MemberReport {
-  return {
-    address,
-    incarnation: 1,
-    sequence: 1,
-    availabilityZone: zone,
-    peerAddress: address,
+function createReport(address: string, availabilityZone: string): MemberReport {
+  return createMemberReport(address, {
+    availabilityZone,
     service: SERVICE,
-    phase: "ready",
-    slots: 6,
-    waitMs: 0,
     serviceMs: SERVICE_MS,
-    utilization: 0.5,
-    failureShare: 0,
-    configurationVersion: 1,
-    ownershipRevision: 1,
-    reachesStore: true,
-    capacity: 6,
-    statedStatus: null,
-    rankWaitsMs: [],
-    lateRankWaitsMs: [],
-  };
+  });
 }
 
 /** Two servers in the zone of the daemon, one of which runs beside it, and two in another zone. */
--- a/packages/router/src/configuration/watch_poll_planner_test.ts
+++ b/packages/router/src/configuration/watch_poll_planner_test.ts
@@ -7,6 +7,7 @@
 import type { Logger } from "@bamboolink/logger";
 import { type MemberReport, MemberView } from "@bamboolink/membership";
 import { monotonicMs } from "../clock.ts";
+import { createMemberReport } from "../testing/sample_member_report.ts";
 import { type WatchPlan, WatchPollPlanner } from "./watch_poll_planner.ts";
 
 const FLEET_SIZE = 29;
@@ -14,27 +15,11 @@
 const OWN_ADDRESS = "10.0.0.100:7000";
 
 function createReport(index: number): MemberReport {
-  return {
-    address: `10.0.0.${100 + index}:7000`,
-    incarnation: 1,
-    sequence: 1,
+  const host = `10.0.0.${100 + index}`;
+  return createMemberReport(`${host}:7000`, {
     availabilityZone: index % 2 === 0 ? "a" : "b",
-    peerAddress: `10.0.0.${100 + index}:7001`,
-    service: "rooms",
-    phase: "ready",
-    slots: 6,
-    waitMs: 0,
-    serviceMs: 100,
-    utilization: 0.5,
-    failureShare: 0,
-    configurationVersion: 1,
-    ownershipRevision: 1,
-    reachesStore: true,
-    capacity: 6,
-    statedStatus: null,
-    rankWaitsMs: [],
-    lateRankWaitsMs: [],
-  };
+    peerAddress: `${host}:7001`,
+  });
 }
 
 function createOthers(fleetSize: number, sequence = 1): MemberReport[] {
--- a/packages/router/src/members/cross_zone_traffic_test.ts
+++ b/packages/router/src/members/cross_zone_traffic_test.ts
@@ -6,30 +6,11 @@
 import { expect } from "chai";
 import { type MemberReport, MemberView } from "@bamboolink/membership";
 import { Metrics } from "@bamboolink/metrics";
+import { createMemberReport } from "../testing/sample_member_report.ts";
 import { CrossZoneTraffic } from "./cross_zone_traffic.ts";
 
-function createReport(address: string, zone: string): MemberReport {
-  return {
-    address,
-    incarnation: 1,
-    sequence: 1,
-    availabilityZone: zone,
-    peerAddress: address,
-    service: "rooms",
-    phase: "ready",
-    slots: 6,
-    waitMs: 0,
-    serviceMs: 100,
-    utilization: 0.5,
-    failureShare: 0,
-    configurationVersion: 1,
-    ownershipRevision: 1,
-    reachesStore: true,
-    capacity: 6,
-    statedStatus: null,
-    rankWaitsMs: [],
-    lateRankWaitsMs: [],
-  };
+function createReport(address: string, availabilityZone: string): MemberReport {
+  return createMemberReport(address, { availabilityZone });
 }
 
 function createTraffic(): CrossZoneTraffic {
