--- a/review/common/fleet.mjs
+++ b/review/common/fleet.mjs
@@ -44,6 +44,12 @@
     writeFileSync(record, "");
     this.startedAt = Date.now();
     process.on("exit", () => this.close());
+    // Exit code 1 means that a rule was broken, so whatever goes wrong here must not end with it.
+    process.on("uncaughtException", (cause) => {
+      console.log("the case couldn't run:", cause);
+      process.exit(2);
+    });
+    process.on("SIGTERM", () => process.exit(2));
   }
 
   record = (entry) => {
--- a/review/common/store.mjs
+++ b/review/common/store.mjs
@@ -12,6 +12,13 @@
   lastLease = 0;
   servers = [];
   sockets = new Set();
+  /**
+   * Set by a case: how many milliseconds later a conditional write is executed, without an answer, if its condition
+   * still holds then; undefined for a write that is done and answered at once. Gets the local address and the body.
+   */
+  late = () => undefined;
+  /** Set by a case: called with each write that has been done. */
+  onWrite = () => undefined;
   /** Set by a case: returns "silent", "refuse" or undefined for a call; gets the local address of the socket. */
   fault = () => undefined;
 
@@ -77,6 +84,24 @@
       res.writeHead(503, { "content-length": 0 }).end();
       return;
     }
+    const lateMs = req.method === "POST" && req.url === "/-/kv-txn"
+      ? this.late(
+        req.socket.localAddress,
+        JSON.parse(Buffer.concat(chunks).toString()),
+      )
+      : undefined;
+    if (lateMs !== undefined) {
+      setTimeout(
+        () =>
+          void this.#handle(
+            "POST",
+            new URL(req.url, "http://store"),
+            Buffer.concat(chunks).toString(),
+          ),
+        lateMs,
+      );
+      return;
+    }
     await new Promise((resolve) => setTimeout(resolve, 4));
     const url = new URL(req.url, "http://store");
     const body = Buffer.concat(chunks).toString();
@@ -150,6 +175,7 @@
         this.#put({ key, value, lease })
       );
       deletes.forEach((key) => this.#delete(key));
+      this.onWrite(puts);
       this.#wake();
       return [200, { revision: this.revision }];
     }
