--- a/review/common/store.mjs
+++ b/review/common/store.mjs
@@ -17,6 +17,8 @@
    * still holds then; undefined for a write that is done and answered at once. Gets the local address and the body.
    */
   late = () => undefined;
+  /** Set by a case: called with the status of a late write: 200, or 412 where its condition no longer held. */
+  onLate = () => undefined;
   /** Set by a case: called with each write that has been done. */
   onWrite = () => undefined;
   /** Set by a case: returns "silent", "refuse" or undefined for a call; gets the local address of the socket. */
@@ -97,7 +99,7 @@
             "POST",
             new URL(req.url, "http://store"),
             Buffer.concat(chunks).toString(),
-          ),
+          ).then(([status]) => this.onLate(status)),
         lateMs,
       );
       return;
