Treat a response whose connection was reset behind its data as lost

Callers got a success with a part of a body: a backend server sent a response without a length and reset the connection in the middle of it.

Cause: when a reset arrives together with data, libuv reads the data and then reports the end of the connection (POLLHUP after a partial read), so Node.js emits 'end' and never 'error'.

Change: at the end of a connection its pending error (SO_ERROR) is read.

--- a/packages/router/src/backend/exchange.ts
+++ b/packages/router/src/backend/exchange.ts
@@ -6,6 +6,7 @@
 import { BamboolinkError } from "@bamboolink/errors";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { Cancellation } from "../attempts/cancellation.ts";
+import { hasUnreportedError } from "./connection_probes.ts";
 
 /** How long connecting may take, in milliseconds. All peers are a few milliseconds away. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -310,7 +311,7 @@
       state.carriedIds.clear();
       state.carriedIdLength = 0;
       socket.on("end", () => {
-        state.current = "ended";
+        state.current = hasUnreportedError(socket) ? "reset" : "ended";
       });
       socket.on("error", () => {
         state.current = "reset";
--- a/packages/router/src/backend/exchange_test.ts
+++ b/packages/router/src/backend/exchange_test.ts
@@ -58,6 +58,23 @@
     });
   });
 
+  describe("when a response without a length is followed by a reset at once", () => {
+    // Guards against a success with a truncated body: Node.js reports a reset that arrives together with data as the
+    // regular end of the connection.
+    it("treats it as lost", async () => {
+      const results = await Promise.all(
+        Array.from({ length: 10 }, () =>
+          exchangeWith((socket) =>
+            socket.write(
+              `${STATUS_LINE}connection: close\r\n\r\npart`,
+              () => socket.resetAndDestroy(),
+            )
+          )),
+      );
+      results.forEach(({ kind }) => expect(kind).to.equal("lost"));
+    });
+  });
+
   describe("when a response is chunked", () => {
     it("treats it as lost when the connection is closed before the last chunk", async () => {
       const result = await exchangeWith((socket) =>
