Send responses without a length to callers with one

Cause: the daemon beside the server reads the whole response, but the length was withheld from callers, as a crashed server's connection ends like that of a complete response. From then on any end of the daemon ended the response.

Change: who knows whether the response is whole is the daemon beside the server. When a response is delimited by the end of its connection, the daemon opens the next connection. The system closes the listener of a process that ended before its connections, so a refused connection means that the server ended in the middle: the response is lost. Otherwise it is complete and travels with its length. The connection is kept for the next request, as the former one is gone.

Kept for daemons of earlier versions only: their responses that may be incomplete are delimited by the end of the connection, and requests behind them are not run.

The former guard holds for responses of earlier daemons, as a test of the ingress.

--- a/packages/router/src/attempts/attempt_history_test.ts
+++ b/packages/router/src/attempts/attempt_history_test.ts
@@ -12,7 +12,7 @@
   status: 500,
   headers: {},
   body: Buffer.from("failed"),
-  isFramed: true,
+  isComplete: true,
 };
 
 function endAfter(...outcomes: readonly Outcome[]) {
--- a/packages/router/src/attempts/request_runner_test.ts
+++ b/packages/router/src/attempts/request_runner_test.ts
@@ -27,7 +27,7 @@
   status: 200,
   headers: {},
   body: Buffer.from("{}"),
-  isFramed: true,
+  isComplete: true,
 };
 const REJECTED = notRun("not_executed", { hasArrived: true });
 
--- a/packages/router/src/attempts/routed_request.ts
+++ b/packages/router/src/attempts/routed_request.ts
@@ -92,8 +92,11 @@
     /** Headers to forward to the caller. */
     readonly headers: ResponseHeaders;
     readonly body: Buffer;
-    /** Whether the response's framing marks its end (a length or chunks), not just the end of the connection. */
-    readonly isFramed: boolean;
+    /**
+     * Whether the body is known to be complete. Daemons of earlier versions report false for responses that are
+     * delimited by the end of their connection.
+     */
+    readonly isComplete: boolean;
   }
   | {
     readonly kind: "not_run";
--- a/packages/router/src/backend/connection_pool.ts
+++ b/packages/router/src/backend/connection_pool.ts
@@ -12,6 +12,7 @@
 export class ConnectionPool {
   private idle: Connection[] = [];
   private readonly busy = new Set<Connection>();
+  private isDestroyed = false;
 
   private constructor(private readonly peer: string) {}
 
@@ -51,6 +52,26 @@
     this.idle.push(connection);
   }
 
+  /**
+   * Opens a connection for later requests.
+   *
+   * @returns whether the peer accepted it; `refused` if no process listens there.
+   */
+  async openIdle(
+    nowMs: () => number,
+  ): Promise<"opened" | "refused" | "unavailable"> {
+    const connection = await Connection.open(this.peer, nowMs);
+    if (typeof connection === "string") {
+      return connection;
+    }
+    if (this.isDestroyed) {
+      void connection.destroy();
+    } else {
+      this.idle.push(connection);
+    }
+    return "opened";
+  }
+
   /** Closes a connection whose state is unknown, such as after a failed exchange. */
   discard(connection: Connection): void {
     this.busy.delete(connection);
@@ -74,6 +95,7 @@
 
   /** Closes all connections. */
   async destroy(): Promise<void> {
+    this.isDestroyed = true;
     const all = [...this.idle, ...this.busy];
     await Promise.all(all.map((connection) => connection.destroy()));
   }
--- a/packages/router/src/backend/exchange.ts
+++ b/packages/router/src/backend/exchange.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { connect, type Socket } from "node:net";
 import { BamboolinkError } from "@bamboolink/errors";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { Cancellation } from "../attempts/cancellation.ts";
@@ -10,6 +11,8 @@
 
 /** How long connecting may take, in milliseconds. All peers are a few milliseconds away. */
 const CONNECT_TIMEOUT_MS = 400;
+/** Port of a peer whose address names none. */
+const DEFAULT_PORT = 80;
 /** Statuses below this are informational (1xx): the final response is still to follow. */
 const MIN_FINAL_STATUS = 200;
 /**
@@ -44,11 +47,10 @@
     readonly headers: ResponseHeaders;
     readonly body: Buffer;
     /**
-     * Whether the response has its own framing (a length or chunks). One that is delimited by the end of its connection
-     * may have been truncated undetectably, so it must be forwarded in the same way and not as one that is known to be
-     * complete.
+     * Whether the end of the connection marked the end of the body, because it has neither a length nor chunks. The
+     * connection of a process that has ended looks the same, so such a body may be truncated.
      */
-    readonly isFramed: boolean;
+    readonly isDelimitedByClose: boolean;
   }
   /** No byte of it was sent. `isRefused`: the host is reachable, but no process listens on the port. */
   | {
@@ -68,6 +70,8 @@
 
 /** The state of a client's current connection. */
 interface ConnectionState {
+  /** A socket that was opened before the first request and has not carried one yet. */
+  opened: Socket | undefined;
   /** Whether it is open, and otherwise how it was closed. */
   current: "open" | "ended" | "reset";
   /** The ids of the requests that were sent on it. */
@@ -95,7 +99,31 @@
 
   /** Creates a connection that is opened by its first request. */
   static create(peer: string): Connection {
+    return Connection.createWithSocket(peer);
+  }
+
+  /**
+   * Opens a connection ahead of its first request.
+   *
+   * @returns the connection; `refused` if no process listens on the port; `unavailable` if it could not be opened in time
+   *   for another reason.
+   */
+  static async open(
+    peer: string,
+    nowMs: () => number,
+  ): Promise<Connection | "refused" | "unavailable"> {
+    const socket = await openSocket(peer);
+    if (typeof socket === "string") {
+      return socket;
+    }
+    const connection = Connection.createWithSocket(peer, socket);
+    connection.lastExchangeAtMs = nowMs();
+    return connection;
+  }
+
+  private static createWithSocket(peer: string, opened?: Socket): Connection {
     const state: ConnectionState = {
+      opened,
       current: "open",
       carriedIds: new Set(),
       carriedIdLength: 0,
@@ -110,7 +138,7 @@
     return new Connection(client, peer, state);
   }
 
-  /** When the last exchange ended, on the clock of its `nowMs` option. */
+  /** When it was opened ahead of its first request, or the last exchange ended, on the clock of `nowMs`. */
   get lastUsedAtMs(): number {
     return this.lastExchangeAtMs;
   }
@@ -159,6 +187,7 @@
 
   /** Closes the connection at once. */
   destroy(): Promise<void> {
+    this.state.opened?.destroy();
     return this.client.destroy();
   }
 
@@ -238,8 +267,8 @@
     const body = this.chunks.length === 1
       ? this.chunks[0]!
       : Buffer.concat(this.chunks);
-    const isFramed = this.connection.state.current === "open";
-    this.finish({ kind: "answer", status, headers, body, isFramed });
+    const isDelimitedByClose = this.connection.state.current !== "open";
+    this.finish({ kind: "answer", status, headers, body, isDelimitedByClose });
   }
 
   onResponseError(_controller: Controller, cause: Error): void {
@@ -301,23 +330,74 @@
   state: ConnectionState,
 ): buildConnector.connector {
   const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-  return (options, callback) =>
+  return (options, callback) => {
+    const { opened } = state;
+    state.opened = undefined;
+    if (opened !== undefined && isIdle(opened)) {
+      trackState(opened, state);
+      // The client does not expect to be called back synchronously.
+      process.nextTick(() => callback(null, opened));
+      return;
+    }
+    opened?.destroy();
     connect(options, (...[error, socket]) => {
       if (error !== null || !socket) {
         callback(error ?? new Error("no socket was created"), null);
         return;
       }
-      state.current = "open";
-      state.carriedIds.clear();
-      state.carriedIdLength = 0;
-      socket.on("end", () => {
-        state.current = hasUnreportedError(socket) ? "reset" : "ended";
-      });
-      socket.on("error", () => {
-        state.current = "reset";
-      });
+      trackState(socket, state);
       callback(null, socket);
     });
+  };
+}
+
+function trackState(socket: Socket, state: ConnectionState): void {
+  state.current = "open";
+  state.carriedIds.clear();
+  state.carriedIdLength = 0;
+  socket.on("end", () => {
+    state.current = hasUnreportedError(socket) ? "reset" : "ended";
+  });
+  socket.on("error", () => {
+    state.current = "reset";
+  });
+}
+
+/** Whether a socket is open and has received nothing. */
+function isIdle(socket: Socket): boolean {
+  return !socket.destroyed && !socket.readableEnded && socket.bytesRead === 0;
+}
+
+function openSocket(
+  peer: string,
+): Promise<Socket | "refused" | "unavailable"> {
+  const { hostname, port } = new URL(`http://${peer}`);
+  return new Promise((resolve) => {
+    const socket = connect({
+      host: hostname.replace(/^\[|\]$/g, ""),
+      port: Number(port || DEFAULT_PORT),
+      noDelay: true,
+    });
+    const timer = setTimeout(() => {
+      // A result that arrived while the process was stalled is read before the timeout takes effect.
+      setImmediate(() => {
+        resolve("unavailable");
+        socket.destroy();
+      });
+    }, CONNECT_TIMEOUT_MS);
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      resolve(socket);
+    });
+    socket.on("error", (cause) => {
+      clearTimeout(timer);
+      resolve(
+        errorCodeOf(cause) === "ECONNREFUSED" ? "refused" : "unavailable",
+      );
+    });
+    // Without a reader the end of the connection would go unnoticed.
+    socket.once("readable", () => socket.read(0));
+  });
 }
 
 function errorCodeOf(cause: unknown): string | undefined {
--- a/packages/router/src/backend/exchange_test.ts
+++ b/packages/router/src/backend/exchange_test.ts
@@ -44,7 +44,9 @@
       expect(result.kind === "answer" && result.body.toString()).to.equal(
         "whole",
       );
-      expect(result.kind === "answer" && result.isFramed).to.equal(false);
+      expect(result.kind === "answer" && result.isDelimitedByClose).to.equal(
+        true,
+      );
     });
 
     // Guards against a success with a truncated body: the backend server writes part of a response without a length and
--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -12,6 +12,7 @@
   type ServiceEstimate,
   ServiceTimes,
 } from "@bamboolink/admission";
+import { BamboolinkError } from "@bamboolink/errors";
 import {
   type GrantTracker,
   type Incarnation,
@@ -498,9 +499,11 @@
         : NON_IDEMPOTENT_MAX_IDLE_MS,
       requestId: request.id,
     });
-    const result = await connection.exchange(
-      this.toExchangeRequest(request, startedAtMs),
-      { cancellation: slot.cancellation, nowMs: monotonicMs },
+    const result = await this.confirmComplete(
+      await connection.exchange(
+        this.toExchangeRequest(request, startedAtMs),
+        { cancellation: slot.cancellation, nowMs: monotonicMs },
+      ),
     );
     const outcome = this.toOutcome(request, { result, connection, sent });
     // The next request is chosen by what this one has shown.
@@ -513,6 +516,31 @@
     return outcome;
   }
 
+  /**
+   * Treats a body that is delimited by the end of its connection as truncated if its server has ended.
+   *
+   * The system closes the connections of a process that has ended without a reset, and its listener, which was opened
+   * before them, first. So a server that still accepts connections has closed this one itself.
+   */
+  private async confirmComplete(
+    result: ExchangeResult,
+  ): Promise<ExchangeResult> {
+    if (result.kind !== "answer" || !result.isDelimitedByClose) {
+      return result;
+    }
+    const opened = await this.connections.openIdle(monotonicMs);
+    if (opened !== "refused") {
+      return result;
+    }
+    this.context.onSuspicion("refused");
+    const error = BamboolinkError.create(
+      "unknown_effect",
+      "the peer ended before it had ended the response",
+      { step: "confirm_complete", peer: this.context.address },
+    );
+    return { kind: "lost", error };
+  }
+
   /**
    * Repeats the checks after the wait: keys may have moved, the server may be draining, the request may be quarantined.
    */
@@ -612,7 +640,15 @@
       this.admission.setAdvertisedLimit(this.statusMonitor.limitPerSecond);
     }
     if (verdict === "answer") {
-      return { ...response, headers: selectResponseHeaders(response.headers) };
+      const { kind, body } = response;
+      const headers = selectResponseHeaders(response.headers);
+      return {
+        kind,
+        status: response.status,
+        headers,
+        body,
+        isComplete: true,
+      };
     }
     if (verdict === "wrong_instance") {
       this.context.onSuspicion("wrong_instance");
--- a/packages/router/src/ingress/ingress.ts
+++ b/packages/router/src/ingress/ingress.ts
@@ -766,9 +766,8 @@
     const length = hasNoBody
       ? backendResponse.headers["content-length"]?.toString()
       : String(backendResponse.body.length);
-    if (!backendResponse.isFramed) {
-      // The response may be truncated. It is delimited by the end of the connection here, too, so that the caller
-      // doesn't take it for complete.
+    if (!backendResponse.isComplete) {
+      // A daemon of an earlier version does not know whether the response is complete, so no length may be stated.
       const { socket } = response.req;
       this.connections.closeAfterNextResponse(socket);
       this.lastSequenceNumbers.set(
--- a/packages/router/src/ingress/ingress_test.ts
+++ b/packages/router/src/ingress/ingress_test.ts
@@ -12,15 +12,12 @@
 } from "node:timers/promises";
 import { expect } from "chai";
 import type { EventName, Logger } from "@bamboolink/logger";
-import { Metrics } from "@bamboolink/metrics";
 import { PrefixRouter } from "@bamboolink/traffic";
 import type { CallerLimits, TrafficRoute } from "@bamboolink/types";
 import type { ConfigurationChecker } from "../configuration/configuration_checker.ts";
 import type { ConfigurationManager } from "../configuration/configuration_manager.ts";
-import { Ingress } from "./ingress.ts";
-import { LoopLag } from "../loop_lag.ts";
-import type { CallerProtocol } from "../ports/caller_protocol.ts";
-import type { RequestRunner } from "../attempts/request_runner.ts";
+import type { Ingress } from "./ingress.ts";
+import { createSampleIngress, TICK_MS } from "../testing/sample_ingress.ts";
 import type { RoutedRequest } from "../attempts/routed_request.ts";
 
 /** A program that sends a request and leaves. */
@@ -30,14 +27,6 @@
   socket.end(REQUEST_TEXT, () => socket.destroy());
 `;
 
-const STATUSES: Readonly<Record<string, number>> = {
-  no_route: 404,
-  too_large: 413,
-  headers_too_large: 431,
-  malformed: 400,
-  not_run: 503,
-};
-const TICK_MS = 50;
 const LIMITS: CallerLimits = {
   headerBytes: 1_000,
   bodyBytes: 1_000,
@@ -64,6 +53,8 @@
   /** The limits of a newer configuration, which a check finds. */
   newerLimits: CallerLimits | undefined;
   isConfirmed = true;
+  /** Whether the responses of the echo are known to be complete. */
+  isResponseComplete = true;
   /** How long a check takes, in milliseconds. */
   checkMs = 0;
   /** Names of the events that were logged. */
@@ -185,43 +176,25 @@
   }
 
   private createIngress(): Ingress {
-    return Ingress.create({
-      protocol: {
-        reservedHeaders: new Set<string>(),
-        read: () => ({ id: "one", deadlineMs: 1_000, key: undefined }),
-        write: ({ kind }) => ({
-          status: STATUSES[kind] ?? 502,
+    return createSampleIngress(
+      (request) => {
+        this.ran.push(request);
+        return Promise.resolve({
+          kind: "answer",
+          status: 200,
           headers: {},
-          body: kind,
-        }),
-      } as Partial<CallerProtocol> as CallerProtocol,
-      logger: {
-        log: (event: EventName) => void this.logged.push(event),
-      } as Partial<Logger> as Logger,
-      metrics: Metrics.create(),
-      configuration: this as unknown as ConfigurationManager,
-      configurationChecker: this as unknown as ConfigurationChecker,
-      runner: {
-        run: (request: RoutedRequest) => {
-          this.ran.push(request);
-          return Promise.resolve({
-            outcome: {
-              kind: "answer",
-              status: 200,
-              headers: {},
-              body: request.body ?? Buffer.from("none"),
-              isFramed: true,
-            },
-            peer: undefined,
-            attempts: 1,
-          });
-        },
-      } as unknown as RequestRunner,
-      admission: { retryAfterMs: () => undefined },
-      lag: LoopLag.create(TICK_MS, () => 0),
-      random: () => 0.5,
-      callerService: () => "caller",
-    });
+          body: request.body ?? Buffer.from("none"),
+          isComplete: this.isResponseComplete,
+        });
+      },
+      {
+        logger: {
+          log: (event: EventName) => void this.logged.push(event),
+        } as Partial<Logger> as Logger,
+        configuration: this as unknown as ConfigurationManager,
+        configurationChecker: this as unknown as ConfigurationChecker,
+      },
+    );
   }
 }
 
@@ -288,6 +261,33 @@
     });
   });
 
+  describe("with a response that may be incomplete", () => {
+    // Guards against a truncated response that looks complete while daemons are upgraded: an earlier version forwards
+    // what it received before the connection of a crashed backend server ended.
+    it("states no length and closes the connection behind it", async () => {
+      fixture.isResponseComplete = false;
+      const text = createHead("/known/x", "Content-Length: 0\r\n");
+      const received = await fixture.exchange([{ text }], /^$/);
+      expect(received).to.match(/connection: close/i);
+      expect(received).not.to.match(/content-length|transfer-encoding/i);
+    });
+
+    // Guards against running an order twice: its head is pipelined behind the response, and its body arrives after the
+    // end of the connection. Its caller takes the order for unread and sends it again.
+    it("does not run a request behind it", async () => {
+      fixture.isResponseComplete = false;
+      const ahead = createHead("/known/ahead", "Content-Length: 0\r\n");
+      const behind = createHead("/known/behind", "Content-Length: 4\r\n");
+      await fixture.exchange([
+        { text: `${ahead}${behind}` },
+        { text: "body", after: /none$/ },
+      ], /^$/);
+      expect(fixture.ran.map(({ target }) => target)).to.deep.equal([
+        "/known/ahead",
+      ]);
+    });
+  });
+
   describe("with a request that expects 100-continue", () => {
     const expectation = "Expect: 100-continue\r\nContent-Length: 4\r\n";
 
--- a/packages/router/src/links/link_codec.ts
+++ b/packages/router/src/links/link_codec.ts
@@ -104,7 +104,7 @@
   z.string().describe("reason, empty for an answer"),
   z.number().describe("wait, in milliseconds"),
   z.boolean().describe(
-    "whether the request arrived; for an answer, whether it is framed",
+    "whether the request arrived; for an answer, whether it is complete",
   ),
   z.int().describe("status, 0 without an answer"),
   z.record(z.string(), z.union([z.string(), z.array(z.string())])),
@@ -315,9 +315,9 @@
 ): z.infer<typeof OutcomeHead> {
   switch (outcome.kind) {
     case "answer": {
-      const { status, headers, isFramed } = outcome;
+      const { status, headers, isComplete } = outcome;
       const sentHeaders = headers as Record<string, string | string[]>;
-      return ["answer", "", 0, isFramed, status, sentHeaders, load];
+      return ["answer", "", 0, isComplete, status, sentHeaders, load];
     }
     case "not_run": {
       const { reason, waitMs, hasArrived } = outcome;
@@ -373,7 +373,7 @@
   fields: z.infer<typeof OutcomeHead>,
   body: Buffer,
 ): Outcome {
-  const [kind, reason, waitMs, isFramedOrArrived, status, headers] = fields;
+  const [kind, reason, waitMs, isCompleteOrArrived, status, headers] = fields;
   switch (kind) {
     case "answer": {
       const responseHeaders: ResponseHeaders = headers;
@@ -382,7 +382,7 @@
         status,
         headers: responseHeaders,
         body,
-        isFramed: isFramedOrArrived,
+        isComplete: isCompleteOrArrived,
       };
     }
     case "not_run": {
@@ -391,7 +391,7 @@
         kind,
         reason: refusalReason,
         waitMs,
-        hasArrived: isFramedOrArrived,
+        hasArrived: isCompleteOrArrived,
       };
     }
     case "unknown":
--- a/packages/router/src/links/link_server_test.ts
+++ b/packages/router/src/links/link_server_test.ts
@@ -66,7 +66,7 @@
         status: 200,
         headers: {},
         body,
-        isFramed: true,
+        isComplete: true,
       });
       const socket = await sendWithoutReading(server);
       await sleep(500);
--- a/packages/router/src/links/link_test.ts
+++ b/packages/router/src/links/link_test.ts
@@ -72,7 +72,7 @@
       { noNullPrototype: true },
     ),
     body: fc.uint8Array().map((bytes) => Buffer.from(bytes)),
-    isFramed: fc.boolean(),
+    isComplete: fc.boolean(),
   }),
   fc.record({ waitMs: fc.nat(5_000), hasArrived: fc.boolean() })
     .map((options) => notRun("overloaded", options)),
--- a/packages/router/src/links/response_sender_test.ts
+++ b/packages/router/src/links/response_sender_test.ts
@@ -20,7 +20,7 @@
   const body = Buffer.from(
     Array.from({ length: size }, (_, index) => index % 251),
   );
-  return { kind: "answer", status: 200, headers: {}, body, isFramed: true };
+  return { kind: "answer", status: 200, headers: {}, body, isComplete: true };
 }
 
 /** Sends one outcome per request of one link, in the order of the requests; returns them in order of arrival. */
--- a/scripts/bench/steps.mjs
+++ b/scripts/bench/steps.mjs
@@ -89,7 +89,7 @@
     "x-served-by": "10.0.0.1",
   },
   body: Buffer.from(BODY),
-  isFramed: true,
+  isComplete: true,
 };
 const REFUSAL = { kind: "not_run", reason: "overloaded", waitMs: 100 };
 
