Cut off responses without end within milliseconds

Cause: one body was bounded at 64 MiB, all of them together were not, and what is no body was parsed until the request's deadline. An exchange that was only aborted made the client open another connection, which stayed open.

Change: bodies that are being received take an eighth of the memory limit together and a sixteenth each; when room is short, the one that is the farthest from its end makes room, so downloads of the usual sizes never do. Framing may take 64 KiB and an eighth of the body. At a bound the connection is closed for good; the outcome is 'foreign_answer', so an idempotent request goes elsewhere and the server counts as failing. Small pieces are copied into blocks. Responses to probes and of other daemons have bounds of their own (64 KiB, 8 MiB).

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -707,6 +707,14 @@
       "The daemon at `peer` has sent impossible waits by rank with an outcome. They are ignored; the earlier ones count until they are too old.",
     action: "Compare the versions of the two daemons.",
   },
+  response_limit_exceeded: {
+    number: 2012,
+    severity: "warn",
+    meaning:
+      "The backend server at `peer` sent more than a response may have, and the connection was closed. `bound`: `body`, one body; `memory`, all bodies that this daemon is receiving, of which this one was the farthest from its end; `framing`, bytes that are no part of a body, such as interim responses, headers and extensions of chunks. `bytes` were received, or declared as its length. The request may have run; if it is idempotent, another server is tried.",
+    action:
+      "Check the backend server. If its responses are that large by intention, raise the memory limit of the daemon.",
+  },
   service_refused: {
     number: 2011,
     severity: "info",
--- a/packages/router/src/backend/connection_pool.ts
+++ b/packages/router/src/backend/connection_pool.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Connection } from "./exchange.ts";
+import type { ResponseMemory } from "./response_memory.ts";
 
 /**
  * Reuses the most recently used connection first: surplus connections become idle long enough to be closed, and the
@@ -14,11 +15,18 @@
   private readonly busy = new Set<Connection>();
   private isDestroyed = false;
 
-  private constructor(private readonly peer: string) {}
+  private constructor(
+    private readonly peer: string,
+    private readonly memory: ResponseMemory,
+  ) {}
 
-  /** Creates an empty pool. */
-  static create(peer: string): ConnectionPool {
-    return new ConnectionPool(peer);
+  /**
+   * Creates an empty pool.
+   *
+   * @param memory bounds the bodies of responses.
+   */
+  static create(peer: string, memory: ResponseMemory): ConnectionPool {
+    return new ConnectionPool(peer, memory);
   }
 
   /**
@@ -36,7 +44,8 @@
       reuse.nowMs - connection.lastUsedAtMs <= reuse.maxIdleMs &&
       !connection.hasCarried(reuse.requestId)
     );
-    const connection = reusable ?? Connection.create(this.peer);
+    const connection = reusable ??
+      Connection.create(this.peer, this.memory);
     this.idle = this.idle.filter((idle) => idle !== connection);
     this.busy.add(connection);
     return connection;
@@ -60,7 +69,11 @@
   async openIdle(
     nowMs: () => number,
   ): Promise<"opened" | "refused" | "unavailable"> {
-    const connection = await Connection.open(this.peer, nowMs);
+    const connection = await Connection.open(
+      this.peer,
+      this.memory,
+      nowMs,
+    );
     if (typeof connection === "string") {
       return connection;
     }
--- a/packages/router/src/backend/exchange.ts
+++ b/packages/router/src/backend/exchange.ts
@@ -8,6 +8,9 @@
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { Cancellation } from "../attempts/cancellation.ts";
 import { hasUnreportedError } from "./connection_probes.ts";
+import { exceedsFramingLimit } from "./framing_limit.ts";
+import { ResponseBody } from "./response_body.ts";
+import { type ReceivedBody, ResponseMemory } from "./response_memory.ts";
 
 /** How long connecting may take, in milliseconds. All peers are a few milliseconds away. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -20,8 +23,15 @@
  * is not used for further requests.
  */
 const MAX_REMEMBERED_ID_LENGTH = 32_768;
-/** Maximum accepted response body, in bytes. Responses are buffered completely, so that none is forwarded in part. */
-const MAX_RESPONSE_BYTES = 67_108_864;
+/** Maximum size of the names and values of a response's headers, in bytes. */
+const MAX_HEADER_BYTES = 16_384;
+/**
+ * The same limit of the HTTP client, in bytes. It is never reached: the client goes on parsing after it, and creates an
+ * error for each further header.
+ */
+const CLIENT_MAX_HEADER_BYTES = 1_048_576;
+/** Statuses of responses that have no body, whatever length they state (RFC 9112, section 6.3). */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /** A request as it is sent over a connection. */
 export interface ExchangeRequest {
@@ -58,8 +68,20 @@
     readonly isRefused: boolean;
     readonly error: BamboolinkError;
   }
-  /** It was sent, and no complete response was received. */
-  | { readonly kind: "lost"; readonly error: BamboolinkError };
+  /** It was sent, and no complete response was received. `limit`: the limit that the response has exceeded. */
+  | {
+    readonly kind: "lost";
+    readonly error: BamboolinkError;
+    readonly limit?: ExceededLimit;
+  };
+
+/** A limit on what a peer may send in one response, and how much it had sent. */
+export interface ExceededLimit {
+  /** `body`: size of one body; `memory`: all bodies in flight; `framing`: bytes that are no part of the body. */
+  readonly bound: "body" | "memory" | "framing";
+  /** Bytes received for the response, or the length that it declared. */
+  readonly bytes: number;
+}
 
 /** Options of an exchange. */
 export interface ExchangeOptions {
@@ -74,6 +96,10 @@
   opened: Socket | undefined;
   /** Whether it is open, and otherwise how it was closed. */
   current: "open" | "ended" | "reset";
+  /** Called after the bytes that have arrived on it were parsed. */
+  onParsed: (socket: Socket) => void;
+  /** Bytes received on it. */
+  readBytes: () => number;
   /** The ids of the requests that were sent on it. */
   carriedIds: Set<string>;
   /** Total length of these ids, in UTF-16 code units. */
@@ -95,11 +121,19 @@
     private readonly client: Client,
     private readonly peer: string,
     private readonly state: ConnectionState,
+    private readonly memory: ResponseMemory,
   ) {}
 
-  /** Creates a connection that is opened by its first request. */
-  static create(peer: string): Connection {
-    return Connection.createWithSocket(peer);
+  /**
+   * Creates a connection that is opened by its first request.
+   *
+   * @param memory bounds the bodies of its responses, together with those of other connections.
+   */
+  static create(
+    peer: string,
+    memory: ResponseMemory = ResponseMemory.create(),
+  ): Connection {
+    return Connection.createWithSocket(peer, memory);
   }
 
   /**
@@ -110,21 +144,28 @@
    */
   static async open(
     peer: string,
+    memory: ResponseMemory,
     nowMs: () => number,
   ): Promise<Connection | "refused" | "unavailable"> {
     const socket = await openSocket(peer);
     if (typeof socket === "string") {
       return socket;
     }
-    const connection = Connection.createWithSocket(peer, socket);
+    const connection = Connection.createWithSocket(peer, memory, socket);
     connection.lastExchangeAtMs = nowMs();
     return connection;
   }
 
-  private static createWithSocket(peer: string, opened?: Socket): Connection {
+  private static createWithSocket(
+    peer: string,
+    memory: ResponseMemory,
+    opened?: Socket,
+  ): Connection {
     const state: ConnectionState = {
       opened,
       current: "open",
+      onParsed: () => undefined,
+      readBytes: () => 0,
       carriedIds: new Set(),
       carriedIdLength: 0,
     };
@@ -133,9 +174,10 @@
       connect: createTrackingConnector(state),
       headersTimeout: 0,
       bodyTimeout: 0,
-      maxResponseSize: MAX_RESPONSE_BYTES,
+      maxHeaderSize: CLIENT_MAX_HEADER_BYTES,
+      maxResponseSize: -1,
     });
-    return new Connection(client, peer, state);
+    return new Connection(client, peer, state, memory);
   }
 
   /** When it was opened ahead of its first request, or the last exchange ended, on the clock of `nowMs`. */
@@ -166,9 +208,13 @@
     return new Promise((resolve) => {
       const { peer, state } = this;
       const { cancellation, nowMs } = options;
-      const context = { peer, state, id: request.id };
+      const { id, method } = request;
+      const { memory } = this;
+      const close = () => void this.destroy();
+      const context = { peer, state, id, method, memory, close };
       const handler = ExchangeHandler.create(context, (result) => {
         cancellation.remove(cancel);
+        state.onParsed = () => undefined;
         this.lastExchangeAtMs = nowMs();
         resolve(result);
       });
@@ -209,15 +255,22 @@
   readonly peer: string;
   readonly state: ConnectionState;
   readonly id: string | undefined;
+  readonly method: string;
+  readonly memory: ResponseMemory;
+  /** Closes the connection for good. The client would open another one if only the exchange was aborted. */
+  readonly close: () => void;
 }
 
 /** Collects the response of one exchange from the callbacks of the HTTP client. */
-class ExchangeHandler {
+class ExchangeHandler implements ReceivedBody {
   private isRequestSent = false;
   private isDone = false;
   private status = 0;
   private headers: ResponseHeaders = {};
-  private readonly chunks: Buffer[] = [];
+  private readonly body = ResponseBody.create();
+  /** Bytes received on the connection before this exchange. */
+  private earlierBytes = 0;
+  declaredBytes: number | undefined;
 
   private constructor(
     private readonly connection: HandlerContext,
@@ -235,6 +288,8 @@
   onRequestStart(_controller: Controller): void {
     this.isRequestSent = true;
     const { state, id } = this.connection;
+    this.earlierBytes = state.readBytes();
+    state.onParsed = (socket) => this.checkFraming(socket);
     if (id !== undefined) {
       state.carriedIds.add(id);
       state.carriedIdLength += id.length;
@@ -246,14 +301,70 @@
     status: number,
     headers: ResponseHeaders,
   ): void {
-    if (status >= MIN_FINAL_STATUS) {
-      this.status = status;
-      this.headers = headers;
+    if (status < MIN_FINAL_STATUS) {
+      return;
+    }
+    this.status = status;
+    this.headers = headers;
+    const headerBytes = measureHeaders(headers);
+    if (headerBytes >= MAX_HEADER_BYTES) {
+      this.exceed({ bound: "framing", bytes: headerBytes });
+      return;
+    }
+    const { method, memory } = this.connection;
+    const length = headers["content-length"];
+    const hasBody = method !== "HEAD" && !BODILESS_STATUSES.has(status);
+    this.declaredBytes = hasBody && length !== undefined
+      ? Number(length)
+      : undefined;
+    if ((this.declaredBytes ?? 0) > memory.maxBodyBytes) {
+      this.exceed({ bound: "body", bytes: this.declaredBytes ?? 0 });
     }
   }
 
   onResponseData(_controller: Controller, chunk: Buffer): void {
-    this.chunks.push(chunk);
+    const { memory } = this.connection;
+    const bytes = this.body.length + chunk.length;
+    if (this.isDone) {
+      return;
+    }
+    if (bytes > memory.maxBodyBytes) {
+      this.exceed({ bound: "body", bytes });
+      return;
+    }
+    if (memory.reserve(this, chunk.length)) {
+      this.body.append(chunk);
+    }
+  }
+
+  /** Size of the body received so far, in bytes. */
+  get receivedBytes(): number {
+    return this.body.length;
+  }
+
+  /** Ends the exchange to make room for the bodies of others. */
+  onDisplaced(): void {
+    this.exceed({ bound: "memory", bytes: this.body.length });
+  }
+
+  private checkFraming(socket: Socket): void {
+    const totalBytes = socket.bytesRead - this.earlierBytes;
+    const bodyBytes = this.body.length;
+    if (exceedsFramingLimit({ totalBytes, bodyBytes })) {
+      this.exceed({ bound: "framing", bytes: totalBytes });
+    }
+  }
+
+  /** Ends the exchange and closes the connection because the peer has sent too much. */
+  private exceed(limit: ExceededLimit): void {
+    const { peer } = this.connection;
+    const error = BamboolinkError.create(
+      "unknown_effect",
+      `the response exceeds the limit on its ${limit.bound}`,
+      { step: "exchange", peer },
+    );
+    this.finish({ kind: "lost", error, limit });
+    this.connection.close();
   }
 
   onResponseEnd(): void {
@@ -264,9 +375,7 @@
       );
       return;
     }
-    const body = this.chunks.length === 1
-      ? this.chunks[0]!
-      : Buffer.concat(this.chunks);
+    const body = this.body.take();
     const isDelimitedByClose = this.connection.state.current !== "open";
     this.finish({ kind: "answer", status, headers, body, isDelimitedByClose });
   }
@@ -302,6 +411,8 @@
   private finish(result: ExchangeResult): void {
     if (!this.isDone) {
       this.isDone = true;
+      this.connection.memory.release(this);
+      this.body.clear();
       this.resolve(result);
     }
   }
@@ -325,6 +436,18 @@
   }
 }
 
+/** Size of the names and values of headers, in bytes. */
+function measureHeaders(headers: ResponseHeaders): number {
+  return Object.entries(headers).reduce(
+    (sum, [name, value]) =>
+      [value ?? []].flat().reduce(
+        (bytes, text) => bytes + name.length + text.length,
+        sum,
+      ),
+    0,
+  );
+}
+
 /** Creates a connector that records the state of each connection before the client is notified of it. */
 function createTrackingConnector(
   state: ConnectionState,
@@ -336,7 +459,10 @@
     if (opened !== undefined && isIdle(opened)) {
       trackState(opened, state);
       // The client does not expect to be called back synchronously.
-      process.nextTick(() => callback(null, opened));
+      process.nextTick(() => {
+        callback(null, opened);
+        trackReads(opened, state);
+      });
       return;
     }
     opened?.destroy();
@@ -347,12 +473,19 @@
       }
       trackState(socket, state);
       callback(null, socket);
+      trackReads(socket, state);
     });
   };
 }
 
+/** Must be called after the client has added its listeners, so that it has parsed what has arrived. */
+function trackReads(socket: Socket, state: ConnectionState): void {
+  socket.on("readable", () => state.onParsed(socket));
+}
+
 function trackState(socket: Socket, state: ConnectionState): void {
   state.current = "open";
+  state.readBytes = () => socket.bytesRead;
   state.carriedIds.clear();
   state.carriedIdLength = 0;
   socket.on("end", () => {
--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -29,12 +29,13 @@
 import { bootMs, monotonicMs } from "../clock.ts";
 import { ColdStart } from "./cold_start.ts";
 import { ConnectionPool } from "./connection_pool.ts";
-import type { Connection, ExchangeResult } from "./exchange.ts";
+import type { Connection, ExceededLimit, ExchangeResult } from "./exchange.ts";
 import { selectResponseHeaders } from "../ingress/http_headers.ts";
 import type { LoadReport } from "../links/link_codec.ts";
 import { LoadMeter } from "./load_meter.ts";
 import type { BackendProtocol } from "../ports/backend_protocol.ts";
 import { Probation } from "./probation.ts";
+import { ResponseMemory } from "./response_memory.ts";
 import { type ServerLimits, SlotAdmission } from "./slot_admission.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import {
@@ -84,6 +85,10 @@
   readonly onSuspicion: (suspicion: BackendSuspicion) => void;
   /** Called when the backend server states in a response that it is leaving. */
   readonly onLeaving: StatedLeavingListener;
+  /** Called when a response has exceeded a limit. */
+  readonly onLimitExceeded?: (bound: ExceededLimit["bound"]) => void;
+  /** Memory limit of this process, in bytes; unknown if absent. */
+  readonly memoryBytes?: number | undefined;
   /** Whether daemons admit requests by the waits of a service's servers. */
   readonly admitsByService?: () => boolean;
 }
@@ -125,7 +130,10 @@
 
   private constructor(private context: LocalBackendContext) {
     super();
-    this.connections = ConnectionPool.create(context.address);
+    this.connections = ConnectionPool.create(
+      context.address,
+      ResponseMemory.create(context.memoryBytes),
+    );
     this.statusMonitor = BackendStatusMonitor.create(context);
     this.coldStart = ColdStart.create({ ...context, times: this.times });
     this.admission = SlotAdmission.create(this.statusMonitor.load);
@@ -602,6 +610,18 @@
       }
       return notRun("backend_unreachable");
     }
+    if (result.limit !== undefined) {
+      const { bound, bytes } = result.limit;
+      this.context.logger.log("response_limit_exceeded", {
+        request_id: request.id,
+        route: request.route,
+        peer: this.context.address,
+        bound,
+        bytes,
+      });
+      this.context.onLimitExceeded?.(bound);
+      return unknown("foreign_answer");
+    }
     const isLate = request.deadlineAtMs - monotonicMs() < 1;
     return unknown(isLate ? "deadline" : "backend_lost");
   }
--- a/packages/router/src/backend/probe_backend.ts
+++ b/packages/router/src/backend/probe_backend.ts
@@ -7,10 +7,13 @@
 import { Cancellation } from "../attempts/cancellation.ts";
 import { monotonicMs } from "../clock.ts";
 import { Connection } from "./exchange.ts";
+import { ResponseMemory } from "./response_memory.ts";
 import type { BackendProtocol } from "../ports/backend_protocol.ts";
 
 /** How long the backend server may take to respond to the health check, in milliseconds. */
 const PROBE_TIMEOUT_MS = 400;
+/** Maximum accepted body of its response, in bytes. */
+const MAX_BODY_BYTES = 65_536;
 
 /**
  * Sends a health check on a separate connection.
@@ -22,7 +25,8 @@
   address: string,
   options: { protocol: BackendProtocol; healthPath: string },
 ): Promise<ProbeResult> {
-  const connection = Connection.create(address);
+  const memory = ResponseMemory.createForSmall(MAX_BODY_BYTES);
+  const connection = Connection.create(address, memory);
   const result = await connection.exchange({
     method: "GET",
     target: options.healthPath,
--- a/packages/router/src/members/peer_client.ts
+++ b/packages/router/src/members/peer_client.ts
@@ -11,6 +11,7 @@
 import { Cancellation } from "../attempts/cancellation.ts";
 import { monotonicMs } from "../clock.ts";
 import { Connection } from "../backend/exchange.ts";
+import { ResponseMemory } from "../backend/response_memory.ts";
 
 /** Path that returns the configuration document. */
 export const CONFIGURATION_PATH = "/bamboolink/configuration";
@@ -27,6 +28,8 @@
 export const STORE_GUARDED_WRITE_PATH = "/bamboolink/store/guarded-write";
 /** Timeout of a request to a peer, in milliseconds; long enough for a peer that has to wait for the store. */
 const REQUEST_TIMEOUT_MS = 1_500;
+/** Maximum accepted response, in bytes: above the largest value of the store as JSON. */
+const MAX_RESPONSE_BYTES = 8_388_608;
 
 /** Body of a request to read a record. */
 export const ReadRecordRequest = z.object({ key: z.string() });
@@ -146,7 +149,8 @@
   peer: string,
   request: { target: string; body?: string },
 ): ResultAsync<string, BamboolinkError> {
-  const connection = Connection.create(peer);
+  const memory = ResponseMemory.createForSmall(MAX_RESPONSE_BYTES);
+  const connection = Connection.create(peer, memory);
   const exchange = connection.exchange({
     method: request.body === undefined ? "GET" : "POST",
     target: request.target,
--- a/packages/router/src/ports/router_settings.ts
+++ b/packages/router/src/ports/router_settings.ts
@@ -34,6 +34,8 @@
   storeAddress: address,
   /** Capacity of the host's network link, in bytes per second; unknown if absent. */
   linkBytesPerSecond: z.number().positive().optional(),
+  /** Memory limit of the process, in bytes; unknown if absent. */
+  memoryBytes: z.number().positive().optional(),
   /** Typical interval between heartbeats of the backend server, in milliseconds. */
   heartbeatMs: z.number().positive(),
   /**
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -210,6 +210,9 @@
       onLeaving: (incarnation, { isRecent }) =>
         this.backendManager.handleStatedLeaving(incarnation, { isRecent }),
       admitsByService: () => this.settings.bounds.admitsByService,
+      memoryBytes: settings.memoryBytes,
+      onLimitExceeded: (bound) =>
+        this.metrics.count("bamboolink_exceeded_response_limits", { bound }),
     });
     this.backendManager = BackendManager.create({
       logger,
