--- a/packages/router/src/backend/response_memory.ts
+++ b/packages/router/src/backend/response_memory.ts
@@ -7,11 +7,11 @@
 /** Share of a process's memory limit that response bodies may take while they are received. */
 const MEMORY_SHARE = 1 / 8;
 /** Share of that which one body may take, so that one cannot displace all others. */
-const BODY_SHARE = 1 / 2;
+const BODY_SHARE = 1 / 4;
 /** Upper bound on one body, in bytes. */
 const MAX_BODY_BYTES = 67_108_864;
 /** Bytes for all bodies if the memory limit of the process is unknown. */
-const DEFAULT_BYTES = 134_217_728;
+const DEFAULT_BYTES = 268_435_456;
 
 /** A body that is being received. */
 export interface ReceivedBody {
--- a/packages/router/src/links/link_client.ts
+++ b/packages/router/src/links/link_client.ts
@@ -13,6 +13,7 @@
   type Frame,
   FRAME_KINDS,
   type LoadReport,
+  MAX_BODY_BYTES,
 } from "./link_codec.ts";
 import type { Outcome, RoutedRequest } from "../attempts/routed_request.ts";
 
@@ -36,8 +37,9 @@
   readonly sentAtMs: number;
   readonly listener: LinkListener;
   isAcknowledged: boolean;
-  /** The chunks of a large response received so far. */
+  /** The chunks of a large response received so far, and their size in bytes. */
   readonly chunks: Buffer[];
+  chunkBytes: number;
 }
 
 /** A connection that carries many requests concurrently. */
@@ -54,7 +56,7 @@
   private readonly connectTimer: NodeJS.Timeout;
 
   private constructor(
-    peer: string,
+    private readonly peer: string,
     private readonly nowMs: () => number,
     onBytes: FrameSocketEvents["onBytes"],
   ) {
@@ -133,6 +135,7 @@
       listener,
       isAcknowledged: false,
       chunks: [],
+      chunkBytes: 0,
     });
     const bytes = encodeRequest(id, request, sentAtMs);
     if (this.isOpen) {
@@ -185,7 +188,7 @@
       request.listener.onAcknowledged();
     }
     if (frame.kind === FRAME_KINDS.chunk) {
-      request.chunks.push(frame.body);
+      this.addChunk(request, frame.body);
     }
     if (frame.kind === FRAME_KINDS.outcome) {
       this.requests.delete(frame.id);
@@ -197,6 +200,24 @@
     }
   }
 
+  private addChunk(request: LinkRequest, chunk: Buffer): void {
+    request.chunks.push(chunk);
+    request.chunkBytes += chunk.length;
+    if (request.chunkBytes > MAX_BODY_BYTES) {
+      this.frames.destroy();
+      this.fail(
+        BamboolinkError.create(
+          "invalid",
+          "the peer sent too large a response",
+          {
+            step: "link.chunk",
+            peer: this.peer,
+          },
+        ),
+      );
+    }
+  }
+
   /**
    * The other daemon reads no further requests. Without this frame, a request sent while the connection is being closed
    * would count as one that may have run, and a non-idempotent request would fail although it could be retried.
--- a/packages/router/src/links/link_codec.ts
+++ b/packages/router/src/links/link_codec.ts
@@ -45,8 +45,10 @@
 const LENGTH_BYTES = 4;
 /** Size of kind, id and head length, in bytes. */
 const PREFIX_BYTES = 9;
+/** Maximum body of a request or response, in bytes. */
+export const MAX_BODY_BYTES = 67_108_864;
 /** Maximum accepted frame, in bytes: the maximum body and space for its head. */
-const MAX_FRAME_BYTES = 67_108_864 + 1_048_576;
+const MAX_FRAME_BYTES = MAX_BODY_BYTES + 1_048_576;
 
 const EMPTY_BODY = Buffer.alloc(0);
 
--- a/packages/router/src/links/link_test.ts
+++ b/packages/router/src/links/link_test.ts
@@ -152,6 +152,25 @@
 }
 
 describe("link", () => {
+  describe("with a response in chunks without end", () => {
+    // Guards against a daemon that takes all memory of another one: its chunks were kept until the request's deadline.
+    it("is closed, and its request may have run", async () => {
+      const peer = await FakePeer.create();
+      const link = LinkClient.create(peer.address, () => 0);
+      const outcome = sendOne(link);
+      await peer.awaitFrames(1);
+      const [socket] = peer.sockets;
+      const { chunk: kind } = FRAME_KINDS;
+      const body = Buffer.alloc(1_048_576);
+      const frame = encodeFrame({ kind, id: peer.frames[0]!.id, body });
+      const send = () => socket!.destroyed || socket!.write(frame, send);
+      send();
+      expect(await outcome).to.equal("sent");
+      expect(link.isUsable).to.equal(false);
+      peer.close();
+    });
+  });
+
   describe("frames", () => {
     it("preserve every request, in whatever chunks they arrive", () => {
       fc.assert(
