Close idle connections on which a backend server sends empty lines

Related path of responses without end: the HTTP client closes an idle connection on which a response begins, but reads empty lines for as long as the connection is kept (5 s after its last request). Now any further bytes end it; the next request opens another one. The test fails without the check.

--- a/packages/router/src/backend/endless_response_test.ts
+++ b/packages/router/src/backend/endless_response_test.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { Cancellation } from "../attempts/cancellation.ts";
 import { monotonicMs } from "../clock.ts";
@@ -15,8 +14,6 @@
 const EXCHANGES = 20;
 /** Time of each request, in milliseconds; responses must end before it, whatever load the machine has. */
 const DEADLINE_MS = 10_000;
-/** Time within which the server detects that its connections were closed, in milliseconds. */
-const CLOSE_MS = 2_000;
 
 describe("a response without end", function () {
   this.timeout(30_000);
@@ -24,6 +21,31 @@
 
   afterEach(() => server.close());
 
+  // Guards against a server that occupies a daemon through an idle connection: empty lines behind a response were read
+  // for as long as the connection was kept.
+  it("of empty lines behind a complete response closes the connection", async () => {
+    server = await EndlessServer.create({
+      start: "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole",
+      repeated: "\r\n".repeat(16_384),
+    });
+    const connection = Connection.create(server.address);
+    const send = () =>
+      connection.exchange(
+        { method: "GET", target: "/", headers: [], body: undefined },
+        {
+          cancellation: Cancellation.createWithTimeout(DEADLINE_MS),
+          nowMs: monotonicMs,
+        },
+      );
+    const first = await send();
+    expect(first.kind).to.equal("answer");
+    await server.awaitClosed();
+    expect(server.openCount).to.equal(0);
+    const next = await send();
+    expect(next.kind).to.equal("answer");
+    await connection.destroy();
+  });
+
   // Guards against a server that takes a daemon's memory and processor time: what it sent was parsed and kept until the
   // request's deadline.
   Object.entries(ENDLESS_FORMS).forEach(([name, form]) => {
@@ -50,10 +72,7 @@
         expect(isCancelled).to.equal(false)
       );
       expect(memory.usedBytes).to.equal(0);
-      const endAtMs = monotonicMs() + CLOSE_MS;
-      while (server.openCount > 0 && monotonicMs() < endAtMs) {
-        await sleep(10);
-      }
+      await server.awaitClosed();
       expect(server.openCount).to.equal(0);
     });
   });
--- a/packages/router/src/backend/exchange.ts
+++ b/packages/router/src/backend/exchange.ts
@@ -214,7 +214,13 @@
       const context = { peer, state, id, method, memory, close };
       const handler = ExchangeHandler.create(context, (result) => {
         cancellation.remove(cancel);
-        state.onParsed = () => undefined;
+        const bytes = state.readBytes();
+        // The client ignores empty lines between responses, however many there are.
+        state.onParsed = (socket) => {
+          if (socket.bytesRead > bytes) {
+            socket.destroy();
+          }
+        };
         this.lastExchangeAtMs = nowMs();
         resolve(result);
       });
--- a/packages/router/src/testing/endless_server.ts
+++ b/packages/router/src/testing/endless_server.ts
@@ -5,6 +5,7 @@
  */
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
+import { setTimeout as sleep } from "node:timers/promises";
 
 /** What the server sends: once for each connection, and then without end. */
 export interface EndlessForm {
@@ -12,6 +13,10 @@
   readonly repeated: string;
 }
 
+/** Time within which a server detects that its connections were closed, in milliseconds. */
+const CLOSE_TIMEOUT_MS = 2_000;
+const PAUSE_MS = 10;
+
 const CHUNK_TEXT = "x".repeat(65_536);
 const STATUS_LINE = "HTTP/1.1 200 OK\r\n";
 const CHUNKED = `${STATUS_LINE}transfer-encoding: chunked\r\n\r\n`;
@@ -87,8 +92,8 @@
 
 /** A server that sends one form of response to all requests. */
 export class EndlessServer {
-  /** How many connections are open, as last reported by the server. */
-  openCount = 0;
+  /** How many connections are open, as last reported by the server; -1 before its first report. */
+  openCount = -1;
 
   private constructor(
     private readonly child: ChildProcess,
@@ -109,6 +114,16 @@
     return new EndlessServer(child, `127.0.0.1:${port}`);
   }
 
+  /** Waits until all connections are closed, for at most two seconds. */
+  async awaitClosed(): Promise<void> {
+    for (let waitedMs = 0; waitedMs < CLOSE_TIMEOUT_MS; waitedMs += PAUSE_MS) {
+      if (this.openCount === 0) {
+        return;
+      }
+      await sleep(PAUSE_MS);
+    }
+  }
+
   /** Ends the server's process. */
   close(): void {
     this.child.kill();
