Keep the pieces of small responses instead of copying them into blocks

Since responses without end are bounded, each response of a few hundred bytes allocated a block of 64 KiB and kept it until it was delivered. Now only bodies in more than 16 pieces are copied.

--- a/packages/router/src/backend/response_body.ts
+++ b/packages/router/src/backend/response_body.ts
@@ -6,6 +6,8 @@
 
 /** Pieces from this size on are kept as they arrived, in bytes; smaller ones are copied into blocks. */
 const MIN_KEPT_BYTES = 16_384;
+/** This many pieces are kept whatever their size: most bodies arrive in one piece, and a block would outsize them. */
+const MAX_SMALL_PIECES = 16;
 const BLOCK_BYTES = 65_536;
 
 /** The bytes of one body. */
@@ -31,7 +33,10 @@
   /** Appends a piece, which the caller must not change afterwards. */
   append(piece: Buffer): void {
     this.size += piece.length;
-    if (piece.length >= MIN_KEPT_BYTES) {
+    if (
+      piece.length >= MIN_KEPT_BYTES ||
+      this.buffers.length < MAX_SMALL_PIECES
+    ) {
       this.closeBlock();
       this.buffers.push(piece);
       return;
