Serve repeats like first tries

What callers saw: who gave less time than others of its route was taken for a repeat and hardly served.

Cause: ElapsedWaitEstimator guessed from the deadlines of other callers how long a caller had waited. The ingress moved the latency objective by it, the queues ordered and kept by it, and the admission by service admitted and reserved by it.

Change: the guess and all that depended on it are gone, so no decision has the history of a caller as its input.

seededRandom moves to the package of replays; keyspace had a copy.

--- a/packages/admission/src/admission_replay_test.ts
+++ b/packages/admission/src/admission_replay_test.ts
@@ -20,7 +20,7 @@
 } from "./testing/admission_model.ts";
 import { AdmissionSimulation } from "./testing/admission_simulation.ts";
 import { serveWithFullKnowledge } from "./testing/full_knowledge.ts";
-import { seededRandom } from "./testing/seeded_random.ts";
+import { seededRandom } from "@bamboolink/simulation";
 
 const SEED = 1;
 const DURATION_MS = 30_000;
--- a/packages/admission/src/late_request_queue.ts
+++ b/packages/admission/src/late_request_queue.ts
@@ -93,7 +93,7 @@
 
   /** Queues a request; returns false, without queueing it, if it is not expected to meet its deadline. */
   offer(request: WorkRequest, forecast: StartForecast): boolean {
-    if (missesDeadline(request, toHopefulStart(request, forecast))) {
+    if (missesDeadline(request, forecast.startMs)) {
       return false;
     }
     const index = this.waiting.findIndex((other) =>
@@ -129,10 +129,7 @@
     const kept: WorkRequest[] = [];
     let { startMs } = forecast;
     const unmeetable = this.waiting.filter((request) => {
-      const isUnmeetable = missesDeadline(
-        request,
-        toHopefulStart(request, { ...forecast, startMs }),
-      );
+      const isUnmeetable = missesDeadline(request, startMs);
       if (!isUnmeetable) {
         kept.push(request);
         startMs = nextStartMs(request, { startMs, slots });
@@ -171,18 +168,6 @@
   }
 }
 
-/**
- * The start of a request by which it is decided whether it waits on. That of a returning caller waits as long as it
- * could meet its deadline if it started now: its caller doesn't come again, so an early refusal would be of no use, and
- * at the end of a burst slots become free sooner than forecast.
- */
-function toHopefulStart(
-  { isReturning = false }: WorkRequest,
-  { nowMs, startMs }: StartForecast,
-): number {
-  return isReturning ? nowMs : startMs;
-}
-
 /** When the next request starts if this one starts at a time, with a number of slots (also fractional) for both. */
 function nextStartMs(
   request: WorkRequest,
@@ -201,13 +186,9 @@
     request.deadlineAtMs;
 }
 
-/**
- * Orders by rank, then those of returning callers before others, then by the latest start with which the deadline can
- * still be met.
- */
+/** Orders by rank, then by the latest start with which the deadline can still be met. */
 function compareUrgency(left: WorkRequest, right: WorkRequest): number {
   return left.rank - right.rank ||
-    Number(right.isReturning ?? false) - Number(left.isReturning ?? false) ||
     latestStartMs(left) - latestStartMs(right);
 }
 
--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -51,7 +51,7 @@
   type ServerStatus,
   ServiceAdmission,
 } from "./service_admission.ts";
-export { MIN_RETURN_MS, ReturnSchedule } from "./return_schedule.ts";
+export { ReturnSchedule } from "./return_schedule.ts";
 export {
   encodeRankWaits,
   isWaitList,
@@ -66,7 +66,6 @@
   type FleetRetryLimits,
 } from "./fleet_retry_budget.ts";
 export { createRetryAfterSampler } from "./retry_after_sampler.ts";
-export { ElapsedWaitEstimator } from "./elapsed_wait_estimator.ts";
 export {
   type BodyDecision,
   type BodyGrant,
--- a/packages/admission/src/return_schedule.ts
+++ b/packages/admission/src/return_schedule.ts
@@ -1,8 +1,8 @@
 /**
- * Chooses when a refused caller should retry, so that its only retry finds room.
+ * Chooses when a refused caller should retry, so that its retry finds room.
  *
  * Designed for bursts of a few seconds, in which many callers are refused by one service, or by the owner of one group
- * of keys. A caller retries once and ignores delays of more than a third of its remaining time. Each refusal therefore
+ * of keys. A caller ignores delays of more than a third of its remaining time. Each refusal therefore
  * reserves slot time at the moment that its caller is told, and later reservations of the same or a less urgent rank
  * come after it.
  *
@@ -10,7 +10,7 @@
  */
 
 /** Minimum delay, in milliseconds; sooner there is hardly more room than now. */
-export const MIN_RETURN_MS = 40;
+const MIN_RETURN_MS = 40;
 /**
  * Maximum delay as a share of the caller's remaining time. Callers ignore delays of more than a third of it, and some
  * of it passes until the refusal reaches them.
@@ -35,8 +35,6 @@
   readonly workMs: number;
   /** Slots of the resource that the callers of this daemon may use. */
   readonly slots: number;
-  /** Whether the caller has retried already; it mostly doesn't come again, so nothing is reserved for it. */
-  readonly isReturning: boolean;
 }
 
 interface Reservation {
@@ -76,8 +74,7 @@
    * within the time that callers accept, it returns the latest delay that they accept and reserves nothing.
    */
   reserve(query: ReturnQuery, nowMs: number): number {
-    const { resource, rank, waitMs, remainingMs, workMs, slots, isReturning } =
-      query;
+    const { resource, rank, waitMs, remainingMs, workMs, slots } = query;
     const latestMs = Math.max(0, remainingMs) * MAX_REMAINING_SHARE;
     const durationMs = workMs / Math.max(MIN_SLOTS, slots);
     const future = (this.reservations.get(resource) ?? [])
@@ -93,9 +90,6 @@
     if (atMs > nowMs + latestMs) {
       return latestMs * (1 - LATEST_JITTER_SHARE * this.random());
     }
-    if (isReturning) {
-      return atMs - nowMs;
-    }
     const index = future.findIndex((other) => other.atMs > atMs);
     this.reservations.set(
       resource,
--- a/packages/admission/src/service_admission.ts
+++ b/packages/admission/src/service_admission.ts
@@ -54,8 +54,6 @@
   readonly remainingMs: number;
   /** Typical service time of the route, in milliseconds; 0 if unknown. */
   readonly serviceMs: number;
-  /** Whether the caller was refused before and has come back. */
-  readonly isReturning: boolean;
   /** Daemon of the key's owner, for a service with keys. */
   readonly owner: string | undefined;
 }
@@ -188,7 +186,7 @@
     at: { waitMs: number; nowMs: number },
   ): number {
     const { waitMs, nowMs } = at;
-    const { rank, remainingMs, serviceMs, isReturning } = query;
+    const { rank, remainingMs, serviceMs } = query;
     return this.schedule.reserve({
       resource: resourceOf(query),
       rank,
@@ -196,7 +194,6 @@
       remainingMs,
       workMs: serviceMs,
       slots: this.ownSlots(query, nowMs),
-      isReturning,
     }, nowMs);
   }
 
@@ -292,10 +289,7 @@
   const onTimeMs = onTimeWaitMs(server, { rank: query.rank, nowMs });
   const isOnTime = onTimeMs + serviceMs * (1 + OBJECTIVE_MARGIN) <=
     objectiveRemainingMs;
-  // A refusal is final for a caller that has come back, so the uncertain wait of late requests doesn't count for it.
-  const waitMs = isOnTime || query.isReturning
-    ? onTimeMs
-    : lateWaitMs(server, query, nowMs);
+  const waitMs = isOnTime ? onTimeMs : lateWaitMs(server, query, nowMs);
   return waitMs + serviceMs <= remainingMs;
 }
 
--- a/packages/admission/src/testing/admission_rules.ts
+++ b/packages/admission/src/testing/admission_rules.ts
@@ -17,7 +17,6 @@
 
 /** The rule without the setting: it admits everything, and refused callers come back after a random delay. */
 export class RandomDrawRule extends AdmissionRule {
-  override readonly marksReturning: boolean = false;
   private readonly sample: ReturnType<typeof createRetryAfterSampler>;
 
   protected constructor(random: () => number) {
@@ -53,7 +52,6 @@
 
 /** Refuses a rank while the servers that may run the request are offered more work than a threshold of the rank. */
 export class ThresholdRule extends RandomDrawRule {
-  override readonly marksReturning = true;
   private readonly utilizations = new Map<number, number>();
 
   static override create(random: () => number): ThresholdRule {
@@ -79,7 +77,6 @@
 
 /** Refuses what no server is expected to finish in time; callers come back at reserved times. */
 export class ExpectedWaitRule extends AdmissionRule {
-  override readonly marksReturning = true;
   private readonly admission: ServiceAdmission;
 
   private constructor(random: () => number) {
--- a/packages/admission/src/testing/admission_scenarios.ts
+++ b/packages/admission/src/testing/admission_scenarios.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { AdmissionScenario, RequestKind } from "./admission_model.ts";
-import { seededRandom } from "./seeded_random.ts";
+import { seededRandom } from "@bamboolink/simulation";
 
 /** Added to the seed of the arrivals to seed the choices of daemons. */
 const PLACEMENT_SEED = 1_000;
--- a/packages/admission/src/testing/admission_simulation.ts
+++ b/packages/admission/src/testing/admission_simulation.ts
@@ -336,8 +336,6 @@
       deadlineAtMs: firstSentAtMs + kind.deadlineMs,
       estimateMs,
       mayEndLate: true,
-      isReturning: request.attempts > 1 &&
-        this.rules[request.daemon]!.marksReturning,
     }, nowMs);
     const start = (startedAtMs: number) => {
       const endsAtMs = startedAtMs + estimateMs * request.workFactor;
@@ -397,14 +395,13 @@
 }
 
 function toArrival(
-  { kind, owner, attempts, firstSentAtMs }: SimulatedRequest,
+  { kind, owner, firstSentAtMs }: SimulatedRequest,
   nowMs: number,
 ): SimulatedArrival {
   const waitedMs = nowMs - firstSentAtMs;
   return {
     kind,
     owner,
-    isReturning: attempts > 1,
     objectiveRemainingMs: kind.objectiveMs - waitedMs,
     remainingMs: kind.deadlineMs - waitedMs,
   };
--- a/packages/admission/src/testing/body_simulation.ts
+++ b/packages/admission/src/testing/body_simulation.ts
@@ -5,7 +5,7 @@
  */
 import { EventQueue } from "@bamboolink/simulation";
 import { BodyScheduler } from "../body_scheduler.ts";
-import { seededRandom } from "./seeded_random.ts";
+import { seededRandom } from "@bamboolink/simulation";
 
 /** Bandwidth of a network link of 10 Mbit/s, in bytes per millisecond. */
 const LINK_BYTES_PER_MS = 1_250;
--- a/packages/admission/src/testing/cold_start_scenario.ts
+++ b/packages/admission/src/testing/cold_start_scenario.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { seededRandom } from "./seeded_random.ts";
+import { seededRandom } from "@bamboolink/simulation";
 
 /** Work of single requests varies by this share of the mean, either way. */
 const WORK_SPREAD = 0.3;
--- a/packages/admission/src/testing/cold_start_simulation.ts
+++ b/packages/admission/src/testing/cold_start_simulation.ts
@@ -13,7 +13,7 @@
   type ScenarioRequest,
 } from "./cold_start_scenario.ts";
 import { createRetryAfterSampler } from "../retry_after_sampler.ts";
-import { seededRandom } from "./seeded_random.ts";
+import { seededRandom } from "@bamboolink/simulation";
 
 /** Interval of the daemon's control loop, which checks the waiting requests, in milliseconds. */
 const TICK_INTERVAL_MS = 50;
--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -443,13 +443,9 @@
     request.objectiveAtMs;
 }
 
-/**
- * Orders by rank, then those of returning callers before others, then by the latest start with which the objective can
- * still be met.
- */
+/** Orders by rank, then by the latest start with which the objective can still be met. */
 function compareUrgency(left: WorkRequest, right: WorkRequest): number {
   return left.rank - right.rank ||
-    Number(right.isReturning ?? false) - Number(left.isReturning ?? false) ||
     latestStartMs(left) - latestStartMs(right);
 }
 
--- a/packages/admission/src/work_request.ts
+++ b/packages/admission/src/work_request.ts
@@ -18,8 +18,6 @@
    * connection: responses are sent in the order of the requests, so a late one would delay those behind it, too.
    */
   readonly mayEndLate: boolean;
-  /** Whether its caller was refused before and has come back: it comes before new requests of its rank. */
-  readonly isReturning?: boolean;
   /** Expected time for which it holds a slot, in milliseconds, if it starts at once. */
   readonly estimateMs: number;
   /** The same by the time of its start, while the server or the request's key is cold. */
--- a/packages/keyspace/src/confirmation_schedule_test.ts
+++ b/packages/keyspace/src/confirmation_schedule_test.ts
@@ -5,7 +5,7 @@
  */
 import { expect } from "chai";
 import { batchDelayMs, ConfirmationSchedule } from "./confirmation_schedule.ts";
-import { seededRandom } from "./testing/seeded_random.ts";
+import { seededRandom } from "@bamboolink/simulation";
 
 /** Duration of a read and its responses, in milliseconds. */
 const READ_MS = 8;
--- a/packages/keyspace/src/load_profile_test.ts
+++ b/packages/keyspace/src/load_profile_test.ts
@@ -5,7 +5,7 @@
  */
 import { expect } from "chai";
 import { LoadProfile } from "./load_profile.ts";
-import { seededRandom } from "./testing/seeded_random.ts";
+import { seededRandom } from "@bamboolink/simulation";
 
 const KEY = { from: 7, to: 7 };
 /** Work that arrives every 10 ms, in milliseconds of slot time. */
--- a/packages/keyspace/src/plan_assignment_test.ts
+++ b/packages/keyspace/src/plan_assignment_test.ts
@@ -7,7 +7,7 @@
 import { OwnershipRecord } from "./ownership_record.ts";
 import { assignUnowned } from "./plan_assignment.ts";
 import { KEY_COUNT, sizeOf } from "./range_map.ts";
-import { seededRandom } from "./testing/seeded_random.ts";
+import { seededRandom } from "@bamboolink/simulation";
 
 const SEED = 20_261_204;
 const ALL_KEYS = [{ from: 0, to: KEY_COUNT - 1 }];
--- a/packages/keyspace/src/rebalance_cost_test.ts
+++ b/packages/keyspace/src/rebalance_cost_test.ts
@@ -5,7 +5,7 @@
  */
 import { expect } from "chai";
 import { KEY_COUNT } from "./mod.ts";
-import { seededRandom } from "./testing/seeded_random.ts";
+import { seededRandom } from "@bamboolink/simulation";
 import { RebalanceSimulation } from "./testing/rebalance_simulation.ts";
 
 const OWNERS = 98;
--- a/packages/keyspace/src/testing/hot_key_replay.ts
+++ b/packages/keyspace/src/testing/hot_key_replay.ts
@@ -16,7 +16,7 @@
   RebalanceSimulation,
   type SimulatedPlanner,
 } from "./rebalance_simulation.ts";
-import { seededRandom } from "./seeded_random.ts";
+import { seededRandom } from "@bamboolink/simulation";
 
 /** Utilization of all owners together. */
 const UTILIZATION = 0.85;
--- a/packages/keyspace/src/write_backoff_test.ts
+++ b/packages/keyspace/src/write_backoff_test.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { expect } from "chai";
-import { seededRandom } from "./testing/seeded_random.ts";
+import { seededRandom } from "@bamboolink/simulation";
 import { WriteBackoff } from "./write_backoff.ts";
 
 /** Half the duration of a call to the store, and the delay of updates to all writers, in milliseconds. */
--- a/packages/router/src/attempts/request_admission.ts
+++ b/packages/router/src/attempts/request_admission.ts
@@ -6,7 +6,6 @@
  */
 import {
   type AdmissionQuery,
-  MIN_RETURN_MS,
   ServiceAdmission,
   toRankWaits,
 } from "@bamboolink/admission";
@@ -62,15 +61,10 @@
 }
 
 /** A request of a caller of this daemon. */
-export type AdmissibleRequest =
-  & Pick<
-    RoutedRequest,
-    "service" | "route" | "rank" | "key" | "objectiveAtMs" | "deadlineAtMs"
-  >
-  & {
-    /** For how long its caller had waited before it sent the request, in milliseconds; 0 for a new request. */
-    readonly callerWaitedMs: number;
-  };
+export type AdmissibleRequest = Pick<
+  RoutedRequest,
+  "service" | "route" | "rank" | "key" | "objectiveAtMs" | "deadlineAtMs"
+>;
 
 /** Decides which requests are refused before their first attempt. It has no effect unless it is enabled. */
 export class RequestAdmission {
@@ -197,7 +191,6 @@
       objectiveRemainingMs: request.objectiveAtMs - nowMs,
       remainingMs: request.deadlineAtMs - nowMs,
       serviceMs: loadTracker.typicalMs(request.route),
-      isReturning: request.callerWaitedMs >= MIN_RETURN_MS,
       owner,
     };
   }
--- a/packages/router/src/attempts/routed_request.ts
+++ b/packages/router/src/attempts/routed_request.ts
@@ -29,8 +29,6 @@
   readonly mayEndLate: boolean;
   /** Number of connections to backend servers that broke while it was running, in this attempt of its caller. */
   readonly brokenConnections: number;
-  /** Whether its caller was refused before, as the daemon beside its backend server recognizes; not sent over links. */
-  readonly isReturning?: boolean;
   readonly method: string;
   readonly target: string;
   /** Headers to forward, as alternating names and values. */
--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -5,8 +5,6 @@
  * @module
  */
 import {
-  ElapsedWaitEstimator,
-  MIN_RETURN_MS,
   type RankWaits,
   type RunningColdRequest,
   type ServiceEstimate,
@@ -57,11 +55,6 @@
  * unknown outcome, so only connections in steady use are reused for them.
  */
 const NON_IDEMPOTENT_MAX_IDLE_MS = 1_000;
-/**
- * Deadlines of one route vary by less than this between requests that have reached the backend server's daemon at once,
- * in milliseconds.
- */
-const DEADLINE_RESOLUTION_MS = 20;
 /** Maximum wait of a request for a key that the backend server is about to be granted, in milliseconds. */
 const MAX_GRANT_WAIT_MS = 1_200;
 
@@ -117,10 +110,6 @@
   private readonly times = ServiceTimes.create();
   private readonly coldStart: ColdStart;
   private readonly meter = LoadMeter.create();
-  private readonly waitEstimator = ElapsedWaitEstimator.create({
-    resolutionMs: DEADLINE_RESOLUTION_MS,
-    isEager: true,
-  });
   private readonly grantWaits = new Set<() => void>();
   private readonly probation = Probation.create();
   private readonly statusMonitor: BackendStatusMonitor;
@@ -325,11 +314,10 @@
   }
 
   override async attempt(
-    arrived: RoutedRequest,
+    request: RoutedRequest,
     cancellation: Cancellation,
   ): Promise<Outcome> {
     const { quarantine } = this.context;
-    const request = this.markReturning(arrived);
     const refused = this.checkService(request) ??
       this.checkQuarantine(request) ??
       await this.awaitKey(request, cancellation);
@@ -357,23 +345,6 @@
     );
   }
 
-  /**
-   * Marks a request whose caller has come back after a refusal: its deadline is shorter than usual, by no less than the
-   * shortest delay that a refusal can have stated.
-   */
-  private markReturning(request: RoutedRequest): RoutedRequest {
-    if (this.context.admitsByService?.() !== true) {
-      return request;
-    }
-    const waitedMs = this.waitEstimator.recordDeadline(
-      request.route,
-      request.deadlineAtMs - monotonicMs(),
-    );
-    return waitedMs < MIN_RETURN_MS + DEADLINE_RESOLUTION_MS
-      ? request
-      : { ...request, isReturning: true };
-  }
-
   /** Queues a request for a slot and runs it there. */
   private async runAdmitted(
     request: RoutedRequest,
--- a/packages/router/src/backend/slot_admission.ts
+++ b/packages/router/src/backend/slot_admission.ts
@@ -184,14 +184,12 @@
       return Promise.resolve(notRun("cancelled"));
     }
     const { rank, objectiveAtMs, deadlineAtMs, mayEndLate } = request;
-    const isReturning = request.isReturning === true;
     const decision = this.queue.offer({
       id,
       rank,
       objectiveAtMs,
       deadlineAtMs,
       mayEndLate,
-      isReturning,
       ...estimate,
     }, monotonicMs());
     if (decision.kind === "run") {
--- a/packages/router/src/ingress/ingress.ts
+++ b/packages/router/src/ingress/ingress.ts
@@ -10,10 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import {
-  createRetryAfterSampler,
-  ElapsedWaitEstimator,
-} from "@bamboolink/admission";
+import { createRetryAfterSampler } from "@bamboolink/admission";
 import {
   CallerConnections,
   type MalformedInput,
@@ -118,8 +115,6 @@
   readonly latestStartAtMs: number;
   /** When the caller stops waiting, whatever the timeout of its route. */
   readonly callerDeadlineAtMs: number;
-  /** For how long the caller had waited before it sent the request, in milliseconds. */
-  readonly callerWaitedMs: number;
 }
 
 /** A request's route and the configuration that contains it. */
@@ -145,7 +140,6 @@
 export class Ingress {
   /** Accepts the callers' connections. */
   readonly server: Server;
-  private readonly waitEstimator = ElapsedWaitEstimator.create();
   private readonly trafficSplit: TrafficSplit;
   private readonly sampleRetryAfterMs: ReturnType<
     typeof createRetryAfterSampler
@@ -583,9 +577,6 @@
       (request.deadlineMs ?? Infinity) - RESPONSE_DELIVERY_MS,
       route.timeoutMs,
     );
-    const callerWaitedMs = request.deadlineMs === undefined
-      ? 0
-      : this.waitEstimator.recordDeadline(route.name, request.deadlineMs);
     const service = this.trafficSplit.choose(route);
     const isKeyed = match.inForce.services.get(service)?.keyed === true;
     const target = parseTarget(incoming);
@@ -602,9 +593,9 @@
       key: isKeyed ? request.key : undefined,
       callerService: callerService(),
       objectiveAtMs: arrivedAtMs +
-        Math.min(route.objectiveMs - callerWaitedMs, requestTimeoutMs),
+        Math.min(route.objectiveMs, requestTimeoutMs),
       latestStartAtMs: arrivedAtMs +
-        (route.objectiveMs - callerWaitedMs) * (1 - TYPICAL_SERVICE_SHARE),
+        route.objectiveMs * (1 - TYPICAL_SERVICE_SHARE),
       deadlineAtMs: arrivedAtMs + requestTimeoutMs,
       brokenConnections: 0,
       mayEndLate: !this.pipelines.isLikelyPipelined(
@@ -612,7 +603,6 @@
         route.name,
       ),
       callerDeadlineAtMs: arrivedAtMs + (request.deadlineMs ?? route.timeoutMs),
-      callerWaitedMs,
       method: incoming.method ?? "GET",
       target: target.pathAndQuery,
       headers: target.isAbsolute ? replaceHost(headers, target.host) : headers,
--- a/scripts/bench.mjs
+++ b/scripts/bench.mjs
@@ -5,6 +5,7 @@
  */
 const BENCHMARKS = {
   admission: () => import("./bench/admission.mjs"),
+  callers: () => import("./bench/callers.mjs"),
   ownership: () => import("./bench/ownership.mjs"),
   capacity: () => import("./bench/capacity.mjs"),
   limit: () => import("./bench/limit.mjs"),
