Serve callers alike whatever contracts a deployment lists

What callers saw: with the contract `pressure` in the settings (one of ten deployments lists it) requests were refused before any attempt, and callers that were taken for returning ones went first; without it they weren't.

Cause: settings_file.ts switched admission by service on by the name of the contract.

Change: admission by service is removed with its reservations, its waits by rank, two log events and three metrics. Reports keep two empty columns, and values behind the four of a load are ignored, so daemons of the version before read and are read as before.

Weighed: switching it on everywhere. It refuses by reports that are up to 1 s old, and the queue beside the server knows better; it saves a hop of those that are refused.

Tests: settings are the same whatever contracts are listed (platform_test.ts: before, `admitsByService` differed). overload_test.ts replaces service_admission_test.ts: with and without the contract nothing that was refused has run, all refusals are those of queues (before, some had no attempt with the contract), and all is served afterwards. Tests of the removed parts go with them; link_test.ts now reads what earlier versions add, also impossible values, as strictly as before.

--- a/packages/admission/src/late_request_queue.ts
+++ b/packages/admission/src/late_request_queue.ts
@@ -80,17 +80,6 @@
     );
   }
 
-  /** Rank of the least urgent waiting request; 0 without any. */
-  get maxRank(): number {
-    return Math.max(0, ...this.waiting.map(({ rank }) => rank));
-  }
-
-  /** Expected wait behind all late requests of a rank and of more urgent ones, in milliseconds. */
-  waitOfRankMs(rank: number, nowMs: number): number {
-    const ahead = this.waiting.filter((other) => other.rank <= rank);
-    return this.startAfterMs(ahead, { nowMs, startMs: nowMs }) - nowMs;
-  }
-
   /** Queues a request; returns false, without queueing it, if it is not expected to meet its deadline. */
   offer(request: WorkRequest, forecast: StartForecast): boolean {
     if (missesDeadline(request, forecast.startMs)) {
--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -45,21 +45,6 @@
   type RunningWork,
   ServerLoadEstimator,
 } from "./server_load_estimator.ts";
-export {
-  type AdmissionQuery,
-  type AdmissionVerdict,
-  type ServerStatus,
-  ServiceAdmission,
-} from "./service_admission.ts";
-export { ReturnSchedule } from "./return_schedule.ts";
-export {
-  encodeRankWaits,
-  isWaitList,
-  MAX_RANK_WAITS,
-  MAX_WAIT_MS,
-  type RankWaits,
-  toRankWaits,
-} from "./rank_waits.ts";
 export { ServiceTimes } from "./service_times.ts";
 export {
   FleetRetryBudget,
--- a/packages/admission/src/testing/admission_scenarios.ts
+++ b/packages/admission/src/testing/admission_scenarios.ts
@@ -1,5 +1,5 @@
 /**
- * Loads that the admission rules are compared on, scaled down from deployments with 20 to 40 servers a service.
+ * Loads that admission is replayed on, scaled down from deployments with 20 to 40 servers a service.
  *
  * @module
  */
@@ -8,6 +8,8 @@
 
 /** Added to the seed of the arrivals to seed the choices of daemons. */
 const PLACEMENT_SEED = 1_000;
+/** The same for when refused callers are to come back. */
+const CALLER_SEED = 2_000;
 const SLOTS = 6;
 const DAEMONS = 8;
 /** Length of a period in which one owner's keys are hot, and of the pause before it, in milliseconds. */
@@ -59,6 +61,7 @@
     },
     random: seededRandom(seed),
     placementRandom: seededRandom(seed + PLACEMENT_SEED),
+    callerRandom: seededRandom(seed + CALLER_SEED),
   };
 }
 
@@ -81,6 +84,7 @@
     ownerAt: undefined,
     random: seededRandom(seed),
     placementRandom: seededRandom(seed + PLACEMENT_SEED),
+    callerRandom: seededRandom(seed + CALLER_SEED),
   };
 }
 
--- a/packages/admission/src/testing/admission_simulation.ts
+++ b/packages/admission/src/testing/admission_simulation.ts
@@ -1,23 +1,19 @@
 /**
  * A discrete-event simulation of callers, the daemons that they reach first, and the backend servers of one service.
- * It compares rules by which the daemons refuse requests and choose when the callers come back.
  *
- * The queues beside the servers and the rules are the real decision code; callers, the network, reports and servers are
- * simulated. A caller retries a refused request once.
+ * The queues beside the servers are the real decision code; callers, the network, reports and servers are simulated. A
+ * caller retries a refused request once.
  *
  * @module
  */
 import { EventQueue } from "@bamboolink/simulation";
-import { DecayingSum } from "../decaying_sum.ts";
+import { createRetryAfterSampler } from "../retry_after_sampler.ts";
 import { type QueueChanges, WorkQueue } from "../work_queue.ts";
 import {
   type AdmissionFigures,
-  type AdmissionRule,
   type AdmissionScenario,
   drawWorkFactor,
   type RequestKind,
-  type SimulatedArrival,
-  type SimulatedReport,
 } from "./admission_model.ts";
 
 /** One-way delay between two daemons, in milliseconds. */
@@ -36,8 +32,6 @@
 /** Callers ignore a delay of more than this share of their remaining time, and then retry after the default. */
 const MAX_DELAY_SHARE = 1 / 3;
 const DEFAULT_DELAY_MS = 50;
-/** Half-life of the offered work that servers report, in milliseconds. */
-const UTILIZATION_HALF_LIFE_MS = 1_000;
 interface SimulatedRequest {
   readonly id: number;
   readonly kind: RequestKind;
@@ -51,7 +45,6 @@
 interface SimulatedServer {
   readonly speed: number;
   readonly queue: WorkQueue;
-  readonly offered: DecayingSum;
   readonly waiting: Map<
     number,
     (outcome: "run" | number, nowMs: number) => void
@@ -69,14 +62,13 @@
   private readonly events = EventQueue.create();
   private readonly servers: SimulatedServer[];
   private readonly placement: PlacementInfo[][];
-  private readonly rules: AdmissionRule[];
+  private readonly sampleRetryAfterMs: ReturnType<
+    typeof createRetryAfterSampler
+  >;
   private readonly figures: AdmissionFigures;
   private lastId = 0;
 
-  private constructor(
-    private readonly scenario: AdmissionScenario,
-    createRule: () => AdmissionRule,
-  ) {
+  private constructor(private readonly scenario: AdmissionScenario) {
     const { speeds, slots, daemons, kinds } = scenario;
     this.servers = speeds.map((speed) => {
       const queue = WorkQueue.create();
@@ -84,13 +76,13 @@
       return {
         speed,
         queue,
-        offered: DecayingSum.create(UTILIZATION_HALF_LIFE_MS),
         waiting: new Map(),
       };
     });
-    this.rules = Array.from({ length: daemons }, createRule);
-    this.placement = this.rules.map(() =>
-      speeds.map(() => ({ waitMs: 0, sentSince: 0 }))
+    this.sampleRetryAfterMs = createRetryAfterSampler(scenario.callerRandom);
+    this.placement = Array.from(
+      { length: daemons },
+      () => speeds.map(() => ({ waitMs: 0, sentSince: 0 })),
     );
     const rankCount = Math.max(...kinds.map(({ rank }) => rank)) + 1;
     this.figures = {
@@ -104,17 +96,13 @@
       retries: 0,
       servedRetries: 0,
       wastedAttempts: 0,
-      refusedBesideFreeSlot: 0,
       worstWaitMs: 0,
     };
   }
 
-  /** Runs a scenario with a rule at each daemon. */
-  static run(
-    scenario: AdmissionScenario,
-    createRule: () => AdmissionRule,
-  ): AdmissionFigures {
-    const simulation = new AdmissionSimulation(scenario, createRule);
+  /** Runs a scenario. */
+  static run(scenario: AdmissionScenario): AdmissionFigures {
+    const simulation = new AdmissionSimulation(scenario);
     scenario.kinds.forEach((kind) => simulation.scheduleArrival(kind, 0));
     simulation.servers.forEach((_, index) => {
       simulation.scheduleReport(index, index * 37 % REPORT_INTERVAL_MS);
@@ -141,10 +129,13 @@
       return;
     }
     this.events.at(atMs, () => {
-      const report = this.describe(index, atMs);
+      const waitMs = this.waitAt(index, atMs);
       this.events.at(
         atMs + REPORT_DELAY_MS,
-        () => this.rules.forEach((_, daemon) => this.deliver(daemon, report)),
+        () =>
+          this.placement.forEach((_, daemon) =>
+            this.deliver(daemon, index, waitMs)
+          ),
       );
       this.scheduleReport(index, atMs + REPORT_INTERVAL_MS);
     });
@@ -161,23 +152,13 @@
     });
   }
 
-  private describe(index: number, nowMs: number): SimulatedReport {
-    const { queue, offered } = this.servers[index]!;
-    const capacity = this.scenario.slots;
-    return {
-      server: index,
-      capacity,
-      utilization: offered.perSecond(nowMs) / (capacity * 1_000),
-      waitMs: queue.waitMs(nowMs),
-      waits: queue.waitsByRank(nowMs),
-      measuredAtMs: nowMs,
-    };
+  private waitAt(index: number, nowMs: number): number {
+    return this.servers[index]!.queue.waitMs(nowMs);
   }
 
-  private deliver(daemon: number, report: SimulatedReport): void {
-    this.rules[daemon]!.record(report);
-    const info = this.placement[daemon]![report.server]!;
-    info.waitMs = report.waitMs;
+  private deliver(daemon: number, index: number, waitMs: number): void {
+    const info = this.placement[daemon]![index]!;
+    info.waitMs = waitMs;
     info.sentSince = 0;
   }
 
@@ -201,23 +182,7 @@
   /** The caller sends a request for the first or the second time. */
   private send(request: SimulatedRequest, nowMs: number): void {
     request.attempts += 1;
-    const arrival = toArrival(request, nowMs);
-    const delayMs = this.rules[request.daemon]!.refuse(arrival, nowMs);
-    if (delayMs === undefined) {
-      this.attempt(request, { round: 0, tried: new Set() }, nowMs);
-      return;
-    }
-    const allowed = request.owner === undefined
-      ? this.servers
-      : [this.servers[request.owner]!];
-    if (
-      allowed.some(({ queue }) =>
-        queue.runningCount < this.scenario.slots && queue.waitingCount === 0
-      )
-    ) {
-      this.figures.refusedBesideFreeSlot += 1;
-    }
-    this.comeBack(request, { delayMs, nowMs });
+    this.attempt(request, { round: 0, tried: new Set() }, nowMs);
   }
 
   private attempt(
@@ -232,9 +197,9 @@
       nowMs + HOP_MS,
       (arrivedAtMs) =>
         this.offer(index, request, arrivedAtMs, (waitMs, endedAtMs) => {
-          const report = this.describe(index, endedAtMs);
+          const reportedWaitMs = this.waitAt(index, endedAtMs);
           this.events.at(endedAtMs + HOP_MS, (returnedAtMs) => {
-            this.deliver(daemon, report);
+            this.deliver(daemon, index, reportedWaitMs);
             if (waitMs !== undefined) {
               const tried = new Set([...at.tried, index]);
               this.handleRefusal(
@@ -256,21 +221,23 @@
   ): void {
     this.figures.wastedAttempts += 1;
     const { round, tried, waitMs } = at;
-    const arrival = toArrival(request, nowMs);
+    const { kind, firstSentAtMs } = request;
     if (
       request.owner === undefined && round + 1 < MAX_ROUNDS &&
       tried.size < this.servers.length
     ) {
       const next = this.choose(request, tried);
       const expectedMs = this.expectedMs(request, next);
-      if (expectedMs < arrival.objectiveRemainingMs) {
+      if (nowMs + expectedMs < firstSentAtMs + kind.objectiveMs) {
         this.attempt(request, { round: round + 1, tried }, nowMs);
         return;
       }
     }
-    const delayMs = this.rules[request.daemon]!.retryAfterMs(arrival, {
+    const delayMs = this.sampleRetryAfterMs({
       waitMs,
-      nowMs,
+      objectiveRemainingMs: firstSentAtMs + kind.objectiveMs - nowMs,
+      remainingMs: firstSentAtMs + kind.deadlineMs - nowMs,
+      isTransient: false,
     });
     this.comeBack(request, { delayMs, nowMs });
   }
@@ -328,7 +295,6 @@
     this.lastId += 1;
     const id = this.lastId;
     const estimateMs = kind.workMs / server.speed;
-    server.offered.add(estimateMs, nowMs);
     const decision = server.queue.offer({
       id,
       rank: kind.rank,
@@ -393,16 +359,3 @@
     );
   }
 }
-
-function toArrival(
-  { kind, owner, firstSentAtMs }: SimulatedRequest,
-  nowMs: number,
-): SimulatedArrival {
-  const waitedMs = nowMs - firstSentAtMs;
-  return {
-    kind,
-    owner,
-    objectiveRemainingMs: kind.objectiveMs - waitedMs,
-    remainingMs: kind.deadlineMs - waitedMs,
-  };
-}
--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -15,8 +15,6 @@
  */
 import { StartRateLimiter } from "./start_rate_limiter.ts";
 import { LateRequestQueue, MIN_CAPACITY } from "./late_request_queue.ts";
-import { MAX_RANK_WAITS, type RankWaits } from "./rank_waits.ts";
-import { RankWork } from "./rank_work.ts";
 import { ServerLoadEstimator } from "./server_load_estimator.ts";
 import {
   type RunningRequest,
@@ -94,7 +92,6 @@
   private slots = 0;
   /** Moving average of the estimates of offered requests, in milliseconds; 0 before the first. */
   private meanEstimateMs = 0;
-  private readonly rankWork = RankWork.create();
 
   private constructor(
     private readonly limiter: StartRateLimiter,
@@ -245,34 +242,6 @@
     return this.waitBehindMs(this.mainQueue, nowMs);
   }
 
-  /** Expected waits of requests that arrive now, by rank; `undefined` without slots. */
-  waitsByRank(nowMs: number): RankWaits | undefined {
-    if (this.slots === 0) {
-      return undefined;
-    }
-    const others = [...this.mainQueue, ...this.running.values()];
-    const maxRank = Math.max(
-      this.lateQueue.maxRank,
-      ...others.map(({ rank }) => rank),
-    );
-    const length = Math.min(MAX_RANK_WAITS, maxRank + 1);
-    const onTimeMs = Array.from({ length }, (_, rank) => {
-      const isLast = rank === length - 1;
-      const ahead = this.mainQueue.filter((other) =>
-        isLast || other.rank <= rank
-      );
-      return this.waitBehindMs(ahead, nowMs) /
-        this.rankWork.shareLeftTo(rank, { slots: this.capacity, nowMs });
-    });
-    const lateMs = onTimeMs.map((waitMs, rank) =>
-      this.hasLessUrgent({ rank })
-        ? waitMs
-        : Math.max(waitMs, this.waitMs(nowMs)) +
-          this.lateQueue.waitOfRankMs(rank, nowMs)
-    );
-    return { onTimeMs, lateMs };
-  }
-
   /** Whether a slot is free and the limiter allows another start. */
   private canStart(nowMs: number): boolean {
     return this.running.size < this.slots &&
@@ -344,7 +313,6 @@
 
   private start(request: WorkRequest, nowMs: number): void {
     this.limiter.recordStart(nowMs);
-    this.rankWork.recordStart(request, nowMs);
     this.running.set(request.id, {
       rank: request.rank,
       startedAtMs: nowMs,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -709,13 +709,6 @@
       "The newest known ownership record was restored after the store had lost it. For 10.3 s no keys are granted by it, since others may hold them by records that were lost; an `ownership_written` with `purpose` settle ends this period.",
     action: "Find out why the store was restored from a snapshot.",
   },
-  rank_waits_malformed: {
-    number: 2010,
-    severity: "warn",
-    meaning:
-      "The daemon at `peer` has sent impossible waits by rank with an outcome. They are ignored; the earlier ones count until they are too old.",
-    action: "Compare the versions of the two daemons.",
-  },
   response_limit_exceeded: {
     number: 2012,
     severity: "warn",
@@ -724,14 +717,6 @@
     action:
       "Check the backend server. If its responses are that large by intention, raise the memory limit of the daemon.",
   },
-  service_refused: {
-    number: 2011,
-    severity: "info",
-    meaning:
-      "This daemon refuses requests of a service before any attempt, because no backend server that may run them (for a key: its `owner`) is expected to finish them before their deadline. `rank` and `wait_ms` are of the latest one; `refused` counts them since the line before. At most one line a second for each service.",
-    action:
-      "If it lasts, compare `utilization` in the `backend_load` lines of the service's hosts: it needs more servers, or a more even load.",
-  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- a/packages/membership/src/member.ts
+++ b/packages/membership/src/member.ts
@@ -83,9 +83,8 @@
    * its next process learns of it from the others.
    */
   statedStatus: StatedStatus.nullable(),
-  /** Expected waits of requests that can meet their latency objective. */
+  /** Empty; earlier versions report waits by rank here and in the next field. */
   rankWaitsMs: RankWaitList,
-  /** Expected waits of requests that miss their objective; empty if they are the same. */
   lateRankWaitsMs: RankWaitList,
   /** Recent average time until a large request body that is offered to the host begins to arrive, in milliseconds. */
   bodyWaitMs: z.number().min(0).max(MAX_WAIT_MS),
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -4,7 +4,12 @@
  *
  * @module
  */
-export { MemberPhase, MemberReport, StatedStatus } from "./member.ts";
+export {
+  MAX_WAIT_MS,
+  MemberPhase,
+  MemberReport,
+  StatedStatus,
+} from "./member.ts";
 export {
   decodeGossip,
   encodeGossip,
--- a/packages/router/src/attempts/request_runner.ts
+++ b/packages/router/src/attempts/request_runner.ts
@@ -15,10 +15,6 @@
 import type { BackendLoadTracker } from "./backend_load_tracker.ts";
 import type { Cancellation } from "./cancellation.ts";
 import { monotonicMs } from "../clock.ts";
-import type {
-  AdmissibleRequest,
-  RequestAdmission,
-} from "./request_admission.ts";
 import type { Forwarder } from "./forwarder.ts";
 import type { LocalBackend } from "../backend/local_backend.ts";
 import type { OwnershipDirectory } from "../keys/ownership_directory.ts";
@@ -80,7 +76,6 @@
   readonly budget: FleetRetryBudget;
   /** Milliseconds of waiting that saving one kilobyte between availability zones is worth. */
   readonly crossZoneMsPerKilobyte: () => number;
-  readonly admission: Pick<RequestAdmission, "refuse">;
   readonly random: () => number;
 }
 
@@ -102,7 +97,7 @@
    * @param options.maximumAttempts how many attempts may reach a backend server.
    */
   async run(
-    request: RoutedRequest & AdmissibleRequest,
+    request: RoutedRequest,
     options: { maximumAttempts: number; cancellation: Cancellation },
   ): Promise<FinalOutcome> {
     const { cancellation, maximumAttempts } = options;
@@ -114,10 +109,6 @@
       });
       return { outcome, peer: undefined, attempts: 0 };
     }
-    const refused = this.context.admission.refuse(request);
-    if (refused !== undefined) {
-      return refused;
-    }
     this.context.budget.recordRequest(request.service, monotonicMs());
     for (let round = 0; round < MAX_ROUNDS; round += 1) {
       const current = history.brokenConnections === 0
--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -5,7 +5,6 @@
  * @module
  */
 import {
-  type RankWaits,
   type RunningColdRequest,
   type ServiceEstimate,
   ServiceTimes,
@@ -82,8 +81,6 @@
   readonly onLimitExceeded?: (bound: ExceededLimit["bound"]) => void;
   /** Memory limit of this process, in bytes; unknown if absent. */
   readonly memoryBytes?: number | undefined;
-  /** Whether daemons admit requests by the waits of a service's servers. */
-  readonly admitsByService?: () => boolean;
 }
 
 /** The backend server's identity and state, as far as requests depend on them. */
@@ -192,7 +189,6 @@
         monotonicMs(),
       ),
       failureShare: this.failureShare,
-      rankWaits: this.rankWaits,
     };
   }
 
@@ -206,16 +202,6 @@
     return this.admission.waitMs;
   }
 
-  /**
-   * The same by rank; `undefined` if daemons don't admit by it, or while the server is cold: by the service time of the
-   * moment they would refuse requests that the warm server finishes in time. Its queue decides on these.
-   */
-  get rankWaits(): RankWaits | undefined {
-    return this.context.admitsByService?.() === true && !this.isCold
-      ? this.admission.rankWaits
-      : undefined;
-  }
-
   /** Typical service time over all routes, in milliseconds; 0 until enough requests were served. */
   get serviceMs(): number {
     return this.times.stableAverageMs;
--- a/packages/router/src/backend/slot_admission.ts
+++ b/packages/router/src/backend/slot_admission.ts
@@ -6,7 +6,6 @@
  */
 import {
   type QueueChanges,
-  type RankWaits,
   type ServerLoadEstimator,
   type ServiceEstimate,
   StartRateLimiter,
@@ -25,11 +24,6 @@
  * it simulates the slots.
  */
 const WAIT_CACHE_TTL_MS = 5;
-/**
- * The same for the waits by rank, in milliseconds. Computing them simulates the slots for each rank; daemons allow for
- * waits that are older than this by an order of magnitude.
- */
-const RANK_WAITS_CACHE_TTL_MS = 20;
 /** Start of this process on the monotonic clock, in milliseconds. */
 const PROCESS_START_MS = 0;
 
@@ -66,8 +60,6 @@
   private slots = 0;
   private startTimer: NodeJS.Timeout | undefined;
   private wait = { waitMs: 0, computedAtMs: -Infinity };
-  private waitsByRank: { waits: RankWaits | undefined; computedAtMs: number } =
-    { waits: undefined, computedAtMs: -Infinity };
 
   private constructor(load: ServerLoadEstimator) {
     this.queue = WorkQueue.create(this.limiter, load);
@@ -128,16 +120,6 @@
     return this.wait.waitMs;
   }
 
-  /** Estimated waits of requests that arrive now, by rank; `undefined` without slots. */
-  get rankWaits(): RankWaits | undefined {
-    const nowMs = monotonicMs();
-    if (nowMs - this.waitsByRank.computedAtMs > RANK_WAITS_CACHE_TTL_MS) {
-      const waits = this.queue.waitsByRank(nowMs);
-      this.waitsByRank = { waits, computedAtMs: nowMs };
-    }
-    return this.waitsByRank.waits;
-  }
-
   /** Slots that requests can keep busy: fewer than there are if the server limits the rate of requests. */
   get capacity(): number {
     return this.queue.capacity;
--- a/packages/router/src/ingress/ingress.ts
+++ b/packages/router/src/ingress/ingress.ts
@@ -48,7 +48,6 @@
   RouterRejection,
 } from "../ports/caller_protocol.ts";
 import type { LoopLag } from "../loop_lag.ts";
-import type { RequestAdmission } from "../attempts/request_admission.ts";
 import type { RequestRunner } from "../attempts/request_runner.ts";
 import {
   notRun,
@@ -102,7 +101,6 @@
   readonly configuration: ConfigurationManager;
   readonly configurationChecker: ConfigurationChecker;
   readonly runner: RequestRunner;
-  readonly admission: Pick<RequestAdmission, "retryAfterMs">;
   readonly lag: LoopLag;
   readonly random: () => number;
   /** Returns the service on this host: the sender of all requests that arrive here. */
@@ -655,14 +653,12 @@
       // No daemon runs it until its quarantine expires, so an earlier retry would be refused again.
       const retryAfterMs = isQuarantined
         ? outcome.waitMs
-        : completed.final.retryAfterMs ??
-          this.context.admission.retryAfterMs(routed, outcome) ??
-          this.sampleRetryAfterMs({
-            waitMs: outcome.waitMs,
-            objectiveRemainingMs: routed.latestStartAtMs - monotonicMs(),
-            remainingMs: routed.callerDeadlineAtMs - monotonicMs(),
-            isTransient: TRANSIENT_REASONS.has(outcome.reason),
-          });
+        : this.sampleRetryAfterMs({
+          waitMs: outcome.waitMs,
+          objectiveRemainingMs: routed.latestStartAtMs - monotonicMs(),
+          remainingMs: routed.callerDeadlineAtMs - monotonicMs(),
+          isTransient: TRANSIENT_REASONS.has(outcome.reason),
+        });
       logger.log("request_not_run", {
         request_id: routed.id,
         route: routed.route,
--- a/packages/router/src/links/link_codec.ts
+++ b/packages/router/src/links/link_codec.ts
@@ -7,12 +7,6 @@
  *
  * @module
  */
-import {
-  encodeRankWaits,
-  isWaitList,
-  type RankWaits,
-  toRankWaits,
-} from "@bamboolink/admission";
 import { BamboolinkError } from "@bamboolink/errors";
 import { z } from "zod";
 import type { ResponseHeaders } from "../backend/exchange.ts";
@@ -112,13 +106,7 @@
   z.number().describe("offered work per slot"),
   z.number().describe("typical service time of the route, in milliseconds"),
   z.number().describe("share of recent requests that failed"),
-  z.array(z.number()).optional().describe(
-    "waits by rank, in milliseconds, for requests that can be on time",
-  ),
-  z.array(z.number()).optional().describe(
-    "the same for late requests; empty if they are the same",
-  ),
-]);
+]).rest(z.unknown().describe("values of other versions; ignored"));
 
 /** The head of an outcome. */
 export const OutcomeHead = z.tuple([
@@ -146,8 +134,6 @@
   readonly serviceMs: number;
   /** Share of recent requests that failed, from 0 to 1. */
   readonly failureShare: number;
-  /** Expected waits by rank; absent where the daemon reports none, `malformed` where its values are impossible. */
-  readonly rankWaits?: RankWaits | "malformed" | undefined;
 }
 
 /** Encodes a frame. */
@@ -382,7 +368,6 @@
     Math.round(load.utilization * 100) / 100,
     Math.round(load.serviceMs),
     Math.round(load.failureShare * 100) / 100,
-    ...toWaitLists(load),
   ];
   const head = toOutcomeHead(outcome, loadHead);
   const body = outcome.kind === "answer" ? outcome.body : undefined;
@@ -420,35 +405,13 @@
     frame.head,
     OutcomeHead.def.items.length,
   );
-  const [waitMs, utilization, serviceMs, failureShare, ...waits] = fields[6];
-  const load = { waitMs, utilization, serviceMs, failureShare };
+  const [waitMs, utilization, serviceMs, failureShare] = fields[6];
   return {
     outcome: toOutcome(fields, frame.body),
-    load: waits.length === 0
-      ? load
-      : { ...load, rankWaits: decodeRankWaits(waits) },
+    load: { waitMs, utilization, serviceMs, failureShare },
   };
 }
 
-function toWaitLists(
-  { rankWaits }: LoadReport,
-): [] | [number[], number[]] {
-  if (rankWaits === undefined || rankWaits === "malformed") {
-    return [];
-  }
-  const { onTimeMs, lateMs } = encodeRankWaits(rankWaits);
-  return [onTimeMs, lateMs];
-}
-
-/** Decodes the values of a load report that earlier versions lack. */
-function decodeRankWaits(
-  [onTimeMs, lateMs = []]: readonly unknown[],
-): LoadReport["rankWaits"] {
-  return isWaitList(onTimeMs) && isWaitList(lateMs)
-    ? toRankWaits(onTimeMs, lateMs)
-    : "malformed";
-}
-
 function toOutcome(
   fields: z.infer<typeof OutcomeHead>,
   body: Buffer,
--- a/packages/router/src/ports/router_settings.ts
+++ b/packages/router/src/ports/router_settings.ts
@@ -65,11 +65,6 @@
     coldRatio: z.number().min(0),
     /** Requests per second that a cold backend server may receive beyond the ratio. */
     coldExtra: z.number().min(0),
-    /**
-     * Whether requests that no backend server of their service is expected to serve are refused before any attempt, and
-     * callers that come back go before new ones.
-     */
-    admitsByService: z.boolean(),
   }),
 });
 /** The settings of one router. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -6,11 +6,7 @@
 import type { Server } from "node:http";
 import type { Server as ConnectionServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import {
-  encodeRankWaits,
-  FleetRetryBudget,
-  MAX_WAIT_MS,
-} from "@bamboolink/admission";
+import { FleetRetryBudget } from "@bamboolink/admission";
 import { CallerConnections } from "@bamboolink/connections";
 import { BamboolinkError } from "@bamboolink/errors";
 import {
@@ -20,7 +16,11 @@
   type PlannedMove,
 } from "@bamboolink/keyspace";
 import type { Logger } from "@bamboolink/logger";
-import { type MemberReport, MemberView } from "@bamboolink/membership";
+import {
+  MAX_WAIT_MS,
+  type MemberReport,
+  MemberView,
+} from "@bamboolink/membership";
 import { Metrics } from "@bamboolink/metrics";
 import type { Store } from "@bamboolink/store";
 import { ConfigurationEvidence } from "@bamboolink/traffic";
@@ -65,7 +65,6 @@
 import { RelayedStore } from "./members/relayed_store.ts";
 import { RecordInspector } from "./keys/record_inspector.ts";
 import { RequestQuarantine } from "./backend/request_quarantine.ts";
-import { RequestAdmission } from "./attempts/request_admission.ts";
 import { RequestRunner } from "./attempts/request_runner.ts";
 import {
   SharedReader,
@@ -135,7 +134,6 @@
   private readonly earlierReportQuery: EarlierReportQuery;
   private readonly forwarder: Forwarder;
   private readonly retryBudget: FleetRetryBudget;
-  private readonly admission: RequestAdmission;
   private readonly ingress: Ingress;
   private readonly bodies: BodyReceiver;
   private readonly linkServer: LinkServer;
@@ -215,7 +213,6 @@
         void this.backendManager.handleSuspicion(suspicion),
       onLeaving: (incarnation, { isRecent }) =>
         this.backendManager.handleStatedLeaving(incarnation, { isRecent }),
-      admitsByService: () => this.settings.bounds.admitsByService,
       memoryBytes: settings.memoryBytes,
       onLimitExceeded: (bound) =>
         this.metrics.count("bamboolink_exceeded_response_limits", { bound }),
@@ -336,7 +333,6 @@
       onLoad: (daemon, { route, load, isCompleted }) => {
         const nowMs = monotonicMs();
         const measuredAtMs = isCompleted ? nowMs : undefined;
-        this.admission.recordLoad(daemon, load, nowMs);
         this.loadTracker.recordRouteLoad(daemon, {
           route,
           load,
@@ -354,16 +350,6 @@
       extra: resendExtra,
       windowMs: resendWindowMs,
     });
-    this.admission = RequestAdmission.create({
-      logger,
-      metrics: this.metrics,
-      view: this.view,
-      loadTracker: this.loadTracker,
-      directory: this.directory,
-      backend: this.backend,
-      isEnabled: () => this.settings.bounds.admitsByService,
-      random,
-    });
     const runner = RequestRunner.create({
       logger,
       view: this.view,
@@ -374,7 +360,6 @@
       quarantine: this.quarantine,
       budget: this.retryBudget,
       crossZoneMsPerKilobyte: () => this.settings.crossZoneMsPerKilobyte,
-      admission: this.admission,
       random,
     });
     this.ingress = Ingress.create({
@@ -384,7 +369,6 @@
       configuration: this.configuration,
       configurationChecker: this.configurationChecker,
       runner,
-      admission: this.admission,
       lag: this.lag,
       random,
       callerService: () => this.settings.service,
@@ -570,7 +554,6 @@
   }
 
   private describeSelf(): Partial<MemberReport> {
-    const { onTimeMs, lateMs } = encodeRankWaits(this.backend.rankWaits);
     return {
       service: this.backendManager.service ?? this.settings.service,
       phase: this.isStopping ? "stopping" : this.backendManager.phase,
@@ -584,15 +567,14 @@
       configurationVersion: Math.max(0, this.configuration.version),
       ownershipRevision: this.directory.revision,
       reachesStore: this.store.isReachable,
-      rankWaitsMs: onTimeMs,
-      lateRankWaitsMs: lateMs,
+      rankWaitsMs: [],
+      lateRankWaitsMs: [],
       bodyWaitMs: Math.min(MAX_WAIT_MS, Math.round(this.bodies.meanWaitMs)),
     };
   }
 
   private handleReports(reports: readonly MemberReport[]): void {
     const nowMs = monotonicMs();
-    this.admission.recordReports(reports, nowMs);
     reports.forEach((report) => {
       this.loadTracker.recordLoad(report.address, report, nowMs);
       this.configuration.handlePeerReport(report);
@@ -872,7 +854,6 @@
       bamboolink_configuration_version: () => this.configuration.version,
       bamboolink_members_alive: () => this.view.alive(monotonicMs()).length,
       bamboolink_requests_quarantined: () => this.quarantine.count,
-      bamboolink_return_reservations: () => this.admission.reservationCount,
       bamboolink_owned_keys: () => this.grants.ownKeyCount,
       bamboolink_owned_ranges: () => this.grants.ownRanges.length,
       bamboolink_grant_bytes: () =>
--- a/packages/router/src/testing/sample_ingress.ts
+++ b/packages/router/src/testing/sample_ingress.ts
@@ -52,7 +52,6 @@
         attempts: 1,
       }),
     } as unknown as RequestRunner,
-    admission: { retryAfterMs: () => undefined },
     lag: LoopLag.create(TICK_MS, () => 0),
     random: () => 0.5,
     callerService: () => "caller",
