--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -50,7 +50,7 @@
   FleetRetryBudget,
   type FleetRetryLimits,
 } from "./fleet_retry_budget.ts";
-export { createRetryAfterSampler } from "./retry_after_sampler.ts";
+export { createRetryAfterSampler } from "./retry_after.ts";
 export {
   type BodyDecision,
   type BodyGrant,
--- a/packages/admission/src/rank_work.ts
+++ b/packages/admission/src/rank_work.ts
@@ -3,16 +3,18 @@
  *
  * @module
  */
-import { DecayingSum } from "./decaying_sum.ts";
 
-/** Half-life of the measured work, in milliseconds; load peaks last a few seconds. */
-const HALF_LIFE_MS = 1_000;
-/** Minimum share of slot time that more urgent ranks are assumed to leave over, so that waits stay finite. */
-const MIN_SHARE_LEFT = 0.05;
+/** Number of starts that are considered: in fewer, chance alone moves shares by more than a fifth. */
+const MAX_STARTS = 25;
 
-/** The work of the requests that were started lately, by rank. */
+interface Start {
+  readonly rank: number;
+  readonly estimateMs: number;
+}
+
+/** The work of the requests that were started last, by rank. */
 export class RankWork {
-  private readonly sums: DecayingSum[] = [];
+  private starts: Start[] = [];
 
   private constructor() {}
 
@@ -21,26 +23,20 @@
     return new RankWork();
   }
 
-  /** Records the slot time of a request that starts. */
-  recordStart(
-    request: { rank: number; estimateMs: number },
-    nowMs: number,
-  ): void {
-    const { rank, estimateMs } = request;
-    const known = this.sums[rank] ?? DecayingSum.create(HALF_LIFE_MS);
-    this.sums[rank] = known;
-    known.add(estimateMs, nowMs);
+  /** Records a request that starts. */
+  recordStart({ rank, estimateMs }: Start): void {
+    this.starts = [...this.starts, { rank, estimateMs }].slice(-MAX_STARTS);
   }
 
-  /** Share of slot time that more urgent ranks leave over to a rank: while a request waits, more of them arrive. */
-  shareLeftTo(
-    rank: number,
-    { slots, nowMs }: { slots: number; nowMs: number },
-  ): number {
-    const usedMs = this.sums.slice(0, rank).reduce(
-      (sum, work) => sum + (work?.perSecond(nowMs) ?? 0),
-      0,
-    );
-    return Math.max(MIN_SHARE_LEFT, 1 - usedMs / (slots * 1_000));
+  /**
+   * Share of the slot time that more urgent ranks leave over to a rank while requests wait: more of them arrive
+   * meanwhile. It is at least what one start of those considered takes, so that waits are finite.
+   */
+  shareLeftTo(rank: number): number {
+    const sumOf = (starts: readonly Start[]) =>
+      starts.reduce((sum, { estimateMs }) => sum + estimateMs, 0);
+    const all = sumOf(this.starts);
+    const urgent = sumOf(this.starts.filter((start) => start.rank < rank));
+    return all === 0 ? 1 : Math.max(1 / MAX_STARTS, 1 - urgent / all);
   }
 }
--- a/packages/admission/src/slot_forecast.ts
+++ b/packages/admission/src/slot_forecast.ts
@@ -32,31 +32,53 @@
   readonly nowMs: number;
 }
 
-/** Simulates the slots: each request ahead takes the slot that becomes free first. Returns the wait behind them. */
-export function slotWaitMs(
-  ahead: readonly WorkRequest[],
-  at: ServerState & { slots: number },
-): number {
-  const { running, load, slots, nowMs } = at;
-  if (slots === 0) {
-    return Infinity;
+/** Simulates the slots of one backend server: each request takes the slot that becomes free first. */
+export class SlotForecast {
+  /** When each slot becomes free, in milliseconds from now at the mean speed of the server. */
+  private readonly freeInMs: number[];
+  private readonly slowdown: number;
+
+  private constructor(private readonly state: ServerState & { slots: number }) {
+    const { load, slots, nowMs } = state;
+    const running = [...state.running];
+    const remaining = running.map((request) => {
+      const { startedAtMs } = request;
+      const run = { startedAtMs, endedAtMs: nowMs };
+      return remainingMsOf(request, load.meanSpeedMs(run));
+    });
+    const free = Array.from(
+      { length: Math.max(0, slots - remaining.length) },
+      () => 0,
+    );
+    this.freeInMs = [...remaining, ...free];
+    this.slowdown = overrunOf({ running, load, nowMs });
+  }
+
+  /** Creates a forecast in which only the running requests hold slots. */
+  static create(state: ServerState & { slots: number }): SlotForecast {
+    return new SlotForecast(state);
+  }
+
+  /** Expected wait of the next request, in milliseconds; infinite without slots. */
+  get waitMs(): number {
+    const { load, slots, nowMs } = this.state;
+    return slots === 0
+      ? Infinity
+      : load.durationMs(this.freeInMs[indexOfMin(this.freeInMs)]!, nowMs);
+  }
+
+  /** Adds a request, which the next one waits behind. */
+  add(request: WorkRequest): void {
+    const { nowMs, slots } = this.state;
+    if (slots === 0) {
+      return;
+    }
+    const earliest = indexOfMin(this.freeInMs);
+    const startMs = bestStartMs(request, nowMs + this.freeInMs[earliest]!);
+    const slowdown = request.coldEstimate === undefined ? this.slowdown : 1;
+    this.freeInMs[earliest] = startMs - nowMs +
+      serviceMsAt(request, startMs) * slowdown;
   }
-  const remaining = [...running].map((request) => {
-    const { startedAtMs } = request;
-    const run = { startedAtMs, endedAtMs: nowMs };
-    return remainingMsOf(request, load.meanSpeedMs(run));
-  });
-  const free = Array.from(
-    { length: Math.max(0, slots - remaining.length) },
-    () => 0,
-  );
-  const freeInMs = [...remaining, ...free];
-  ahead.forEach((request) => {
-    const earliest = indexOfMin(freeInMs);
-    const startMs = bestStartMs(request, nowMs + freeInMs[earliest]!);
-    freeInMs[earliest] = startMs - nowMs + serviceMsAt(request, startMs);
-  });
-  return load.durationMs(freeInMs[indexOfMin(freeInMs)]!, nowMs);
 }
 
 /**
@@ -69,11 +91,7 @@
   request: WorkRequest,
   { running, load, nowMs }: ServerState,
 ): WorkRequest {
-  const work = [...running].map((other) => ({
-    startedAtMs: other.startedAtMs,
-    maxTypicalMs: maxTypicalMs(other),
-  }));
-  const slowdown = load.overrunFactor(work, nowMs);
+  const slowdown = overrunOf({ running, load, nowMs });
   const { coldEstimate } = request;
   const estimateMs = load.durationMs(request.estimateMs * slowdown, nowMs);
   if (estimateMs === request.estimateMs) {
@@ -86,6 +104,15 @@
   };
 }
 
+/** Factor by which the running requests exceed their typical durations; at least 1. */
+export function overrunOf({ running, load, nowMs }: ServerState): number {
+  const work = [...running].map((other) => ({
+    startedAtMs: other.startedAtMs,
+    maxTypicalMs: maxTypicalMs(other),
+  }));
+  return load.overrunFactor(work, nowMs);
+}
+
 /** The estimate, scaled for starts before the server or the key becomes warm. */
 function scaledUntilWarm(
   estimate: ColdEstimate,
--- a/packages/admission/src/testing/admission_simulation.ts
+++ b/packages/admission/src/testing/admission_simulation.ts
@@ -1,19 +1,21 @@
 /**
  * A discrete-event simulation of callers, the daemons that they reach first, and the backend servers of one service.
  *
- * The queues beside the servers are the real decision code; callers, the network, reports and servers are simulated. A
- * caller retries a refused request once.
+ * The queues beside the servers are the real decision code, or rules that it is compared with; callers, the network,
+ * reports and servers are simulated.
  *
  * @module
  */
 import { EventQueue } from "@bamboolink/simulation";
-import { createRetryAfterSampler } from "../retry_after_sampler.ts";
 import { type QueueChanges, WorkQueue } from "../work_queue.ts";
 import {
   type AdmissionFigures,
   type AdmissionScenario,
   drawWorkFactor,
+  type KindFigures,
+  type QueueFactory,
   type RequestKind,
+  type SimulatedQueue,
 } from "./admission_model.ts";
 
 /** One-way delay between two daemons, in milliseconds. */
@@ -25,26 +27,29 @@
 const SCORE_JITTER = 0.15;
 /** Interval at which the queue of each server is advanced, in milliseconds. */
 const ADVANCE_INTERVAL_MS = 50;
-/** Maximum attempts of one request, including refused ones. */
+/** Maximum attempts at servers for one attempt of a caller, including refused ones. */
 const MAX_ROUNDS = 4;
-/** Retries with less than this share of the work left to the deadline are not made. */
-const MIN_RETRY_SHARE = 0.8;
-/** Callers ignore a delay of more than this share of their remaining time, and then retry after the default. */
-const MAX_DELAY_SHARE = 1 / 3;
+/** Callers honour a delay of up to this share of their remaining time; those that don't repeat after the default. */
+const HONOURED_SHARE = 1 / 3;
 const DEFAULT_DELAY_MS = 50;
+
 interface SimulatedRequest {
   readonly id: number;
   readonly kind: RequestKind;
+  readonly figures: KindFigures;
   readonly daemon: number;
   readonly owner: number | undefined;
   readonly workFactor: number;
   readonly firstSentAtMs: number;
-  attempts: number;
+  sentAtMs: number;
+  retries: number;
+  /** Whether this attempt was sent at the time that the caller was told. */
+  isAtToldTime: boolean;
 }
 
 interface SimulatedServer {
   readonly speed: number;
-  readonly queue: WorkQueue;
+  readonly queue: SimulatedQueue;
   readonly waiting: Map<
     number,
     (outcome: "run" | number, nowMs: number) => void
@@ -62,48 +67,44 @@
   private readonly events = EventQueue.create();
   private readonly servers: SimulatedServer[];
   private readonly placement: PlacementInfo[][];
-  private readonly sampleRetryAfterMs: ReturnType<
-    typeof createRetryAfterSampler
-  >;
   private readonly figures: AdmissionFigures;
   private lastId = 0;
 
-  private constructor(private readonly scenario: AdmissionScenario) {
-    const { speeds, slots, daemons, kinds } = scenario;
-    this.servers = speeds.map((speed) => {
-      const queue = WorkQueue.create();
-      queue.setSlots(slots);
-      return {
-        speed,
-        queue,
-        waiting: new Map(),
-      };
-    });
-    this.sampleRetryAfterMs = createRetryAfterSampler(scenario.callerRandom);
+  private constructor(
+    private readonly scenario: AdmissionScenario,
+    createQueue: QueueFactory,
+  ) {
+    const { speeds, slots, daemons, kinds, callerRandom } = scenario;
+    this.servers = speeds.map((speed) => ({
+      speed,
+      queue: createQueue(slots, callerRandom),
+      waiting: new Map(),
+    }));
     this.placement = Array.from(
       { length: daemons },
       () => speeds.map(() => ({ waitMs: 0, sentSince: 0 })),
     );
-    const rankCount = Math.max(...kinds.map(({ rank }) => rank)) + 1;
     this.figures = {
-      ranks: Array.from(
-        { length: rankCount },
-        () => ({ requests: 0, onTime: 0, late: 0 }),
-      ),
-      requests: 0,
-      onTime: 0,
-      late: 0,
-      retries: 0,
-      servedRetries: 0,
+      kinds: kinds.map(() => ({
+        requests: 0,
+        served: 0,
+        servedMs: [],
+        refusedMs: [],
+        leftMs: [],
+        toldRetries: 0,
+        servedToldRetries: 0,
+      })),
       wastedAttempts: 0,
-      worstWaitMs: 0,
     };
   }
 
-  /** Runs a scenario. */
-  static run(scenario: AdmissionScenario): AdmissionFigures {
-    const simulation = new AdmissionSimulation(scenario);
-    scenario.kinds.forEach((kind) => simulation.scheduleArrival(kind, 0));
+  /** Runs a scenario with a queue beside each server. */
+  static run(
+    scenario: AdmissionScenario,
+    createQueue: QueueFactory = createWorkQueue,
+  ): AdmissionFigures {
+    const simulation = new AdmissionSimulation(scenario, createQueue);
+    scenario.kinds.forEach((_, index) => simulation.scheduleArrival(index, 0));
     simulation.servers.forEach((_, index) => {
       simulation.scheduleReport(index, index * 37 % REPORT_INTERVAL_MS);
       simulation.scheduleAdvance(index, index);
@@ -112,14 +113,14 @@
     return simulation.figures;
   }
 
-  private scheduleArrival(kind: RequestKind, nowMs: number): void {
-    const { durationMs, random, loadAt } = this.scenario;
-    const perMs = kind.perSecond * loadAt(nowMs) / 1_000;
+  private scheduleArrival(index: number, nowMs: number): void {
+    const { durationMs, random, loadAt, kinds } = this.scenario;
+    const perMs = kinds[index]!.perSecond * loadAt(nowMs) / 1_000;
     const nextMs = nowMs - Math.log(1 - random()) / perMs;
     if (nextMs < durationMs) {
       this.events.at(nextMs, () => {
-        this.arrive(kind, nextMs);
-        this.scheduleArrival(kind, nextMs);
+        this.arrive(index, nextMs);
+        this.scheduleArrival(index, nextMs);
       });
     }
   }
@@ -162,26 +163,28 @@
     info.sentSince = 0;
   }
 
-  private arrive(kind: RequestKind, nowMs: number): void {
-    const { random, daemons, ownerAt } = this.scenario;
+  private arrive(index: number, nowMs: number): void {
+    const { random, daemons, ownerAt, kinds } = this.scenario;
     this.lastId += 1;
-    const request: SimulatedRequest = {
+    const figures = this.figures.kinds[index]!;
+    figures.requests += 1;
+    this.send({
       id: this.lastId,
-      kind,
+      kind: kinds[index]!,
+      figures,
       daemon: Math.floor(random() * daemons),
       owner: ownerAt?.(nowMs, random()),
       workFactor: drawWorkFactor(random),
       firstSentAtMs: nowMs,
-      attempts: 0,
-    };
-    this.figures.requests += 1;
-    this.figures.ranks[kind.rank]!.requests += 1;
-    this.send(request, nowMs);
+      sentAtMs: nowMs,
+      retries: 0,
+      isAtToldTime: false,
+    }, nowMs);
   }
 
-  /** The caller sends a request for the first or the second time. */
+  /** The caller sends a request, for the first time or again. */
   private send(request: SimulatedRequest, nowMs: number): void {
-    request.attempts += 1;
+    request.sentAtMs = nowMs;
     this.attempt(request, { round: 0, tried: new Set() }, nowMs);
   }
 
@@ -196,15 +199,15 @@
     this.events.at(
       nowMs + HOP_MS,
       (arrivedAtMs) =>
-        this.offer(index, request, arrivedAtMs, (waitMs, endedAtMs) => {
+        this.offer(index, request, arrivedAtMs, (retryMs, endedAtMs) => {
           const reportedWaitMs = this.waitAt(index, endedAtMs);
           this.events.at(endedAtMs + HOP_MS, (returnedAtMs) => {
             this.deliver(daemon, index, reportedWaitMs);
-            if (waitMs !== undefined) {
+            if (retryMs !== undefined) {
               const tried = new Set([...at.tried, index]);
               this.handleRefusal(
                 request,
-                { round: at.round, tried, waitMs },
+                { round: at.round, tried, retryMs },
                 returnedAtMs,
               );
             }
@@ -213,51 +216,43 @@
     );
   }
 
-  /** Handles the refusal of a queue: tries another server if it is expected to be on time, or refuses the caller. */
+  /** Handles the refusal of a queue: tries another server if that one is expected to have room, or refuses the caller. */
   private handleRefusal(
     request: SimulatedRequest,
-    at: { round: number; tried: ReadonlySet<number>; waitMs: number },
+    at: { round: number; tried: ReadonlySet<number>; retryMs: number },
     nowMs: number,
   ): void {
     this.figures.wastedAttempts += 1;
-    const { round, tried, waitMs } = at;
-    const { kind, firstSentAtMs } = request;
+    const { round, tried, retryMs } = at;
     if (
       request.owner === undefined && round + 1 < MAX_ROUNDS &&
       tried.size < this.servers.length
     ) {
       const next = this.choose(request, tried);
-      const expectedMs = this.expectedMs(request, next);
-      if (nowMs + expectedMs < firstSentAtMs + kind.objectiveMs) {
+      if (this.mayHaveRoom(request, next, nowMs)) {
         this.attempt(request, { round: round + 1, tried }, nowMs);
         return;
       }
     }
-    const delayMs = this.sampleRetryAfterMs({
-      waitMs,
-      objectiveRemainingMs: firstSentAtMs + kind.objectiveMs - nowMs,
-      remainingMs: firstSentAtMs + kind.deadlineMs - nowMs,
-      isTransient: false,
-    });
-    this.comeBack(request, { delayMs, nowMs });
+    this.comeBack(request, { retryMs, nowMs });
   }
 
   private comeBack(
     request: SimulatedRequest,
-    at: { delayMs: number; nowMs: number },
+    { retryMs, nowMs }: { retryMs: number; nowMs: number },
   ): void {
-    const { delayMs, nowMs } = at;
-    const { firstSentAtMs, kind } = request;
-    const remainingMs = firstSentAtMs + kind.deadlineMs - nowMs;
-    const waitMs = delayMs <= remainingMs * MAX_DELAY_SHARE
-      ? delayMs
-      : DEFAULT_DELAY_MS;
-    if (
-      request.attempts === 1 &&
-      remainingMs - waitMs > kind.workMs * MIN_RETRY_SHARE
-    ) {
-      this.figures.retries += 1;
-      this.events.at(nowMs + waitMs, (atMs) => this.send(request, atMs));
+    const { maxRetries, heedsRetryAfter } = this.scenario.habits;
+    const { firstSentAtMs, sentAtMs, kind, figures } = request;
+    const leftMs = firstSentAtMs + kind.deadlineMs - nowMs;
+    figures.refusedMs.push(nowMs - sentAtMs);
+    figures.leftMs.push(leftMs);
+    const isAtToldTime = heedsRetryAfter && retryMs <= leftMs * HONOURED_SHARE;
+    const delayMs = isAtToldTime ? retryMs : DEFAULT_DELAY_MS;
+    if (request.retries < maxRetries && leftMs - delayMs > kind.workMs) {
+      request.retries += 1;
+      request.isAtToldTime = isAtToldTime;
+      figures.toldRetries += isAtToldTime ? 1 : 0;
+      this.events.at(nowMs + delayMs, (atMs) => this.send(request, atMs));
     }
   }
 
@@ -277,36 +272,56 @@
       .index;
   }
 
-  private expectedMs({ kind, daemon }: SimulatedRequest, index: number) {
-    const { waitMs, sentSince } = this.placement[daemon]![index]!;
-    const serviceMs = kind.workMs / this.servers[index]!.speed;
+  /** Whether another server may serve a request that one has refused. A full queue may have room for urgent requests. */
+  private mayHaveRoom(
+    request: SimulatedRequest,
+    index: number,
+    nowMs: number,
+  ): boolean {
+    const { kind, daemon, firstSentAtMs } = request;
+    const leastUrgent = Math.max(
+      ...this.scenario.kinds.map(({ rank }) => rank),
+    );
+    const { waitMs } = this.placement[daemon]![index]!;
+    return kind.rank < leastUrgent
+      ? nowMs + this.expectedMs(request, index) <
+        firstSentAtMs + kind.deadlineMs
+      : waitMs <= this.serviceMs(request, index);
+  }
+
+  private serviceMs({ kind }: SimulatedRequest, index: number): number {
+    return kind.workMs / this.servers[index]!.speed;
+  }
+
+  private expectedMs(request: SimulatedRequest, index: number): number {
+    const { waitMs, sentSince } = this.placement[request.daemon]![index]!;
+    const serviceMs = this.serviceMs(request, index);
     return serviceMs + waitMs + sentSince * serviceMs / this.scenario.slots;
   }
 
-  /** Offers a request to a queue. `onEnd` is called with its wait if it is refused. */
+  /** Offers a request to a queue. `onEnd` is called with the time to come back if it is refused. */
   private offer(
     index: number,
     request: SimulatedRequest,
     nowMs: number,
-    onEnd: (refusedWaitMs: number | undefined, nowMs: number) => void,
+    onEnd: (retryMs: number | undefined, nowMs: number) => void,
   ): void {
     const server = this.servers[index]!;
     const { kind, firstSentAtMs } = request;
     this.lastId += 1;
     const id = this.lastId;
-    const estimateMs = kind.workMs / server.speed;
+    const estimateMs = this.serviceMs(request, index);
     const decision = server.queue.offer({
       id,
       rank: kind.rank,
-      objectiveAtMs: firstSentAtMs + kind.objectiveMs,
       deadlineAtMs: firstSentAtMs + kind.deadlineMs,
       estimateMs,
-      mayEndLate: true,
+      blocksOthers: false,
     }, nowMs);
     const start = (startedAtMs: number) => {
       const endsAtMs = startedAtMs + estimateMs * request.workFactor;
       this.events.at(endsAtMs, () => {
-        this.recordServed(request, { startedAtMs, endsAtMs });
+        recordServed(request, endsAtMs);
         onEnd(undefined, endsAtMs);
         this.applyChanges(index, server.queue.finish(id, endsAtMs), endsAtMs);
       });
@@ -329,33 +344,33 @@
     changes: QueueChanges,
     nowMs: number,
   ): void {
-    const { waiting, queue } = this.servers[index]!;
+    const { waiting } = this.servers[index]!;
     const resolve = (id: number, outcome: "run" | number) => {
       const listener = waiting.get(id);
       waiting.delete(id);
       listener?.(outcome, nowMs);
     };
     changes.run.forEach((id) => resolve(id, "run"));
-    changes.refuse.forEach(({ id }) => resolve(id, queue.waitMs(nowMs)));
+    changes.refuse.forEach(({ id, waitMs }) => resolve(id, waitMs));
   }
+}
 
-  private recordServed(
-    request: SimulatedRequest,
-    times: { startedAtMs: number; endsAtMs: number },
-  ): void {
-    const { kind, firstSentAtMs } = request;
-    const tookMs = times.endsAtMs + HOP_MS - firstSentAtMs;
-    if (tookMs > kind.deadlineMs) {
-      return;
-    }
-    const rank = this.figures.ranks[kind.rank]!;
-    const field = tookMs <= kind.objectiveMs ? "onTime" : "late";
-    this.figures[field] += 1;
-    this.figures.servedRetries += request.attempts > 1 ? 1 : 0;
-    rank[field] += 1;
-    this.figures.worstWaitMs = Math.max(
-      this.figures.worstWaitMs,
-      times.startedAtMs - firstSentAtMs,
-    );
+/** The queue that daemons use. */
+export function createWorkQueue(
+  slots: number,
+  random: () => number,
+): WorkQueue {
+  const queue = WorkQueue.create(undefined, undefined, random);
+  queue.setSlots(slots);
+  return queue;
+}
+
+function recordServed(request: SimulatedRequest, endsAtMs: number): void {
+  const { kind, firstSentAtMs, figures, isAtToldTime } = request;
+  const tookMs = endsAtMs + HOP_MS - firstSentAtMs;
+  if (tookMs <= kind.deadlineMs) {
+    figures.served += 1;
+    figures.servedMs.push(tookMs);
+    figures.servedToldRetries += isAtToldTime ? 1 : 0;
   }
 }
--- a/packages/admission/src/testing/cold_start_policies.ts
+++ b/packages/admission/src/testing/cold_start_policies.ts
@@ -54,9 +54,8 @@
     const decision = this.queue.offer({
       id,
       rank: 2,
-      objectiveAtMs,
       deadlineAtMs,
-      mayEndLate: true,
+      blocksOthers: false,
       ...estimate,
     }, nowMs);
     this.setTimer(nowMs);
--- a/packages/admission/src/testing/cold_start_simulation.ts
+++ b/packages/admission/src/testing/cold_start_simulation.ts
@@ -12,8 +12,6 @@
   endOf,
   type ScenarioRequest,
 } from "./cold_start_scenario.ts";
-import { createRetryAfterSampler } from "../retry_after_sampler.ts";
-import { seededRandom } from "@bamboolink/simulation";
 
 /** Interval of the daemon's control loop, which checks the waiting requests, in milliseconds. */
 const TICK_INTERVAL_MS = 50;
@@ -71,17 +69,11 @@
   private readonly running = new Map<number, RunningRequest>();
   private readonly retried = new Set<number>();
   private readonly retries: { atMs: number; request: ScenarioRequest }[] = [];
-  private readonly sampleRetryAfterMs: ReturnType<
-    typeof createRetryAfterSampler
-  >;
 
   constructor(
     private readonly scenario: ColdStartScenario,
     private readonly policies: readonly OwnerPolicy[],
   ) {
-    this.sampleRetryAfterMs = createRetryAfterSampler(
-      seededRandom(scenario.seed + 1_000),
-    );
     this.windows = Array.from(
       { length: Math.ceil(scenario.durationMs / WINDOW_MS) },
       () => ({
@@ -178,21 +170,15 @@
     { waitMs, nowMs }: { waitMs: number; nowMs: number },
   ): void {
     const remainingMs = request.deadlineAtMs - nowMs;
-    const retryAfterMs = this.sampleRetryAfterMs({
-      waitMs,
-      objectiveRemainingMs: request.objectiveAtMs - nowMs - request.workMs,
-      remainingMs,
-      isTransient: false,
-    });
     if (
       this.retried.has(request.id) ||
-      retryAfterMs > remainingMs * MAX_RETRY_SHARE
+      waitMs > remainingMs * MAX_RETRY_SHARE
     ) {
       this.windowOf(request).refused += 1;
       return;
     }
     this.retried.add(request.id);
-    const atMs = Math.ceil(nowMs + retryAfterMs + CALLER_ROUND_TRIP_MS);
+    const atMs = Math.ceil(nowMs + waitMs + CALLER_ROUND_TRIP_MS);
     this.retries.push({ atMs, request });
   }
 }
--- a/packages/admission/src/testing/full_knowledge.ts
+++ b/packages/admission/src/testing/full_knowledge.ts
@@ -19,21 +19,13 @@
   readonly sentAtMs: number;
 }
 
-/** Shares of all requests that were served, and served on time. */
-export interface ServedShares {
-  readonly served: number;
-  readonly onTime: number;
-}
-
-/** Serves a scenario with full knowledge. */
-export function serveWithFullKnowledge(
-  scenario: AdmissionScenario,
-): ServedShares {
+/** Serves a scenario with full knowledge; returns the share of all requests that was served. */
+export function serveWithFullKnowledge(scenario: AdmissionScenario): number {
   const { speeds, slots, kinds, durationMs, loadAt, random, ownerAt } =
     scenario;
   const events = EventQueue.create();
   const running = speeds.map(() => 0);
-  const counts = { requests: 0, served: 0, onTime: 0 };
+  const counts = { requests: 0, served: 0 };
   let waiting: KnownRequest[] = [];
 
   const endOf = (request: KnownRequest, server: number, nowMs: number) =>
@@ -42,14 +34,9 @@
     (request.owner ?? server) === server &&
     endOf(request, server, nowMs) <=
       request.sentAtMs + request.kind.deadlineMs;
-  const isOnTime = (request: KnownRequest, server: number, nowMs: number) =>
-    endOf(request, server, nowMs) <=
-      request.sentAtMs + request.kind.objectiveMs;
-
   const start = (request: KnownRequest, server: number, nowMs: number) => {
     running[server]! += 1;
     counts.served += 1;
-    counts.onTime += isOnTime(request, server, nowMs) ? 1 : 0;
     events.at(endOf(request, server, nowMs), (endedAtMs) => {
       running[server]! -= 1;
       startNext(server, endedAtMs);
@@ -63,8 +50,6 @@
       .filter((request) => mayRun(request, server, nowMs))
       .toSorted((left, right) =>
         left.kind.rank - right.kind.rank ||
-        Number(isOnTime(right, server, nowMs)) -
-          Number(isOnTime(left, server, nowMs)) ||
         left.sentAtMs + left.kind.deadlineMs -
           (right.sentAtMs + right.kind.deadlineMs)
       )[0];
@@ -107,8 +92,5 @@
   };
   kinds.forEach((kind) => schedule(kind, 0));
   events.runAll();
-  return {
-    served: counts.served / counts.requests,
-    onTime: counts.onTime / counts.requests,
-  };
+  return counts.served / counts.requests;
 }
--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -1,29 +1,37 @@
 /**
- * Admission control of the router for one backend server: decides which requests run, wait or are refused. The `daemon`
- * package uses `SlotQueue` instead, which has only two priority classes and deadlines.
+ * Admission control of the router for one backend server: decides which requests run, wait or are refused, and when the
+ * callers of those that are refused are to come back. The `daemon` package uses `SlotQueue` instead, which has only two
+ * priority classes and deadlines.
  *
- * Designed for overload that lasts for seconds, in which requests of different urgency and length compete for the
- * slots, and in which a response after the deadline is wasted work.
+ * Designed for overload that lasts for seconds, in which requests of different urgency and length compete for the slots,
+ * and in which a response after the deadline is wasted work.
  *
- * Requests wait in two queues. Those of the main queue run first, and no request of the late queue takes a slot from
- * them. The main queue holds requests that can still meet their latency objective and, although they will miss it,
- * short ones and those that are more urgent than another one that runs or waits in it. Other late requests get the
- * remaining slots, as long as they are expected to finish before their deadline: load fluctuates, and a late response
- * serves a caller better than a refusal.
+ * A request is refused as soon as it is known that it won't be served: if it can't end before its deadline, or if the
+ * queue has been standing for so long that further waiting serves nobody. The most urgent rank starts first, and within
+ * a rank the request that must begin first to meet its deadline.
  *
  * @module
  */
-import { StartRateLimiter } from "./start_rate_limiter.ts";
-import { LateRequestQueue, MIN_CAPACITY } from "./late_request_queue.ts";
+import { EstimateSpread } from "./estimate_spread.ts";
+import { RankWork } from "./rank_work.ts";
+import { ReturnTimes } from "./return_times.ts";
 import { ServerLoadEstimator } from "./server_load_estimator.ts";
 import {
+  overrunOf,
   type RunningRequest,
   scaledBySlowdown,
-  slotWaitMs,
+  SlotForecast,
 } from "./slot_forecast.ts";
+import {
+  type ServerPace,
+  StandingQueue,
+  usefulBacklogMs,
+} from "./standing_queue.ts";
+import { StartRateLimiter } from "./start_rate_limiter.ts";
 import {
   bestStartMs,
   canMeetDeadline,
+  endsInTimeIfCold,
   serviceMsAt,
   shouldStart,
   type WorkRequest,
@@ -44,7 +52,7 @@
   | {
     readonly kind: "refuse";
     readonly reason: QueueRefusalReason;
-    /** Expected time until such a request could start, in milliseconds. */
+    /** When its caller is to come back, in milliseconds from now. */
     readonly waitMs: number;
   };
 
@@ -52,7 +60,7 @@
 export interface QueueRefusal {
   readonly id: number;
   readonly reason: QueueRefusalReason;
-  /** Expected time until such a request could start, in milliseconds. */
+  /** When its caller is to come back, in milliseconds from now. */
   readonly waitMs: number;
 }
 
@@ -67,48 +75,47 @@
  * cost of keeping it sorted.
  */
 const MAX_WAITING_PER_SLOT = 40;
-/**
- * Safety margin on estimates: a request counts as on time only if it is expected to meet its objective even when it
- * takes this share of its estimate longer. Under overload the queue fills until the next request would
- * just miss the limit, so all requests finish close to it. With the limit at the objective itself, half of them are
- * late; with any allowance beyond it, nearly all are, and only 24 of 564 requests are on time.
- */
-const ESTIMATE_MARGIN = 0.25;
-/** A request counts as short up to this share of the mean estimate. */
-const SHORT_REQUEST_SHARE = 0.4;
 /** Delay of a start that nothing holds back any more, in milliseconds; 0 stands for no start. */
 const IMMEDIATE_START_DELAY_MS = 1;
-
 /** Weight of the latest request in the mean estimate (EWMA). */
 const ESTIMATE_EWMA_WEIGHT = 0.1;
+/** Lower bound of a capacity, in slots: without any, waits would be infinite, and no server could own keys. */
+const MIN_CAPACITY = 0.01;
 
-/** The waiting and running requests of one backend server, on time and late. */
+/** The waiting and running requests of one backend server. */
 export class WorkQueue {
   private readonly running = new Map<number, RunningRequest>();
-  /** Requests that can meet their objective or are worth running late, the most urgent first. */
-  private mainQueue: WorkRequest[] = [];
-  /** Other requests that miss their objective but can finish before their deadline. */
-  private readonly lateQueue = LateRequestQueue.create();
+  /** Waiting requests, the one that starts next first. */
+  private waiting: WorkRequest[] = [];
   private slots = 0;
   /** Moving average of the estimates of offered requests, in milliseconds; 0 before the first. */
   private meanEstimateMs = 0;
+  private readonly rankWork = RankWork.create();
+  private readonly standing = StandingQueue.create();
+  private readonly spread = EstimateSpread.create();
+  private readonly returnTimes: ReturnTimes;
 
   private constructor(
     private readonly limiter: StartRateLimiter,
     private readonly load: ServerLoadEstimator,
-  ) {}
+    random: () => number,
+  ) {
+    this.returnTimes = ReturnTimes.create(random);
+  }
 
   /**
    * Creates a queue without slots. Requests can't start until `setSlots` is called.
    *
    * @param limiter limits the rate of starts at the backend server.
    * @param load how much longer than its estimate work takes there now.
+   * @param random returns numbers from 0 up to 1.
    */
   static create(
     limiter: StartRateLimiter = StartRateLimiter.create(0),
     load: ServerLoadEstimator = ServerLoadEstimator.create(),
+    random: () => number = () => 0,
   ): WorkQueue {
-    return new WorkQueue(limiter, load);
+    return new WorkQueue(limiter, load, random);
   }
 
   /** Sets how many requests may run concurrently. */
@@ -131,17 +138,15 @@
     return this.running.size;
   }
 
-  /** Number of waiting requests in both queues. */
+  /** Number of waiting requests. */
   get waitingCount(): number {
-    return this.mainQueue.length + this.lateQueue.size;
+    return this.waiting.length;
   }
 
   /** Starts, queues or refuses a request that has just arrived. */
   offer(arrived: WorkRequest, nowMs: number): AdmissionDecision {
     this.recordEstimate(arrived.estimateMs);
-    const { load } = this;
-    const running = this.running.values();
-    const request = scaledBySlowdown(arrived, { running, load, nowMs });
+    const request = this.scaled(arrived, nowMs);
     if (
       this.canStart(nowMs) && shouldStart(request, nowMs) &&
       this.findNext(nowMs) === undefined
@@ -149,59 +154,46 @@
       this.start(arrived, nowMs);
       return { kind: "run" };
     }
-    const ahead = this.requestsAhead(request);
-    const waitMs = this.waitBehindMs(ahead, nowMs);
-    const toWaitMs = (earliestMs: number) =>
-      bestStartMs(request, earliestMs) - nowMs;
-    if (!canMeetDeadline(request, nowMs + waitMs)) {
-      const reason = this.isHeldByLimit(ahead.length, { waitMs, nowMs })
-        ? "rate_limited"
-        : "too_late";
-      return { kind: "refuse", reason, waitMs: toWaitMs(nowMs + waitMs) };
-    }
-    if (this.waitingCount >= this.slots * MAX_WAITING_PER_SLOT) {
-      return { kind: "refuse", reason: "queue_full", waitMs };
-    }
-    if (
-      !missesObjective(request, nowMs + waitMs) ||
-      this.isWorthRunningLate(request)
-    ) {
-      this.insert(arrived);
-      return { kind: "wait" };
-    }
-    const startMs = this.lateQueue.startBehindMs(
-      request,
-      this.forecastLateStart(nowMs),
+    const { rank } = request;
+    const ahead = this.waiting.filter((other) =>
+      compareUrgency(other, request) <= 0
     );
-    if (
-      !request.mayEndLate || !this.lateQueue.offer(request, { nowMs, startMs })
-    ) {
-      const reason = this.isHeldByLimit(ahead.length, { waitMs, nowMs })
-        ? "rate_limited"
-        : "overloaded";
-      return { kind: "refuse", reason, waitMs: toWaitMs(startMs) };
+    const waitMs = this.waitBehindMs(ahead, { rank, nowMs });
+    const reason = this.findRefusal(request, { ahead, waitMs, nowMs });
+    if (reason === undefined) {
+      this.waiting.splice(ahead.length, 0, arrived);
+      return { kind: "wait" };
     }
-    return { kind: "wait" };
+    return {
+      kind: "refuse",
+      reason,
+      waitMs: this.chooseReturn(request, { reason, waitMs, nowMs }),
+    };
   }
 
   /** Frees the slot of a request that has ended; returns the resulting changes to the queue. */
   finish(id: number, nowMs: number): QueueChanges {
+    const ended = this.running.get(id);
+    if (ended !== undefined) {
+      const { estimateMs, startedAtMs } = ended;
+      const run = { startedAtMs, endedAtMs: nowMs };
+      const tookMs = this.load.meanSpeedMs(run);
+      this.spread.record({ estimateMs, tookMs });
+    }
     this.running.delete(id);
     return this.advance(nowMs);
   }
 
   /** Removes a waiting request, for example because its caller disconnected; returns whether it was waiting. */
   cancel(id: number): boolean {
-    const before = this.mainQueue.length;
-    this.mainQueue = this.mainQueue.filter((request) => request.id !== id);
-    return this.mainQueue.length < before || this.lateQueue.remove(id);
+    const before = this.waiting.length;
+    this.waiting = this.waiting.filter((request) => request.id !== id);
+    return this.waiting.length < before;
   }
 
   /** Fills free slots, and refuses requests that can no longer be served before their deadline. */
   advance(nowMs: number): QueueChanges {
-    this.lateQueue.setCapacity(this.capacity);
-    const unmeetable = this.dropUnmeetable(nowMs);
-    const overtaken = this.demoteOvertaken(nowMs);
+    const refuse = this.refuseHopeless(nowMs);
     const run: number[] = [];
     while (this.canStart(nowMs)) {
       const next = this.findNext(nowMs);
@@ -212,7 +204,8 @@
       this.start(next, nowMs);
       run.push(next.id);
     }
-    return { run, refuse: [...unmeetable, ...overtaken] };
+    this.standing.ranks.forEach((rank) => this.recordBacklog(rank, nowMs));
+    return { run, refuse };
   }
 
   /**
@@ -231,7 +224,7 @@
       // The timer of an earlier call may be due, and is replaced by that of this one.
       return IMMEDIATE_START_DELAY_MS;
     }
-    const warmAtMs = [...this.mainQueue, ...this.lateQueue.requests]
+    const warmAtMs = this.waiting
       .flatMap(({ coldEstimate }) => coldEstimate?.warmAtMs ?? [])
       .filter((atMs) => atMs > nowMs);
     return warmAtMs.length === 0 ? 0 : Math.min(...warmAtMs) - nowMs;
@@ -239,7 +232,7 @@
 
   /** Expected wait of a request of the lowest urgency that arrives now, in milliseconds. */
   waitMs(nowMs: number): number {
-    return this.waitBehindMs(this.mainQueue, nowMs);
+    return this.waitBehindMs(this.waiting, { rank: 0, nowMs });
   }
 
   /** Whether a slot is free and the limiter allows another start. */
@@ -248,10 +241,18 @@
       this.limiter.delayMs(0, nowMs) === 0;
   }
 
-  /** The waiting request that should start next; `undefined` if none should start now. */
+  /**
+   * The waiting request that should start next; `undefined` if none should start now. While it is only assumed that the
+   * server is warm, it is one that would also be served by a cold server: the first to end shows which one it is.
+   */
   private findNext(nowMs: number): WorkRequest | undefined {
-    return this.mainQueue.find((request) => shouldStart(request, nowMs)) ??
-      this.lateQueue.findNext(nowMs);
+    const first = this.waiting.find((request) => shouldStart(request, nowMs));
+    return first === undefined || endsInTimeIfCold(first, nowMs)
+      ? first
+      : this.waiting.find((request) =>
+        request.rank === first.rank && shouldStart(request, nowMs) &&
+        endsInTimeIfCold(request, nowMs)
+      ) ?? first;
   }
 
   private recordEstimate(estimateMs: number): void {
@@ -259,164 +260,211 @@
     this.meanEstimateMs = mean === 0
       ? estimateMs
       : mean + ESTIMATE_EWMA_WEIGHT * (estimateMs - mean);
-    this.lateQueue.setCapacity(this.capacity);
-  }
-
-  private requestsAhead(request: WorkRequest): WorkRequest[] {
-    return this.mainQueue.filter((other) =>
-      compareUrgency(other, request) <= 0
-    );
   }
 
-  /** Whether the rate limit, and not the slots, determines the wait behind a number of requests. */
-  private isHeldByLimit(
-    ahead: number,
-    { waitMs, nowMs }: { waitMs: number; nowMs: number },
-  ): boolean {
-    return waitMs > 0 && this.limiter.delayMs(ahead, nowMs) >= waitMs;
+  /** The request with its estimate at the current speed of the server. */
+  private scaled(request: WorkRequest, nowMs: number): WorkRequest {
+    const { load } = this;
+    const running = this.running.values();
+    return scaledBySlowdown(request, { running, load, nowMs });
   }
 
-  private waitBehindMs(ahead: readonly WorkRequest[], nowMs: number): number {
-    return Math.max(
-      this.slotWaitMs(ahead, nowMs),
-      this.limiter.delayMs(ahead.length, nowMs),
-    );
+  /** Why a request is refused that can't start at once; `undefined` if it may wait. */
+  private findRefusal(
+    request: WorkRequest,
+    at: { ahead: readonly WorkRequest[]; waitMs: number; nowMs: number },
+  ): QueueRefusalReason | undefined {
+    const { ahead, waitMs, nowMs } = at;
+    const isLimited = waitMs > 0 &&
+      this.limiter.delayMs(ahead.length, nowMs) >= waitMs;
+    const spread = marginOf(request, this.spreadAt(nowMs));
+    if (!canMeetDeadline(request, nowMs + waitMs, spread)) {
+      return isLimited ? "rate_limited" : "too_late";
+    }
+    if (this.waitingCount >= this.slots * MAX_WAITING_PER_SLOT) {
+      return "queue_full";
+    }
+    if (
+      !this.isWaitOfUse(request, nowMs) ||
+      this.wouldDisplace(request, ahead.length, nowMs)
+    ) {
+      return isLimited ? "rate_limited" : "overloaded";
+    }
+    return undefined;
   }
 
-  private slotWaitMs(ahead: readonly WorkRequest[], nowMs: number): number {
-    const { slots, load } = this;
+  /**
+   * How far times deviate from their estimates, as a share of them: as measured, or as the running requests exceed
+   * theirs, since none has ended soon after a server has become slow.
+   */
+  private spreadAt(nowMs: number): number {
+    const { load } = this;
     const running = this.running.values();
-    return slotWaitMs(ahead, { running, slots, load, nowMs });
+    const overrun = overrunOf({ running, load, nowMs }) - 1;
+    return Math.max(this.spread.share, Math.min(1, overrun));
   }
 
-  /** Whether a request keeps its place in the main queue even though it is expected to miss its objective. */
-  private isWorthRunningLate(request: WorkRequest): boolean {
-    return this.hasLessUrgent(request) || this.isShort(request);
+  /**
+   * Whether the queue is short enough for another request. A request that takes less than the mean may wait behind more
+   * work, in proportion: refusing it would leave little room to others.
+   */
+  private isWaitOfUse(request: WorkRequest, nowMs: number): boolean {
+    const { rank, estimateMs, blocksOthers } = request;
+    const { pace } = this;
+    const backlogMs = this.recordBacklog(rank, nowMs);
+    const limitMs = blocksOthers
+      ? usefulBacklogMs(pace.meanMs)
+      : this.standing.limitMs(rank, { pace, nowMs });
+    const brevity = Math.max(1, pace.meanMs / Math.max(1, estimateMs));
+    return backlogMs <= limitMs * brevity;
   }
 
   /**
-   * Whether a request takes little slot time compared with the others. Short requests are mostly calls that other
-   * work waits for while it holds a slot: refusing one saves little slot time and wastes that of the work that waits.
+   * Whether a waiting request of the same rank could no longer meet its deadline behind this one. It has waited already,
+   * so its caller has less time left to come back.
    */
-  private isShort(request: WorkRequest): boolean {
-    const others = [...this.running.values(), ...this.mainQueue];
-    const sum = others.reduce((total, { estimateMs }) => total + estimateMs, 0);
-    return request.estimateMs * others.length <= sum * SHORT_REQUEST_SHARE;
+  private wouldDisplace(
+    request: WorkRequest,
+    index: number,
+    nowMs: number,
+  ): boolean {
+    const after = this.waiting.toSpliced(index, 0, request);
+    return this.findHopeless(after, nowMs)
+      .some(({ request: { rank, id } }) =>
+        rank === request.rank && id !== request.id
+      );
+  }
+
+  /** Records the work that waits for a slot, of a rank and of more urgent ones; returns it, in milliseconds. */
+  private recordBacklog(rank: number, nowMs: number): number {
+    const sumMs = this.waiting
+      .filter((other) => other.rank <= rank && shouldStart(other, nowMs))
+      .reduce((sum, other) => sum + serviceMsAt(other, nowMs), 0);
+    const { pace } = this;
+    const backlogMs = sumMs / pace.capacity;
+    this.standing.record(rank, backlogMs, { pace, nowMs });
+    return backlogMs;
+  }
+
+  private get pace(): ServerPace {
+    return { meanMs: this.meanEstimateMs, capacity: this.capacity };
   }
 
-  /** Whether any request that runs or waits in the main queue is less urgent. */
-  private hasLessUrgent(request: Pick<WorkRequest, "rank">): boolean {
-    const isLess = ({ rank }: { rank: number }) => rank > request.rank;
-    return this.mainQueue.some(isLess) ||
-      [...this.running.values()].some(isLess);
+  private waitBehindMs(
+    ahead: readonly WorkRequest[],
+    { rank, nowMs }: { rank: number; nowMs: number },
+  ): number {
+    const forecast = this.createForecast(nowMs);
+    ahead.forEach((other) => forecast.add(other));
+    return this.withUrgentArrivals(
+      Math.max(forecast.waitMs, this.limiter.delayMs(ahead.length, nowMs)),
+      rank,
+    );
+  }
+
+  private createForecast(nowMs: number): SlotForecast {
+    const { slots, load } = this;
+    const running = this.running.values();
+    return SlotForecast.create({ running, slots, load, nowMs });
+  }
+
+  /** A wait, with what more urgent requests that arrive meanwhile add to it. */
+  private withUrgentArrivals(waitMs: number, rank: number): number {
+    return waitMs / this.rankWork.shareLeftTo(rank);
   }
 
   private start(request: WorkRequest, nowMs: number): void {
     this.limiter.recordStart(nowMs);
+    this.rankWork.recordStart(request);
     this.running.set(request.id, {
       rank: request.rank,
       startedAtMs: nowMs,
       estimateMs: serviceMsAt(request, nowMs),
     });
-    if (!missesObjective(request, nowMs)) {
-      this.lateQueue.recordOnTimeStart(request, nowMs);
-    }
   }
 
-  private insert(request: WorkRequest): void {
-    const index = this.mainQueue.findIndex((other) =>
-      compareUrgency(other, request) > 0
-    );
-    this.mainQueue.splice(
-      index < 0 ? this.mainQueue.length : index,
-      0,
-      request,
-    );
+  /** Refuses waiting requests as soon as they are not expected to end before their deadline. */
+  private refuseHopeless(nowMs: number): QueueRefusal[] {
+    const hopeless = this.findHopeless(this.waiting, nowMs);
+    if (hopeless.length > 0) {
+      const ids = new Set(hopeless.map(({ request }) => request.id));
+      this.waiting = this.waiting.filter(({ id }) => !ids.has(id));
+    }
+    return hopeless.map(({ request, reason, waitMs }) => ({
+      id: request.id,
+      reason,
+      waitMs: this.chooseReturn(request, { reason, waitMs, nowMs }),
+    }));
   }
 
-  private dropUnmeetable(nowMs: number): QueueRefusal[] {
-    const kept: WorkRequest[] = [];
-    const unmeetable = this.mainQueue.flatMap((request) => {
-      const delayMs = this.limiter.delayMs(kept.length, nowMs);
-      if (canMeetDeadline(request, nowMs + delayMs)) {
-        kept.push(request);
+  private findHopeless(
+    ordered: readonly WorkRequest[],
+    nowMs: number,
+  ): { request: WorkRequest; reason: QueueRefusalReason; waitMs: number }[] {
+    if (ordered.length === 0) {
+      return [];
+    }
+    const forecast = this.createForecast(nowMs);
+    const spread = this.spreadAt(nowMs);
+    let keptCount = 0;
+    return ordered.flatMap((request) => {
+      const delayMs = this.limiter.delayMs(keptCount, nowMs);
+      const waitMs = this.withUrgentArrivals(
+        Math.max(forecast.waitMs, delayMs),
+        request.rank,
+      );
+      const margin = marginOf(request, spread);
+      if (canMeetDeadline(request, nowMs + waitMs, margin)) {
+        forecast.add(request);
+        keptCount += 1;
         return [];
       }
-      const reason = delayMs > 0 ? "rate_limited" : "too_late";
-      return [{ request, reason } as const];
+      const isLimited = delayMs > 0 && delayMs >= forecast.waitMs;
+      const reason = isLimited ? "rate_limited" : "too_late";
+      return [{ request, reason, waitMs } as const];
     });
-    this.mainQueue = kept;
-    const lateUnmeetable = this.lateQueue.size === 0
-      ? []
-      : this.lateQueue.dropUnmeetable(this.forecastLateStart(nowMs));
-    return [
-      ...unmeetable.map(({ request, reason }) =>
-        this.toRefusal(request, { reason, nowMs })
-      ),
-      ...lateUnmeetable.map((request) =>
-        this.toRefusal(request, { reason: "overloaded", nowMs })
-      ),
-    ];
   }
 
-  /** The refusal of a request that has waited. */
-  private toRefusal(
+  /** When the caller of a refused request is to come back, in milliseconds from now. */
+  private chooseReturn(
     request: WorkRequest,
-    { reason, nowMs }: { reason: QueueRefusalReason; nowMs: number },
-  ): QueueRefusal {
-    const startMs = bestStartMs(request, nowMs + this.waitMs(nowMs));
-    return { id: request.id, reason, waitMs: startMs - nowMs };
-  }
-
-  /**
-   * Moves requests that were overtaken by more urgent ones, and now miss their objective, to the late queue, or
-   * refuses them. Kept in place, they would make the requests behind them late, too.
-   */
-  private demoteOvertaken(nowMs: number): QueueRefusal[] {
-    const overtaken = this.mainQueue.filter((request) =>
-      missesObjective(request, nowMs) && !this.isWorthRunningLate(request)
-    );
-    if (overtaken.length === 0) {
-      return [];
-    }
-    this.removeFromMainQueue(overtaken);
-    const forecast = this.forecastLateStart(nowMs);
-    return overtaken
-      .filter((request) =>
-        !request.mayEndLate || !this.lateQueue.offer(request, forecast)
-      )
-      .map((request) =>
-        this.toRefusal(request, { reason: "overloaded", nowMs })
-      );
-  }
-
-  /** When the first request of the late queue would start if no more requests joined the main queue. */
-  private forecastLateStart(nowMs: number): { nowMs: number; startMs: number } {
-    return { nowMs, startMs: nowMs + this.waitMs(nowMs) };
-  }
-
-  private removeFromMainQueue(requests: readonly WorkRequest[]): void {
-    if (requests.length > 0) {
-      this.mainQueue = this.mainQueue.filter((request) =>
-        !requests.includes(request)
-      );
+    at: { reason: QueueRefusalReason; waitMs: number; nowMs: number },
+  ): number {
+    const { rank, deadlineAtMs } = request;
+    const { reason, waitMs, nowMs } = at;
+    if (this.slots === 0) {
+      return 0;
     }
+    const startMs = bestStartMs(request, nowMs + waitMs);
+    const { capacity, meanEstimateMs } = this;
+    const excessMs = this.recordBacklog(rank, nowMs) -
+      usefulBacklogMs(meanEstimateMs);
+    return this.returnTimes.choose({
+      rank,
+      roomMs: reason === "overloaded"
+        ? Math.max(meanEstimateMs / capacity, excessMs)
+        : startMs - nowMs,
+      uncertaintyMs: this.standing.standingMs(rank, nowMs),
+      remainingMs: Math.max(0, deadlineAtMs - nowMs),
+      serviceMs: serviceMsAt(request, startMs) * (1 + this.spread.share),
+      capacity,
+    }, nowMs);
   }
 }
 
-/** Whether a request that may start from the given time on is expected to miss its objective. */
-function missesObjective(request: WorkRequest, earliestMs: number): boolean {
-  const startMs = bestStartMs(request, earliestMs);
-  return startMs + serviceMsAt(request, startMs) * (1 + ESTIMATE_MARGIN) >
-    request.objectiveAtMs;
+/**
+ * The margin by which a request must be expected to meet its deadline, as a share of its estimate: none for a cold one,
+ * since the server is cold for a repeat, too, and an early refusal would not help the caller.
+ */
+function marginOf({ coldEstimate }: WorkRequest, spread: number): number {
+  return coldEstimate === undefined ? spread : 0;
 }
 
-/** Orders by rank, then by the latest start with which the objective can still be met. */
+/** Orders by rank, then by the latest start with which the deadline can still be met. */
 function compareUrgency(left: WorkRequest, right: WorkRequest): number {
-  return left.rank - right.rank ||
-    latestStartMs(left) - latestStartMs(right);
+  return left.rank - right.rank || latestStartMs(left) - latestStartMs(right);
 }
 
-function latestStartMs(request: WorkRequest): number {
-  return request.objectiveAtMs - request.estimateMs;
+function latestStartMs({ deadlineAtMs, estimateMs }: WorkRequest): number {
+  return deadlineAtMs - estimateMs;
 }
--- a/packages/admission/src/work_request.ts
+++ b/packages/admission/src/work_request.ts
@@ -1,5 +1,6 @@
 /**
- * The request type of `WorkQueue` and its queue of late requests.
+ * The request type of `WorkQueue`. It holds what a decision about a wait may depend on: the caller's time, the work, the
+ * rank; neither what operators aim at nor what the caller has sent before.
  *
  * @module
  */
@@ -9,15 +10,13 @@
   readonly id: number;
   /** Urgency; 0 is the most urgent. */
   readonly rank: number;
-  /** Time by which the response should be sent to meet the latency objective, in milliseconds on the daemon's clock. */
-  readonly objectiveAtMs: number;
   /** Time after which the response is useless to the caller, in milliseconds on the daemon's clock. */
   readonly deadlineAtMs: number;
   /**
-   * Whether the request may be served after its objective. False if other requests wait behind it on its caller's
-   * connection: responses are sent in the order of the requests, so a late one would delay those behind it, too.
+   * Whether other requests wait behind it on its caller's connection: responses are sent in the order of the requests,
+   * so whatever it waits, those behind it wait, too.
    */
-  readonly mayEndLate: boolean;
+  readonly blocksOthers: boolean;
   /** Expected time for which it holds a slot, in milliseconds, if it starts at once. */
   readonly estimateMs: number;
   /** The same by the time of its start, while the server or the request's key is cold. */
@@ -60,13 +59,19 @@
     );
 }
 
-/** Whether a request that starts from a time on can end before its deadline. */
+/**
+ * Whether a request that starts from a time on is expected to end before its deadline.
+ *
+ * @param spread how far times deviate from their estimates, as a share of them.
+ */
 export function canMeetDeadline(
   request: WorkRequest,
   earliestMs: number,
+  spread = 0,
 ): boolean {
   const startMs = bestStartMs(request, earliestMs);
-  return startMs + serviceMsAt(request, startMs) <= request.deadlineAtMs;
+  return startMs + serviceMsAt(request, startMs) * (1 + spread) <=
+    request.deadlineAtMs;
 }
 
 /**
@@ -81,3 +86,17 @@
   return nowMs + coldEstimate.at(nowMs) <= deadlineAtMs &&
     (!coldEstimate.isMeasured(nowMs) || bestStartMs(request, nowMs) === nowMs);
 }
+
+/**
+ * Whether a request that starts now ends before its deadline even if its server or key, which counts as warm by
+ * assumption only, is still cold.
+ */
+export function endsInTimeIfCold(request: WorkRequest, nowMs: number): boolean {
+  const { coldEstimate, deadlineAtMs } = request;
+  if (coldEstimate === undefined || coldEstimate.isMeasured(nowMs)) {
+    return true;
+  }
+  const assumedWarmAtMs = Math.min(nowMs, ...coldEstimate.warmAtMs);
+  const coldMs = coldEstimate.at(assumedWarmAtMs - 1);
+  return nowMs + Math.max(coldMs, coldEstimate.at(nowMs)) <= deadlineAtMs;
+}
--- a/packages/placement/src/choose_backend.ts
+++ b/packages/placement/src/choose_backend.ts
@@ -157,6 +157,13 @@
   return waitMs * freshness + typicalWaitMs(candidate) * (1 - freshness);
 }
 
+/** Whether more requests are expected to wait for a candidate than keep its slots busy. */
+export function hasStandingQueue(candidate: PlacementCandidate): boolean {
+  const { meanServiceMs, serviceMs } = candidate;
+  return expectedWaitMs(candidate) >
+    (meanServiceMs || serviceMs || DEFAULT_SERVICE_MS);
+}
+
 /**
  * Mean wait for one of several slots at a given utilization, in milliseconds (Sakasegawa's approximation, for
  * exponentially distributed interarrival and service times).
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -7,6 +7,7 @@
   chooseBackend,
   DEFAULT_CROSS_ZONE_MS_PER_KILOBYTE,
   expectedLatencyMs,
+  hasStandingQueue,
   type PlacementCandidate,
 } from "./choose_backend.ts";
 export { isServerFault } from "./server_fault.ts";
--- a/packages/router/src/attempts/request_runner.ts
+++ b/packages/router/src/attempts/request_runner.ts
@@ -8,6 +8,7 @@
 import type { MemberReport, MemberView } from "@bamboolink/membership";
 import {
   expectedLatencyMs,
+  hasStandingQueue,
   isServerFault,
   type PlacementCandidate,
 } from "@bamboolink/placement";
@@ -33,8 +34,6 @@
 const MAX_OWNER_WAIT_MS = 700;
 /** Interval between two lookups of a key's owner, in milliseconds; the ownership table changes within a few. */
 const OWNER_POLL_INTERVAL_MS = 15;
-/** A retry with less than this share of the route's typical service time left would be wasted. */
-const MIN_RETRY_TIME_SHARE = 0.8;
 /** Lowest HTTP status by which a backend server reports that it failed a request. */
 const FIRST_FAILURE_STATUS = 500;
 
@@ -76,6 +75,8 @@
   readonly budget: FleetRetryBudget;
   /** Milliseconds of waiting that saving one kilobyte between availability zones is worth. */
   readonly crossZoneMsPerKilobyte: () => number;
+  /** The rank of the least urgent route to a service. */
+  readonly leastUrgentRankOf: (service: string) => number;
   readonly random: () => number;
 }
 
@@ -267,7 +268,7 @@
     const nowMs = monotonicMs();
     const typicalMs = loadTracker.typicalMs(request.route);
     return sentAttempts < maximumAttempts &&
-      request.deadlineAtMs - nowMs > typicalMs * MIN_RETRY_TIME_SHARE &&
+      request.deadlineAtMs - nowMs > typicalMs &&
       budget.allows(request.service, {
         nowMs,
         daemons: view.knownAddresses.length + 1,
@@ -334,14 +335,17 @@
   }
 
   /**
-   * Whether a backend server is expected to serve a request, which another one has refused, within its objective.
-   * Under overload all are full, and trying each would cost more than the response that it saves.
+   * Whether a backend server is expected to serve a request that another one has refused. Under overload all are full,
+   * and trying each would cost more than the response that it saves, unless less urgent requests wait there.
    */
   private hasCapacity(
     candidate: PlacementCandidate,
     request: RoutedRequest,
   ): boolean {
-    return monotonicMs() + expectedLatencyMs(candidate) < request.objectiveAtMs;
+    const { service, rank, deadlineAtMs } = request;
+    return rank < this.context.leastUrgentRankOf(service)
+      ? monotonicMs() + expectedLatencyMs(candidate) < deadlineAtMs
+      : !hasStandingQueue(candidate);
   }
 
   /**
--- a/packages/router/src/attempts/request_runner_test.ts
+++ b/packages/router/src/attempts/request_runner_test.ts
@@ -67,6 +67,7 @@
       windowMs: 10_000,
     }),
     crossZoneMsPerKilobyte: () => 2,
+    leastUrgentRankOf: () => 2,
     random: () => 0.5,
   });
   const startedAtMs = monotonicMs();
--- a/packages/router/src/attempts/routed_request.ts
+++ b/packages/router/src/attempts/routed_request.ts
@@ -25,8 +25,8 @@
   readonly objectiveAtMs: number;
   /** When its caller no longer needs its response. */
   readonly deadlineAtMs: number;
-  /** Whether it may miss its objective; not if other requests are pipelined behind it on its caller's connection. */
-  readonly mayEndLate: boolean;
+  /** Whether other requests are pipelined behind it on its caller's connection. */
+  readonly blocksOthers: boolean;
   /** Number of connections to backend servers that broke while it was running, in this attempt of its caller. */
   readonly brokenConnections: number;
   readonly method: string;
--- a/packages/router/src/backend/local_backend.ts
+++ b/packages/router/src/backend/local_backend.ts
@@ -79,6 +79,8 @@
   readonly onLeaving: StatedLeavingListener;
   /** Called when a response has exceeded a limit. */
   readonly onLimitExceeded?: (bound: ExceededLimit["bound"]) => void;
+  /** Returns numbers from 0 up to 1; `Math.random` by default. */
+  readonly random?: () => number;
   /** Memory limit of this process, in bytes; unknown if absent. */
   readonly memoryBytes?: number | undefined;
 }
@@ -122,7 +124,10 @@
     );
     this.statusMonitor = BackendStatusMonitor.create(context);
     this.coldStart = ColdStart.create({ ...context, times: this.times });
-    this.admission = SlotAdmission.create(this.statusMonitor.load);
+    this.admission = SlotAdmission.create(
+      this.statusMonitor.load,
+      context.random ?? Math.random,
+    );
   }
 
   /** Creates an instance without a backend server; requests are refused until {@link updateIdentity} is called. */
--- a/packages/router/src/backend/slot_admission.ts
+++ b/packages/router/src/backend/slot_admission.ts
@@ -61,17 +61,21 @@
   private startTimer: NodeJS.Timeout | undefined;
   private wait = { waitMs: 0, computedAtMs: -Infinity };
 
-  private constructor(load: ServerLoadEstimator) {
-    this.queue = WorkQueue.create(this.limiter, load);
+  private constructor(load: ServerLoadEstimator, random: () => number) {
+    this.queue = WorkQueue.create(this.limiter, load, random);
   }
 
   /**
    * Creates an instance without slots.
    *
    * @param load how much longer than usual work takes at the backend server now.
+   * @param random returns numbers from 0 up to 1.
    */
-  static create(load: ServerLoadEstimator): SlotAdmission {
-    return new SlotAdmission(load);
+  static create(
+    load: ServerLoadEstimator,
+    random: () => number,
+  ): SlotAdmission {
+    return new SlotAdmission(load, random);
   }
 
   /** Applies what heartbeats report; `undefined` while there is no backend server. */
@@ -165,13 +169,12 @@
     if (cancellation.isCancelled) {
       return Promise.resolve(notRun("cancelled"));
     }
-    const { rank, objectiveAtMs, deadlineAtMs, mayEndLate } = request;
+    const { rank, deadlineAtMs, blocksOthers } = request;
     const decision = this.queue.offer({
       id,
       rank,
-      objectiveAtMs,
       deadlineAtMs,
-      mayEndLate,
+      blocksOthers,
       ...estimate,
     }, monotonicMs());
     if (decision.kind === "run") {
--- a/packages/router/src/configuration/configuration_manager.ts
+++ b/packages/router/src/configuration/configuration_manager.ts
@@ -11,7 +11,11 @@
   restoreUnreadableRows,
   UnreadableRows,
 } from "@bamboolink/traffic";
-import type { TrafficConfiguration, TrafficService } from "@bamboolink/types";
+import type {
+  TrafficConfiguration,
+  TrafficRoute,
+  TrafficService,
+} from "@bamboolink/types";
 import { monotonicMs } from "../clock.ts";
 import type { PeerClient } from "../members/peer_client.ts";
 import type { ConfigurationDocument } from "../ports/configuration_document.ts";
@@ -21,6 +25,8 @@
   readonly configuration: TrafficConfiguration;
   readonly router: PrefixRouter;
   readonly services: ReadonlyMap<string, TrafficService>;
+  /** The rank of the least urgent route to each service. */
+  readonly leastUrgentRanks: ReadonlyMap<string, number>;
   /** The rows of the document that neither it nor the version before it could supply. */
   readonly unreadable: UnreadableRows;
   /** The document as received, for peers that can't reach the store. */
@@ -146,6 +152,7 @@
       services: new Map(
         configuration.services.map((service) => [service.name, service]),
       ),
+      leastUrgentRanks: findLeastUrgentRanks(configuration.routes),
       unreadable: UnreadableRows.create(configuration),
       text: origin.text,
     };
@@ -180,3 +187,15 @@
     );
   }
 }
+
+function findLeastUrgentRanks(
+  routes: readonly TrafficRoute[],
+): Map<string, number> {
+  const ranks = new Map<string, number>();
+  routes.forEach(({ rank, targets }) =>
+    targets.forEach(({ service }) =>
+      ranks.set(service, Math.max(rank, ranks.get(service) ?? 0))
+    )
+  );
+  return ranks;
+}
--- a/packages/router/src/ingress/ingress.ts
+++ b/packages/router/src/ingress/ingress.ts
@@ -58,8 +58,6 @@
 
 /** Time reserved for delivering the response, in milliseconds: the deadline applies at the caller. */
 const RESPONSE_DELIVERY_MS = 8;
-/** Typical service time as a share of the objective: operators set objectives at about three times the service time. */
-const TYPICAL_SERVICE_SHARE = 0.35;
 /**
  * Header size limit of the HTTP server, in bytes: above all that operators configure, and a bound on the memory that a
  * connection takes. The configured limit is applied to each request.
@@ -87,10 +85,12 @@
 } as const satisfies Partial<Record<RefusalReason, number>>;
 type UncertaintyReason = keyof typeof UNCERTAINTY_RETRY_MS;
 
-/** Refusals whose cause is transient: after a handover, the keys soon have a holder again. */
-const TRANSIENT_REASONS: ReadonlySet<RefusalReason> = new Set([
-  "not_owner",
-  "not_executed",
+/** Refusals by the queue of a backend server, which knows when it has room again. */
+const QUEUE_REASONS: ReadonlySet<RefusalReason> = new Set([
+  "overloaded",
+  "queue_full",
+  "too_late",
+  "rate_limited",
 ]);
 
 /** Dependencies of {@link Ingress}. */
@@ -109,8 +109,6 @@
 
 /** A routed request with the times that only its caller's daemon needs, on the monotonic clock. */
 interface CallerRoutedRequest extends RoutedRequest {
-  /** Latest start at which a request of typical service time meets its objective. */
-  readonly latestStartAtMs: number;
   /** When the caller stops waiting, whatever the timeout of its route. */
   readonly callerDeadlineAtMs: number;
 }
@@ -274,9 +272,7 @@
         reason: "no_configuration",
         retryAfterMs: this.sampleRetryAfterMs({
           waitMs: NO_CONFIGURATION_RETRY_MS,
-          objectiveRemainingMs: 0,
           remainingMs: request.deadlineMs ?? Infinity,
-          isTransient: true,
         }),
       }, request);
       return undefined;
@@ -405,9 +401,7 @@
     const { request, reason } = refusal;
     const retryAfterMs = this.sampleRetryAfterMs({
       waitMs: UNCERTAINTY_RETRY_MS[reason],
-      objectiveRemainingMs: 0,
       remainingMs: request.deadlineMs ?? Infinity,
-      isTransient: true,
     });
     logger.log("request_not_run", {
       request_id: request.id,
@@ -485,9 +479,7 @@
     const lagMs = lag.currentMs;
     const retryAfterMs = this.sampleRetryAfterMs({
       waitMs: lagMs,
-      objectiveRemainingMs: 0,
       remainingMs: request.deadlineMs ?? route.timeoutMs,
-      isTransient: false,
     });
     logger.log("request_not_run", {
       request_id: request.id,
@@ -592,11 +584,9 @@
       callerService: callerService(),
       objectiveAtMs: arrivedAtMs +
         Math.min(route.objectiveMs, requestTimeoutMs),
-      latestStartAtMs: arrivedAtMs +
-        route.objectiveMs * (1 - TYPICAL_SERVICE_SHARE),
       deadlineAtMs: arrivedAtMs + requestTimeoutMs,
       brokenConnections: 0,
-      mayEndLate: !this.pipelines.isLikelyPipelined(
+      blocksOthers: this.pipelines.isLikelyPipelined(
         incoming.socket,
         route.name,
       ),
@@ -650,15 +640,7 @@
     const request = { id: routed.id };
     if (outcome.kind === "not_run") {
       const isQuarantined = outcome.reason === "quarantined";
-      // No daemon runs it until its quarantine expires, so an earlier retry would be refused again.
-      const retryAfterMs = isQuarantined
-        ? outcome.waitMs
-        : this.sampleRetryAfterMs({
-          waitMs: outcome.waitMs,
-          objectiveRemainingMs: routed.latestStartAtMs - monotonicMs(),
-          remainingMs: routed.callerDeadlineAtMs - monotonicMs(),
-          isTransient: TRANSIENT_REASONS.has(outcome.reason),
-        });
+      const retryAfterMs = this.chooseRetryAfterMs(routed, outcome);
       logger.log("request_not_run", {
         request_id: routed.id,
         route: routed.route,
@@ -691,6 +673,20 @@
     return `unknown_${reason}`;
   }
 
+  /** When the caller of a refused request is to come back, in milliseconds from now. */
+  private chooseRetryAfterMs(
+    routed: CallerRoutedRequest,
+    { reason, waitMs }: Extract<Outcome, { kind: "not_run" }>,
+  ): number {
+    // No daemon runs a quarantined request until its quarantine expires, so an earlier retry would be refused again.
+    const isKnown = reason === "quarantined" ||
+      QUEUE_REASONS.has(reason) && waitMs > 0;
+    return isKnown ? waitMs : this.sampleRetryAfterMs({
+      waitMs,
+      remainingMs: routed.callerDeadlineAtMs - monotonicMs(),
+    });
+  }
+
   /** Logs a response by which the backend server itself rejected or redirected the request. */
   private logUnusual(
     routed: RoutedRequest,
--- a/packages/router/src/links/link_server.ts
+++ b/packages/router/src/links/link_server.ts
@@ -219,7 +219,7 @@
         slotWaitMs: load.waitMs,
         objectiveAtMs: request.objectiveAtMs,
         deadlineAtMs: request.deadlineAtMs,
-        mayEndLate: request.mayEndLate,
+        mayEndLate: !request.blocksOthers,
       })
       : { kind: "refused" as const, outcome: refused };
     if (received.kind === "refused") {
@@ -318,7 +318,7 @@
     // The deadline counts from when the request was sent, before the lag.
     const timeMs = request.deadlineAtMs - nowMs() + lag.currentMs;
     return lag.isOverloaded({ rank: request.rank, timeMs })
-      ? notRun("overloaded", { waitMs: lag.currentMs })
+      ? notRun("overloaded")
       : undefined;
   }
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -213,6 +213,7 @@
         void this.backendManager.handleSuspicion(suspicion),
       onLeaving: (incarnation, { isRecent }) =>
         this.backendManager.handleStatedLeaving(incarnation, { isRecent }),
+      random,
       memoryBytes: settings.memoryBytes,
       onLimitExceeded: (bound) =>
         this.metrics.count("bamboolink_exceeded_response_limits", { bound }),
@@ -360,6 +361,8 @@
       quarantine: this.quarantine,
       budget: this.retryBudget,
       crossZoneMsPerKilobyte: () => this.settings.crossZoneMsPerKilobyte,
+      leastUrgentRankOf: (service) =>
+        this.configuration.inForce?.leastUrgentRanks.get(service) ?? 0,
       random,
     });
     this.ingress = Ingress.create({
--- a/packages/router/src/testing/sample_request.ts
+++ b/packages/router/src/testing/sample_request.ts
@@ -16,7 +16,7 @@
   callerService: "desk",
   objectiveAtMs: 300,
   deadlineAtMs: 800,
-  mayEndLate: true,
+  blocksOthers: false,
   brokenConnections: 0,
   method: "GET",
   target: "/rooms/7",
