Assume the work of an unknown route from the caller's time, not from the objective

Change: without any measurement a request is assumed to take a sixth of the time that its caller has left, so that a few others can wait for the same slot; the first request that ends corrects it. The objective is no input of service_times, cold_start_estimator and cold_start any more.

Tests: cold_start_estimator_test.ts asks with 1,260 ms left instead of an objective of 600 ms, which gives the same assumed time as before.

--- a/packages/admission/src/cold_start_estimator.ts
+++ b/packages/admission/src/cold_start_estimator.ts
@@ -8,11 +8,7 @@
  */
 import { ColdKeyTime } from "./cold_key_time.ts";
 import { ASSUMED_FACTORS, type Coldness, toColdness } from "./coldness.ts";
-import {
-  minInferredMs,
-  type RemainingTimes,
-  type ServiceTimes,
-} from "./service_times.ts";
+import { minInferredMs, type ServiceTimes } from "./service_times.ts";
 import type { ColdEstimate } from "./work_request.ts";
 
 /**
@@ -47,7 +43,7 @@
   private readonly keyTime = ColdKeyTime.create();
   private readonly runningOnWarmKeys = new Set<RunningColdRequest>();
   private serverColdUntilMs = -Infinity;
-  /** Least time on a warm server that the objectives of a route's requests suggest, in milliseconds. */
+  /** Least time on a warm server that is assumed by the deadlines of a route's requests, in milliseconds. */
   private readonly minWarmMs = new Map<string, number>();
 
   private constructor(private readonly times: ServiceTimes) {}
@@ -80,16 +76,16 @@
   /** Estimates how long a request that arrives now will hold a slot. */
   estimate(
     request: ColdRequest,
-    remaining: RemainingTimes,
+    remainingMs: number,
     nowMs: number,
   ): ServiceEstimate {
     const { route } = request;
     const coldness = this.coldnessAt(request, nowMs);
     this.minWarmMs.set(
       route,
-      Math.max(this.minWarmMs.get(route) ?? 0, minInferredMs(remaining)),
+      Math.max(this.minWarmMs.get(route) ?? 0, minInferredMs(remainingMs)),
     );
-    const estimateMs = this.times.estimate(route, remaining, coldness);
+    const estimateMs = this.times.estimate(route, remainingMs, coldness);
     if (coldness === "warm") {
       return { estimateMs, coldEstimate: undefined };
     }
@@ -97,7 +93,7 @@
     const coldnessAt = (atMs: number) => this.coldnessAt(request, atMs);
     const warmAtMs = () => this.warmAtMs(request);
     const coldEstimate: ColdEstimate = {
-      at: (startMs) => times.estimate(route, remaining, coldnessAt(startMs)),
+      at: (startMs) => times.estimate(route, remainingMs, coldnessAt(startMs)),
       isMeasured: (startMs) =>
         times.measuredMs(route, coldnessAt(startMs)) !== undefined,
       get warmAtMs() {
@@ -195,7 +191,7 @@
 
   /**
    * Time of a request with a warm key, derived from requests for cold keys by the assumed factor, but no less than the
-   * objective suggests: the server may not be slow on cold keys at all.
+   * deadline suggests: the server may not be slow on cold keys at all.
    */
   private expectedWarmMs(
     { route, coldness }: RunningColdRequest,
--- a/packages/admission/src/cold_start_estimator_test.ts
+++ b/packages/admission/src/cold_start_estimator_test.ts
@@ -8,7 +8,8 @@
 import { ServiceTimes } from "./service_times.ts";
 
 const ROUTE = "r-read";
-const REMAINING = { objectiveMs: 600, deadlineMs: 1_600 };
+/** Remaining time of a request, in milliseconds. */
+const REMAINING_MS = 1_260;
 const COLD_KEY = { route: ROUTE, keyColdSinceMs: 0 };
 const WARM_KEY = { route: ROUTE, keyColdSinceMs: undefined };
 
@@ -34,14 +35,14 @@
     // Guards against a server that gets no request at all, because by the assumed factors none meets its deadline.
     it("expects that requests can meet their deadlines", () => {
       const { estimateMs, coldEstimate } = createEstimator()
-        .estimate(COLD_KEY, REMAINING, 0);
+        .estimate(COLD_KEY, REMAINING_MS, 0);
       expect(estimateMs).to.be.within(800, 1_200);
       expect(coldEstimate?.isMeasured(0)).to.equal(false);
     });
 
     it("expects requests to be faster once keys and server are warm", () => {
       const { coldEstimate } = createEstimator()
-        .estimate(COLD_KEY, REMAINING, 0);
+        .estimate(COLD_KEY, REMAINING_MS, 0);
       expect(coldEstimate?.warmAtMs).to.deep.equal([2_000, 3_000]);
       const times = [0, 2_000, 3_000].map((atMs) => coldEstimate!.at(atMs));
       expect(times).to.deep.equal(times.toSorted((a, b) => b - a));
@@ -51,7 +52,7 @@
   describe("once requests on the cold server have ended", () => {
     it("corrects the estimates of requests that wait", () => {
       const estimator = createEstimator();
-      const { coldEstimate } = estimator.estimate(COLD_KEY, REMAINING, 0);
+      const { coldEstimate } = estimator.estimate(COLD_KEY, REMAINING_MS, 0);
       serve(estimator, COLD_KEY, { startMs: 0, tookMs: 960 });
       expect(coldEstimate?.at(1_000)).to.equal(960);
       expect(coldEstimate?.isMeasured(1_000)).to.equal(true);
@@ -63,7 +64,7 @@
     it("expects no large speed-up of a server that is not slow", () => {
       const estimator = createEstimator();
       serve(estimator, COLD_KEY, { startMs: 0, tookMs: 120 });
-      const { coldEstimate } = estimator.estimate(COLD_KEY, REMAINING, 200);
+      const { coldEstimate } = estimator.estimate(COLD_KEY, REMAINING_MS, 200);
       expect(coldEstimate?.at(3_000)).to.be.within(80, 120);
     });
 
@@ -73,7 +74,7 @@
       serve(estimator, WARM_KEY, { startMs: 0, tookMs: 300 });
       serve(estimator, WARM_KEY, { startMs: 3_000, tookMs: 100 });
       const { estimateMs, coldEstimate } = estimator
-        .estimate(WARM_KEY, REMAINING, 3_200);
+        .estimate(WARM_KEY, REMAINING_MS, 3_200);
       expect(estimateMs).to.equal(100);
       expect(coldEstimate).to.equal(undefined);
     });
@@ -108,7 +109,7 @@
     // usual, also on servers that are not slow on such keys.
     it("keeps the cold time if only single requests are slow", () => {
       const estimator = createEstimator();
-      estimator.estimate(COLD_KEY, REMAINING, 0);
+      estimator.estimate(COLD_KEY, REMAINING_MS, 0);
       serve(estimator, COLD_KEY, { startMs: 0, tookMs: 120 });
       [2_100, 2_200, 2_300, 2_400].forEach((startMs) => {
         serve(estimator, COLD_KEY, { startMs, tookMs: 900 });
@@ -132,7 +133,7 @@
       serve(estimator, COLD_KEY, { startMs: 0, tookMs: 960 });
       serve(estimator, COLD_KEY, { startMs: 2_100, tookMs: 960 });
       serve(estimator, COLD_KEY, { startMs: 2_100, tookMs: 960 });
-      const { estimateMs } = estimator.estimate(COLD_KEY, REMAINING, 3_500);
+      const { estimateMs } = estimator.estimate(COLD_KEY, REMAINING_MS, 3_500);
       expect(estimateMs).to.be.within(470, 490);
     });
 
@@ -149,7 +150,7 @@
       const estimator = createEstimator();
       const running = estimator.begin(COLD_KEY, 0);
       estimator.end(running, { nowMs: 10, isServed: false });
-      const { coldEstimate } = estimator.estimate(COLD_KEY, REMAINING, 20);
+      const { coldEstimate } = estimator.estimate(COLD_KEY, REMAINING_MS, 20);
       expect(coldEstimate?.isMeasured(20)).to.equal(false);
     });
   });
--- a/packages/admission/src/server_load_estimator_test.ts
+++ b/packages/admission/src/server_load_estimator_test.ts
@@ -101,7 +101,7 @@
       while (nowMs < UNTIL_MS) {
         const endedAtMs = endOf(nowMs, WORK_MS);
         const tookMs = endedAtMs - nowMs;
-        const remaining = { objectiveMs: 300, deadlineMs: 1_000 };
+        const remaining = 1_000;
         if (nowMs > UNTIL_MS / 3) {
           const baseMs = times.estimate("r", remaining);
           errors.plain += Math.abs(plain.estimate("r", remaining) - tookMs);
--- a/packages/admission/src/service_times.ts
+++ b/packages/admission/src/service_times.ts
@@ -13,21 +13,19 @@
  */
 const HISTORY_HALF_LIFE_MS = 2_000;
 /**
- * Estimate for a route without history, as a share of the time to the objective: operators set objectives at about
- * three times the typical duration. With a lower estimate, a server that has just started would be sent many more
- * requests than it can serve on time before the first of them ends.
+ * Estimate for a route without history, as a share of the time to the deadline: a few others can then wait for the same
+ * slot and end in time. With a lower estimate, a server that has just started would be sent many more requests than it
+ * can serve in time before the first of them ends.
  */
-const DEFAULT_OBJECTIVE_SHARE = 0.35;
-/** The same as a share of the time to the deadline, where the objective has passed. */
-const DEFAULT_DEADLINE_SHARE = 0.1;
+const DEFAULT_DEADLINE_SHARE = 1 / 6;
 /**
  * Maximum assumed time of a request on a cold server, as a share of the time to its deadline. With a longer one, no
  * request would be started, and nothing would be learned of how slow the server is.
  */
 const MAX_ASSUMED_DEADLINE_SHARE = 0.7;
 /**
- * Minimum time on a warm server that is derived from requests on a cold one, as a share of the time that the objective
- * suggests. Without it, a server that is not slow at all while it is cold would be expected to become far faster.
+ * Minimum time on a warm server that is derived from requests on a cold one, as a share of that without history. Without
+ * it, a server that is not slow at all while it is cold would be expected to become far faster.
  */
 const MIN_INFERRED_SHARE = 0.5;
 
@@ -55,12 +53,6 @@
   readonly coldness?: Coldness;
 }
 
-/** Remaining times of a request to its objective and its deadline, in milliseconds. */
-export interface RemainingTimes {
-  readonly objectiveMs: number;
-  readonly deadlineMs: number;
-}
-
 /** Moving averages of the service time by route, and over all requests. */
 export class ServiceTimes {
   private readonly averages = new Map<string, Average>();
@@ -96,16 +88,16 @@
   /**
    * Estimates how long a request of a route will hold a slot, in milliseconds.
    *
-   * @param remaining the time to the objective and to the deadline of the request, used without history.
+   * @param remainingMs the time to the deadline of the request, used without history.
    * @param coldness what is cold when the request starts.
    */
   estimate(
     route: string,
-    remaining: RemainingTimes,
+    remainingMs: number,
     coldness: Coldness = "warm",
   ): number {
     return this.measuredMs(route, coldness) ??
-      this.inferMs(route, remaining, coldness);
+      this.inferMs(route, remainingMs, coldness);
   }
 
   /** Average of the completed requests of a route that were started with the given coldness. */
@@ -114,21 +106,21 @@
   }
 
   /**
-   * Estimates the time from requests of the route that were started with another coldness, or from the objective. The
+   * Estimates the time from requests of the route that were started with another coldness, or from the deadline. The
    * assumed factors between them are upper bounds: a server may be hardly slower when it is cold.
    */
   private inferMs(
     route: string,
-    remaining: RemainingTimes,
+    remainingMs: number,
     coldness: Coldness,
   ): number {
     const factor = ASSUMED_FACTORS[coldness];
-    const defaultMs = factor * defaultServiceMs(remaining);
+    const defaultMs = factor * defaultServiceMs(remainingMs);
     const other = (Object.keys(ASSUMED_FACTORS) as Coldness[])
       .find((key) => this.measuredMs(route, key) !== undefined);
     const maxAssumedMs = coldness === "warm"
       ? Infinity
-      : Math.max(0, remaining.deadlineMs * MAX_ASSUMED_DEADLINE_SHARE);
+      : Math.max(0, remainingMs * MAX_ASSUMED_DEADLINE_SHARE);
     if (other === undefined) {
       return Math.min(defaultMs, maxAssumedMs);
     }
@@ -173,22 +165,18 @@
   }
 }
 
-/** Time on a warm server that the objective suggests, in milliseconds. */
-function defaultServiceMs(remaining: RemainingTimes): number {
-  return Math.max(
-    0,
-    remaining.objectiveMs * DEFAULT_OBJECTIVE_SHARE,
-    remaining.deadlineMs * DEFAULT_DEADLINE_SHARE,
-  );
+/** Assumed time on a warm server, in milliseconds. */
+function defaultServiceMs(remainingMs: number): number {
+  return Math.max(0, remainingMs * DEFAULT_DEADLINE_SHARE);
 }
 
 /**
  * Lower bound of the time on a warm server that is derived from requests on a cold one, in milliseconds.
  *
- * @param remaining the time to the objective and to the deadline of a new request.
+ * @param remainingMs the time to the deadline of a new request.
  */
-export function minInferredMs(remaining: RemainingTimes): number {
-  return defaultServiceMs(remaining) * MIN_INFERRED_SHARE;
+export function minInferredMs(remainingMs: number): number {
+  return defaultServiceMs(remainingMs) * MIN_INFERRED_SHARE;
 }
 
 function updated(
--- a/packages/admission/src/testing/cold_start_policies.ts
+++ b/packages/admission/src/testing/cold_start_policies.ts
@@ -46,11 +46,12 @@
   }
 
   override offer(request: ScenarioRequest, nowMs: number): OwnerDecisions {
-    const { id, objectiveAtMs, deadlineAtMs } = request;
-    const estimate = this.estimator.estimate(COLD_REQUEST, {
-      objectiveMs: objectiveAtMs - nowMs,
-      deadlineMs: deadlineAtMs - nowMs,
-    }, nowMs);
+    const { id, deadlineAtMs } = request;
+    const estimate = this.estimator.estimate(
+      COLD_REQUEST,
+      deadlineAtMs - nowMs,
+      nowMs,
+    );
     const decision = this.queue.offer({
       id,
       rank: 2,
--- a/packages/router/src/backend/cold_start.ts
+++ b/packages/router/src/backend/cold_start.ts
@@ -80,15 +80,15 @@
     const nowMs = monotonicMs();
     return this.estimator.estimate(
       this.toColdRequest(request),
-      remainingTimes(request, nowMs),
+      request.deadlineAtMs - nowMs,
       nowMs,
     );
   }
 
   /** Estimates how long a request would hold a slot if nothing were cold, in milliseconds. */
   estimateWarmMs(request: RoutedRequest): number {
-    const remaining = remainingTimes(request, monotonicMs());
-    return this.context.times.estimate(request.route, remaining);
+    const remainingMs = request.deadlineAtMs - monotonicMs();
+    return this.context.times.estimate(request.route, remainingMs);
   }
 
   /** Records that a request is sent to the server. */
@@ -150,10 +150,3 @@
     return { route, keyColdSinceMs };
   }
 }
-
-function remainingTimes(request: RoutedRequest, nowMs: number) {
-  return {
-    objectiveMs: request.objectiveAtMs - nowMs,
-    deadlineMs: request.deadlineAtMs - nowMs,
-  };
-}
