Send large responses by their callers' deadlines, not by the latency objective

What callers saw: on a host whose network link is full, a large response was sent before or after others depending on the route's latency objective; one that had missed it waited for all others, and was planned with twice its estimated wait, so callers with the same time left were served differently by what the operators aim at.

Cause: bandwidth_pacer.ts ordered by objective, and link_server.ts brought the deadline forward by the estimated delay, or by twice that of late ones.

Change: the earliest deadline goes first among the responses that can still arrive, and the deadline of a request is brought forward by what is ahead of its response. Those that can't arrive any more go last.

--- a/packages/admission/src/bandwidth_pacer.ts
+++ b/packages/admission/src/bandwidth_pacer.ts
@@ -15,20 +15,12 @@
 
 /** A large response that waits for the network link. */
 export interface WaitingResponse {
-  /** When it must have been sent to meet its latency objective, in milliseconds on the daemon's clock. */
-  readonly objectiveAtMs: number;
+  /** When it must have been sent to reach its caller in time, in milliseconds on the daemon's clock. */
+  readonly deadlineAtMs: number;
   /** Number of bytes that have not been written yet. */
   remainingBytes: number;
 }
 
-/** Expected time until a response is sent completely, in milliseconds. */
-export interface TransmissionDelay {
-  /** If it is on time: it is sent before late responses. */
-  readonly onTimeMs: number;
-  /** If it is late: it is sent after all others. */
-  readonly lateMs: number;
-}
-
 /** Paces the writing of large responses to the network link of one host. */
 export class BandwidthPacer<QueuedResponse extends WaitingResponse> {
   private waiting: QueuedResponse[] = [];
@@ -59,10 +51,10 @@
       bytes / this.bytesPerMs;
   }
 
-  /** Queues a response, in the order of the latency objectives. */
+  /** Queues a response, in the order of the deadlines. */
   add(response: QueuedResponse): void {
-    const index = this.waiting.findIndex(({ objectiveAtMs }) =>
-      objectiveAtMs > response.objectiveAtMs
+    const index = this.waiting.findIndex(({ deadlineAtMs }) =>
+      deadlineAtMs > response.deadlineAtMs
     );
     this.waiting.splice(index < 0 ? this.waiting.length : index, 0, response);
   }
@@ -73,15 +65,15 @@
   }
 
   /**
-   * Returns the response whose next chunk may be written now, if there is one. Responses that can still be sent on time
-   * go before those that can't: in the order of their objectives alone, all of them would be late as soon as the
+   * Returns the response whose next chunk may be written now, if there is one. Responses that can still be sent in time
+   * go before those that can't: in the order of their deadlines alone, all of them would be too late as soon as the
    * network link is overloaded.
    */
   next(nowMs: number): QueuedResponse | undefined {
     if (this.delayMs(nowMs) > 0) {
       return undefined;
     }
-    return this.waiting.find((response) => this.isOnTime(response, nowMs)) ??
+    return this.waiting.find((response) => this.isInTime(response, nowMs)) ??
       this.waiting[0];
   }
 
@@ -91,26 +83,22 @@
   }
 
   /**
-   * Estimates when a response that is requested now would be sent completely, apart from the time to produce it.
+   * Estimates how long a response that is requested now takes to be sent completely, apart from the time to produce it,
+   * in milliseconds.
    *
    * @param bytes its size, plus that of the responses that are being produced already.
    */
-  estimateDelay(bytes: number, nowMs: number): TransmissionDelay {
-    const onTime = this.waiting.filter((response) =>
-      this.isOnTime(response, nowMs)
+  estimateDelayMs(bytes: number, nowMs: number): number {
+    const ahead = this.waiting.filter((response) =>
+      this.isInTime(response, nowMs)
     );
-    const linkBusyMs = Math.max(0, this.linkFreeAtMs - nowMs);
-    return {
-      onTimeMs: linkBusyMs +
-        (sumRemainingBytes(onTime) + bytes) / this.bytesPerMs,
-      lateMs: linkBusyMs +
-        (sumRemainingBytes(this.waiting) + bytes) / this.bytesPerMs,
-    };
+    return Math.max(0, this.linkFreeAtMs - nowMs) +
+      (sumRemainingBytes(ahead) + bytes) / this.bytesPerMs;
   }
 
-  private isOnTime(response: QueuedResponse, nowMs: number): boolean {
+  private isInTime(response: QueuedResponse, nowMs: number): boolean {
     const sentAtMs = nowMs + response.remainingBytes / this.bytesPerMs;
-    return sentAtMs <= response.objectiveAtMs;
+    return sentAtMs <= response.deadlineAtMs;
   }
 }
 
--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -57,8 +57,4 @@
   BodyScheduler,
   type OfferedBody,
 } from "./body_scheduler.ts";
-export {
-  BandwidthPacer,
-  type TransmissionDelay,
-  type WaitingResponse,
-} from "./bandwidth_pacer.ts";
+export { BandwidthPacer, type WaitingResponse } from "./bandwidth_pacer.ts";
--- a/packages/router/src/links/link_server.ts
+++ b/packages/router/src/links/link_server.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import { createServer, type Server, type Socket } from "node:net";
-import type { TransmissionDelay } from "@bamboolink/admission";
 import type { Logger } from "@bamboolink/logger";
 import type { BodyReceiver } from "./body_receiver.ts";
 import type { ResponseSender } from "./response_sender.ts";
@@ -31,12 +30,6 @@
  */
 const ACKNOWLEDGE_DELAY_MS = 60;
 
-/**
- * Factor on the estimated wait of a late response, because on-time responses that become ready later are also sent
- * before it. Without it, one download in six on a busy host is produced but not delivered by its deadline.
- */
-const LATE_WAIT_FACTOR = 2;
-
 /** A body that arrives for longer than this is logged, in milliseconds. */
 const SLOW_BODY_MS = 250;
 
@@ -256,17 +249,14 @@
     running: RunningRequest,
   ): Promise<void> {
     const { request, cancellation } = running;
-    const { backend, responses, lag, logger } = this.context;
+    const { responses, lag, logger } = this.context;
     const { route } = request;
     await lag.awaitPendingReads({ isFirst: false });
-    const adjusted = reserveTransmissionTime(
-      request,
-      responses.estimateDelay(route),
-      {
-        nowMs: this.context.nowMs(),
-        serviceMs: backend.loadReportFor(route).serviceMs,
-      },
-    );
+    // Otherwise servers would run requests whose responses can't arrive before their deadline, at the cost of those that
+    // could.
+    const deadlineAtMs = request.deadlineAtMs -
+      responses.estimateDelayMs(route);
+    const adjusted = { ...request, deadlineAtMs };
     responses.adjustRunning(route, 1);
     const outcome = await this.run(adjusted, cancellation)
       .catch((cause) => {
@@ -284,15 +274,14 @@
     const { id, running, outcome } = ended;
     const { cancellation, request } = running;
     const { backend, responses } = this.context;
-    const { route, objectiveAtMs } = request;
+    const { route, deadlineAtMs } = request;
     if (link.running.delete(id) && cancellation.reason !== "cancelled") {
       const { frames } = link;
       const load = backend.loadReportFor(route);
       // A daemon that chooses among backend servers must also take the delay of their network links into account.
-      const serviceMs = load.serviceMs +
-        responses.estimateDelay(route).onTimeMs;
+      const serviceMs = load.serviceMs + responses.estimateDelayMs(route);
       responses.send(
-        { frames, id, route, objectiveAtMs },
+        { frames, id, route, deadlineAtMs },
         outcome,
         { ...load, serviceMs },
       );
@@ -322,23 +311,3 @@
       : undefined;
   }
 }
-
-/**
- * Brings a request's objective and deadline forward by the time that its response will wait for the network link.
- * Otherwise servers would run requests whose responses cannot arrive before their deadline, at the cost of those that
- * could.
- */
-function reserveTransmissionTime(
-  request: RoutedRequest,
-  { onTimeMs, lateMs }: TransmissionDelay,
-  now: { nowMs: number; serviceMs: number },
-): RoutedRequest {
-  if (lateMs === 0) {
-    return request;
-  }
-  const objectiveAtMs = request.objectiveAtMs - onTimeMs;
-  const isOnTime = now.nowMs + now.serviceMs <= objectiveAtMs;
-  const reservedMs = isOnTime ? onTimeMs : lateMs * LATE_WAIT_FACTOR;
-  const deadlineAtMs = request.deadlineAtMs - reservedMs;
-  return { ...request, objectiveAtMs, deadlineAtMs };
-}
--- a/packages/router/src/links/response_sender.ts
+++ b/packages/router/src/links/response_sender.ts
@@ -3,11 +3,7 @@
  *
  * @module
  */
-import {
-  BandwidthPacer,
-  type TransmissionDelay,
-  type WaitingResponse,
-} from "@bamboolink/admission";
+import { BandwidthPacer, type WaitingResponse } from "@bamboolink/admission";
 import type { FrameSocket } from "./frame_socket.ts";
 import {
   encodeFrame,
@@ -26,15 +22,13 @@
 /** Share of the network link's bandwidth for large responses; the rest is for small ones, requests and gossip. */
 const LARGE_RESPONSE_SHARE = 0.9;
 
-const NO_DELAY: TransmissionDelay = { onTimeMs: 0, lateMs: 0 };
-
-/** Where an outcome is sent, and its latency objective. */
+/** Where an outcome is sent, and until when it is of use. */
 export interface ResponseTarget {
   readonly frames: FrameSocket;
   /** Id of the request on its link. */
   readonly id: number;
   readonly route: string;
-  readonly objectiveAtMs: number;
+  readonly deadlineAtMs: number;
 }
 
 interface LargeResponse extends WaitingResponse, ResponseTarget {
@@ -81,17 +75,17 @@
     this.running.set(route, (this.running.get(route) ?? 0) + change);
   }
 
-  /** Estimates how long a response of a route would take to be sent, in addition to the service time. */
-  estimateDelay(route: string): TransmissionDelay {
+  /** Estimates how long a response of a route would take to be sent, in addition to the service time, in milliseconds. */
+  estimateDelayMs(route: string): number {
     const size = this.averageSizes.get(route) ?? 0;
     if (size <= MAX_SMALL_BYTES) {
-      return NO_DELAY;
+      return 0;
     }
     const pendingBytes = [...this.running].reduce((sum, [other, count]) => {
       const averageSize = this.averageSizes.get(other) ?? 0;
       return averageSize <= MAX_SMALL_BYTES ? sum : sum + averageSize * count;
     }, 0);
-    return this.pacer.estimateDelay(size + pendingBytes, this.nowMs());
+    return this.pacer.estimateDelayMs(size + pendingBytes, this.nowMs());
   }
 
   /** Sends an outcome: at once, or, for a large response, when the pacer allows it. */
