Limit requests to a cold server also before a configuration is in force

The cold limit comes from the configuration, so coldLimitOf returned 0, no limit, and what was set with a heartbeat was kept until the next one, some 870 ms. Daemons that have a configuration send requests there meanwhile.

Cause: "not known" and "none" were the same value.

--- a/packages/router/src/backend/backend_manager.ts
+++ b/packages/router/src/backend/backend_manager.ts
@@ -195,6 +195,13 @@
     }
   }
 
+  /** Applies the limits of the configuration that is in force now. */
+  onConfigurationChanged(): void {
+    if (this.currentPhase === "ready" || this.currentPhase === "evacuated") {
+      this.setPhase(this.currentPhase, "configuration");
+    }
+  }
+
   /** The phase of a backend server that is not draining. */
   private get undrainedPhase(): MemberPhase {
     return this.context.evacuation.isEvacuated ? "evacuated" : "ready";
--- a/packages/router/src/backend/backend_manager_test.ts
+++ b/packages/router/src/backend/backend_manager_test.ts
@@ -49,6 +49,8 @@
     onProcessEnded?: () => void;
     awaitEarlierReport?: () => Promise<void>;
     awaitGrantable?: () => Promise<void>;
+    coldLimit?: () => number;
+    onLimits?: (coldLimit: number | undefined) => void;
   } = {},
 ): BackendManager {
   const releaseAll = () => {
@@ -57,25 +59,31 @@
   };
   const logger = Logger.createRateLimited("test", { level: "error" });
   const protocol = {} as BackendProtocol;
-  return BackendManager.create({
+  const backend = LocalBackend.create({
+    address: ADDRESS,
+    protocol,
     logger,
-    backend: LocalBackend.create({
-      address: ADDRESS,
-      protocol,
+    grants,
+    quarantine: RequestQuarantine.create({
+      address: "own",
       logger,
-      grants,
-      quarantine: RequestQuarantine.create({
-        address: "own",
-        logger,
-        random: () => 0,
-        nowMs: bootMs,
-        broadcast: () => undefined,
-        sendToSome: () => undefined,
-        sendTo: () => undefined,
-      }),
-      onSuspicion: () => undefined,
-      onLeaving: () => undefined,
+      random: () => 0,
+      nowMs: bootMs,
+      broadcast: () => undefined,
+      sendToSome: () => undefined,
+      sendTo: () => undefined,
     }),
+    onSuspicion: () => undefined,
+    onLeaving: () => undefined,
+  });
+  const updateIdentity = backend.updateIdentity.bind(backend);
+  backend.updateIdentity = (identity) => {
+    updateIdentity(identity);
+    options.onLimits?.(identity?.coldLimit);
+  };
+  return BackendManager.create({
+    logger,
+    backend,
     grants,
     grantLimit: { bytes: Infinity, measure: () => 0 },
     lease,
@@ -85,7 +93,7 @@
     drainMs: () => 2_000,
     isKeyed: () => true,
     isConfigured: (service) => service === "rooms",
-    coldLimit: () => 0,
+    coldLimit: options.coldLimit ?? (() => 0),
     heartbeatIntervalMs: () => options.heartbeatMs ?? 1_000,
     probe: options.probe ?? (() => Promise.resolve({ kind: "silent" })),
     mayGrant: () => true,
@@ -130,6 +138,27 @@
     freed: [],
   };
 
+  describe("when the configuration changes", () => {
+    // Guards against a cold server that gets more than it may until its next heartbeat, because its daemon learns of the
+    // limit only after the last one.
+    it("applies the new limit at once", async () => {
+      const { grants, lease } = createOwner();
+      let coldLimit = 1;
+      const applied: (number | undefined)[] = [];
+      const manager = createManager(grants, lease, {
+        coldLimit: () => coldLimit,
+        onLimits: (limit) => applied.push(limit),
+      });
+      manager.onConfigurationChanged();
+      expect(applied).to.deep.equal([]);
+      await manager.handleHeartbeat({ ...heartbeat, coldMs: 2_000 });
+      expect(applied.at(-1)).to.equal(1);
+      coldLimit = 20;
+      manager.onConfigurationChanged();
+      expect(applied.at(-1)).to.equal(20);
+    });
+  });
+
   describe("before the first grant to a process", () => {
     // Guards against keys without a holder for a heartbeat's interval after a start, because the lease is confirmed just
     // after the first response.
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -28,6 +28,7 @@
 import { ResponseSender } from "./links/response_sender.ts";
 import { BackendLoadTracker } from "./attempts/backend_load_tracker.ts";
 import { BackendManager } from "./backend/backend_manager.ts";
+import { coldLimitOf } from "./backend/cold_limit.ts";
 import { bootMs, monotonicMs } from "./clock.ts";
 import { ConfigurationChecker } from "./configuration/configuration_checker.ts";
 import { ConfigurationManager } from "./configuration/configuration_manager.ts";
@@ -237,7 +238,12 @@
       isKeyed: (service) => this.directory.isKeyed(service),
       isConfigured: (service) =>
         this.configuration.inForce?.services.has(service),
-      coldLimit: (service) => this.coldLimitOf(service),
+      coldLimit: (service) =>
+        coldLimitOf(
+          service,
+          this.configuration.inForce?.services,
+          this.settings.bounds,
+        ),
       heartbeatIntervalMs: () => this.settings.heartbeatMs,
       mayGrant: (service) => this.ownership.mayGrant(service),
       onServiceChanged: () => this.ownership.onServiceChanged(),
@@ -290,6 +296,7 @@
       onChange: ({ configuration }) => {
         this.directory.configure(configuration);
         this.ingress.setLimits(configuration.limits);
+        this.backendManager.onConfigurationChanged();
       },
     });
     this.earlierReportQuery = EarlierReportQuery.create({
@@ -754,16 +761,6 @@
     await handoverCoordinator.awaitKeys(monotonicMs, latestMs);
   }
 
-  /** Maximum rate for a cold backend server of a service, in requests per second; 0 if it is not known. */
-  private coldLimitOf(service: string): number {
-    const { coldRatio, coldExtra } = this.settings.bounds;
-    const perSecond = this.configuration.inForce?.services.get(service)
-      ?.coldRequestsPerSecond;
-    return perSecond === undefined
-      ? 0
-      : Math.max(1, Math.floor(perSecond * coldRatio + coldExtra));
-  }
-
   /** Only the shared reader restores them, as it is the first to detect that the store was rolled back. */
   private restoreMembers(): void {
     if (this.ownership.isSharedReader) {
