Treat requests alike whose estimates differ by less than estimates are wrong

Cause: a request shorter than the mean may wait behind more work, in proportion. Estimates of two routes with the same work differ by about a hundredth, and a standing queue is kept at its bound, so that hundredth decided who was admitted.

Change: only what is shorter than the mean by more than the measured deviation counts as shorter.

--- a/packages/admission/src/work_queue.ts
+++ b/packages/admission/src/work_queue.ts
@@ -305,8 +305,8 @@
   }
 
   /**
-   * Whether the queue is short enough for another request. A request that takes less than the mean may wait behind more
-   * work, in proportion: refusing it would leave little room to others.
+   * Whether the queue is short enough for another request. A request that takes less than the mean, by more than
+   * estimates are wrong, may wait behind more work in proportion: refusing it would leave little room to others.
    */
   private isWaitOfUse(request: WorkRequest, nowMs: number): boolean {
     const { rank, estimateMs, blocksOthers } = request;
@@ -315,7 +315,8 @@
     const limitMs = blocksOthers
       ? usefulBacklogMs(pace.meanMs)
       : this.standing.limitMs(rank, { pace, nowMs });
-    const brevity = Math.max(1, pace.meanMs / Math.max(1, estimateMs));
+    const longestMs = estimateMs * (1 + this.spread.share);
+    const brevity = Math.max(1, pace.meanMs / Math.max(1, longestMs));
     return backlogMs <= limitMs * brevity;
   }
 
--- a/packages/admission/src/work_queue_test.ts
+++ b/packages/admission/src/work_queue_test.ts
@@ -85,6 +85,29 @@
       expect(queue.offer({ ...first, rank: 1 }, 0).kind).to.equal("wait");
     });
 
+    // Guards against callers of one route that are served half as often again as those of another with the same work,
+    // because its estimate is lower by less than estimates are wrong.
+    it("refuses requests alike whose estimates differ by little, while the queue stands", () => {
+      const decide = (estimateMs: number) => {
+        const queue = fullQueue(2);
+        const patient = (id: number, taken: number) =>
+          queue.offer(
+            request(id, { estimateMs: taken, deadlineAtMs: 60_000 }),
+            id < 10 ? 0 : 2_450,
+          );
+        [1, 2, 3].forEach((id) => patient(id, 100));
+        [1_000, 1_001].forEach((id) => queue.finish(id, 2_450));
+        patient(10, 101);
+        queue.advance(2_510);
+        return queue.offer(
+          request(20, { estimateMs, deadlineAtMs: 60_000 }),
+          2_511,
+        ).kind;
+      };
+      expect([99, 101].map(decide)).to.deep.equal(["refuse", "refuse"]);
+      expect(decide(20)).to.equal("wait");
+    });
+
     // Guards against requests that wait until just before their deadline and then end after it, because timers and the
     // server are late by some milliseconds.
     it("refuses a request that would wait until just before its deadline", () => {
