--- a/packages/admission/src/admission_replay_test.ts
+++ b/packages/admission/src/admission_replay_test.ts
@@ -105,7 +105,7 @@
   );
 
   describe("at a load of 1.5", () => {
-    // Guards against waiting that serves nobody: with the deadline alone, those that are served wait for 1.9 s.
+    // Guards against queueing delay without additional throughput: bounded by the deadline alone, it is 1.9 s.
     it("serve in less than 400 ms what the deadline alone serves just before it", () => {
       const deadlinesMs = [2_000];
       const habits = HABITS["don't repeat"]!;
--- a/packages/admission/src/retry_after_test.ts
+++ b/packages/admission/src/retry_after_test.ts
@@ -35,7 +35,7 @@
   });
 
   describe("for a caller whose time ends before there is room", () => {
-    // Guards against callers that are told to come back within their time only to be refused again.
+    // Guards against retry-after delays that end before there is capacity.
     it("returns the time at which there is room", () => {
       const room = { ...ROOM, roomMs: 900 };
       expect(drawReturnMs(room, () => 0.5))
--- a/packages/admission/src/return_times.ts
+++ b/packages/admission/src/return_times.ts
@@ -22,8 +22,8 @@
 }
 
 /**
- * The room that one queue has promised to refused callers. Callers that are refused together are told times that are as
- * far apart as their requests take, the more urgent ones earlier.
+ * Reserved capacity of one queue for the retries of refused callers. Retries are spaced by their service times, in the
+ * order of their ranks.
  */
 export class ReturnTimes {
   /** Until when room is promised to the callers of each rank, in milliseconds. */
--- a/packages/admission/src/testing/admission_model.ts
+++ b/packages/admission/src/testing/admission_model.ts
@@ -24,7 +24,7 @@
 export interface CallerHabits {
   /** How often a caller repeats a refused request. */
   readonly maxRetries: number;
-  /** Whether it waits for as long as it is told, up to a third of its time left; otherwise it repeats soon. */
+  /** Whether it honours `Retry-After`, up to a third of its remaining time; otherwise it retries after 50 ms. */
   readonly heedsRetryAfter: boolean;
 }
 
@@ -70,7 +70,7 @@
   readonly refusedMs: number[];
   /** Time left to callers that were refused. */
   readonly leftMs: number[];
-  /** Repeats at the time that the caller was told, and those of them that were served. */
+  /** Retries after the stated delay, and those of them that were served. */
   toldRetries: number;
   servedToldRetries: number;
 }
--- a/packages/admission/src/testing/admission_scenarios.ts
+++ b/packages/admission/src/testing/admission_scenarios.ts
@@ -25,7 +25,7 @@
 /** A wave of load: its interval, how long it lasts, and the load in and outside of it. */
 const WAVE = { intervalMs: 10_000, lengthMs: 4_500, high: 1.3, low: 0.6 };
 
-/** Callers that repeat a refused request once, when they are told. */
+/** Callers that retry a refused request once, after the stated delay. */
 const USUAL_HABITS: CallerHabits = { maxRetries: 1, heedsRetryAfter: true };
 
 /** A burst of load: its interval, how long it lasts, and the load in and outside of it. */
